--- /dev/null
+++ b/gooseberrypath/backend_system.cc
@@ -0,0 +1,9 @@
+#include "gooseberrypath/backend_system.h"
+
+namespace gooseberrypath {
+
+void BackendSystem::Start() {}
+
+void BackendSystem::Run() {}
+
+} // namespace gooseberrypath
--- /dev/null
+++ b/gooseberrypath/claim_system.cc
@@ -0,0 +1,9 @@
+#include "gooseberrypath/claim_system.h"
+
+namespace gooseberrypath {
+
+void ClaimSystem::Start() {}
+
+void ClaimSystem::Run() {}
+
+} // namespace gooseberrypath
--- /dev/null
+++ b/gooseberrypath/config_system.cc
@@ -0,0 +1,9 @@
+#include "gooseberrypath/config_system.h"
+
+namespace gooseberrypath {
+
+void ConfigSystem::Start() {}
+
+void ConfigSystem::Run() {}
+
+} // namespace gooseberrypath
--- /dev/null
+++ b/gooseberrypath/counters.cc
@@ -0,0 +1,1 @@
+#include "gooseberrypath/counters.h"
--- /dev/null
+++ b/gooseberrypath/counters.h
@@ -0,0 +1,73 @@
+// The daemon's own counters and gauges, rendered in the Prometheus text form.
+//
+//   counters.Add(Counter::RequestsAccepted);
+//   std::string text = counters.Render();
+
+#ifndef GOOSEBERRYPATH_COUNTERS_H_
+#define GOOSEBERRYPATH_COUNTERS_H_
+
+#include <array>
+#include <cstdint>
+#include <string>
+
+namespace gooseberrypath {
+
+/// Every counter. The names for /metrics stand in counters.cc, in the same order.
+enum class Counter : uint8_t
+{
+  RequestsAccepted,
+  RequestsAnswered,
+  RequestsRefused,
+  CallersGone,
+  AttemptsStarted,
+  AttemptsNotSent,
+  AttemptsBroken,
+  AttemptsStalled,
+  AttemptsResumed,
+  TokensReceived,
+  TokensDropped,  // late, crossed or out of order
+  TokensRepeated, // generated again after a resume that began too early
+  ClaimsAppended,
+  ClaimsAdmitted,
+  ClaimsLost,
+  ClaimsGivenUp,
+  OutcomesRecorded,
+  OutcomesReplayed,
+  OutcomesUnknown,
+  RecordsApplied,
+  RecordsSkipped,
+  WritesAccepted,
+  WritesRefused,
+  LogReadFailures,
+  AppendFailures,
+  GossipSent,
+  GossipReceived,
+  GossipFailures,
+  HostsLeaving,
+  Count_, // not a counter
+};
+
+/// All counters, starting at 0.
+class Counters
+{
+public:
+  void Add(Counter aCounter, uint64_t aAmount = 1)
+  {
+    values_.at(static_cast<size_t>(aCounter)) += aAmount;
+  }
+
+  uint64_t Get(Counter aCounter) const
+  {
+    return values_.at(static_cast<size_t>(aCounter));
+  }
+
+  /// Returns all counters in the Prometheus text form, with HELP and TYPE lines.
+  std::string Render() const;
+
+private:
+  std::array<uint64_t, static_cast<size_t>(Counter::Count_)> values_{};
+};
+
+} // namespace gooseberrypath
+
+#endif // GOOSEBERRYPATH_COUNTERS_H_
--- /dev/null
+++ b/gooseberrypath/daemon.h
@@ -0,0 +1,118 @@
+// A daemon: the decision core and the ports around it.
+//
+//   Daemon daemon(options, Ports{ caller, backend, log, peer, operators, observation,
+//   clock }); daemon.Post(event);  // the ports' EventSink calls this
+
+#ifndef GOOSEBERRYPATH_DAEMON_H_
+#define GOOSEBERRYPATH_DAEMON_H_
+
+#include <deque>
+#include <functional>
+#include <utility>
+
+#include "gooseberrypath/core.h"
+#include "gooseberrypath/ports.h"
+
+namespace gooseberrypath {
+
+/// References to the models of all ports that carry out actions.
+template<CallerPort Caller, BackendPort Backend, LogPort Log, PeerPort Peer,
+         OperatorPort Operators, ObservationPort Observation, ClockPort Clock>
+struct Ports
+{
+  Caller& caller;
+  Backend& backend;
+  Log& log;
+  Peer& peer;
+  Operators& operators;
+  Observation& observation;
+  Clock& clock;
+  std::function<void()> exit; // called once for ExitProcess
+};
+
+/// Feeds events to the core and carries out its actions. Single threaded: Post() must be
+/// called on the thread of the event loop.
+template<typename PortSet>
+class Daemon
+{
+public:
+  Daemon(CoreOptions aOptions, PortSet aPorts)
+    : ports_(std::move(aPorts))
+    , core_(std::move(aOptions), ports_.clock.Now())
+  {
+  }
+
+  Daemon(const Daemon&) = delete;
+  Daemon& operator=(const Daemon&) = delete;
+
+  /// Handles the event now, or after the event that is being handled.
+  void Post(Event aEvent)
+  {
+    queue_.push_back(std::move(aEvent));
+    Pump();
+  }
+
+  /// Runs a tick for timers that are due.
+  void Wake()
+  {
+    isTickDue_ = true;
+    Pump();
+  }
+
+  const World& GetWorld() const { return core_.GetWorld(); }
+
+private:
+  void Pump()
+  {
+    if (isPumping_) {
+      return;
+    }
+    isPumping_ = true;
+    while (isTickDue_ || !queue_.empty()) {
+      isTickDue_ = false;
+      if (!queue_.empty()) {
+        const Event event = std::move(queue_.front());
+        queue_.pop_front();
+        core_.Handle(event);
+      }
+      core_.Tick(ports_.clock.Now());
+      for (const Action& action : core_.TakeActions()) {
+        std::visit([this](const auto& aOne) { Execute(aOne); }, action);
+      }
+    }
+    isPumping_ = false;
+    if (const auto due = core_.NextDue()) {
+      ports_.clock.WakeAt(*due, [this] { Wake(); });
+    }
+  }
+
+  template<typename A>
+  void Execute(const A& aAction)
+  {
+    if constexpr (std::is_same_v<A, ExitProcess>) {
+      ports_.exit();
+    } else {
+      const auto tryPort = [&](auto& aPort) {
+        if constexpr (Executes<std::remove_reference_t<decltype(aPort)>, A>) {
+          aPort.Execute(aAction);
+        }
+      };
+      tryPort(ports_.caller);
+      tryPort(ports_.backend);
+      tryPort(ports_.log);
+      tryPort(ports_.peer);
+      tryPort(ports_.operators);
+      tryPort(ports_.observation);
+    }
+  }
+
+  PortSet ports_;
+  Core core_;
+  std::deque<Event> queue_;
+  bool isPumping_ = false;
+  bool isTickDue_ = false;
+};
+
+} // namespace gooseberrypath
+
+#endif // GOOSEBERRYPATH_DAEMON_H_
--- /dev/null
+++ b/gooseberrypath/main.cc
@@ -0,0 +1,4 @@
+int main()
+{
+  return 0;
+}
--- /dev/null
+++ b/gooseberrypath/peer.capnp
@@ -0,0 +1,46 @@
+@0xd1c7a5f60b3e9a42;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("gooseberrypath::wire");
+
+# RPC between daemons. See messages.h for the meaning of the fields.
+
+struct MemberDigest {
+  daemon @0 :Text;
+  incarnation @1 :UInt64;
+  heartbeat @2 :UInt64;
+  peerAddress @3 :Text;
+  zone @4 :Text;
+  appliedConfig @5 :UInt64;
+  state @6 :State;
+
+  enum State {
+    starting @0;
+    serving @1;
+    draining @2;
+  }
+}
+
+struct HostNews {
+  host @0 :Text;
+  sequence @1 :UInt64;
+  leaving @2 :Bool;
+}
+
+struct GossipMessage {
+  fromAddress @0 :Text;
+  wantsReply @1 :Bool;
+  members @2 :List(MemberDigest);
+  hosts @3 :List(HostNews);
+}
+
+enum ClaimWord {
+  running @0;
+  gaveUp @1;
+  notHeld @2;
+}
+
+interface Peer {
+  gossip @0 (message :GossipMessage) -> ();
+  askClaim @1 (claim :Text) -> (word :ClaimWord);
+}
--- /dev/null
+++ b/gooseberrypath/records.cc
@@ -0,0 +1,1 @@
+#include "gooseberrypath/records.h"
--- /dev/null
+++ b/gooseberrypath/testing/catch_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
