--- /dev/null
+++ b/gooseberrypath/attempt_runner.h
@@ -0,0 +1,60 @@
+// Starts and ends attempts: one sending of a request to one backend.
+//
+//   attempts.Start(id, row, "assistant/e1");
+//   RunningAttempt running = attempts.Find(event.attempt);
+//   attempts.End(event.attempt, "finished");
+
+#ifndef GOOSEBERRYPATH_ATTEMPT_RUNNER_H_
+#define GOOSEBERRYPATH_ATTEMPT_RUNNER_H_
+
+#include <string>
+#include <string_view>
+
+#include "gooseberrypath/world.h"
+
+namespace gooseberrypath {
+
+/// Returns the header fields that are passed on between caller and backend: neither
+/// hop-by-hop fields nor those that the daemon sets itself.
+Headers ForwardedHeaders(const Headers& aHeaders);
+
+/// An attempt with its request. Both are null if the attempt has ended.
+struct RunningAttempt
+{
+  RequestId id;
+  RequestRow* request = nullptr;
+  AttemptRow* attempt = nullptr;
+};
+
+/// Keeps the table of attempts and the in-flight counts of backends.
+class AttemptRunner
+{
+public:
+  explicit AttemptRunner(World& aWorld)
+    : world_(aWorld)
+  {
+  }
+
+  /// Starts an attempt at the backend with this id, which must exist. The request becomes
+  /// Running.
+  void Start(RequestId aId, RequestRow& aRow, const std::string& aBackend);
+
+  RunningAttempt Find(AttemptId aId);
+
+  /// Removes the attempt and writes its span. Unknown ids are ignored.
+  void End(AttemptId aId, std::string_view aResult);
+
+  /// Returns the name of the attempt on the wire. It is unique among all daemons and
+  /// restarts, so that an answer to another attempt is recognised.
+  std::string NameOf(AttemptId aId) const;
+
+private:
+  void StartModel(AttemptId aId, const RequestRow& aRow, const AttemptRow& aAttempt);
+  void StartService(AttemptId aId, const RequestRow& aRow, const AttemptRow& aAttempt);
+
+  World& world_;
+};
+
+} // namespace gooseberrypath
+
+#endif // GOOSEBERRYPATH_ATTEMPT_RUNNER_H_
--- a/gooseberrypath/backend_system.h
+++ b/gooseberrypath/backend_system.h
@@ -7,6 +7,9 @@
 
 namespace gooseberrypath {
 
+/// Tells whether new work may be sent to the backend now.
+bool IsUsable(const World& aWorld, const BackendRow& aRow);
+
 /// Keeps the tables of backends and hosts.
 class BackendSystem
 {
--- /dev/null
+++ b/gooseberrypath/reply_writer.h
@@ -0,0 +1,55 @@
+// Writes answers to callers: tokens, whole answers, errors and outcomes of actions.
+//
+//   ReplyWriter replies(world);
+//   replies.SendError(id, row, { ErrorKind::NoBackend, "service app has no live backend"
+//   });
+
+#ifndef GOOSEBERRYPATH_REPLY_WRITER_H_
+#define GOOSEBERRYPATH_REPLY_WRITER_H_
+
+#include <string>
+#include <string_view>
+
+#include "gooseberrypath/chat_format.h"
+#include "gooseberrypath/world.h"
+
+namespace gooseberrypath {
+
+/// Tells whether a caller asks for the outcome of an action.
+bool IsOutcomeQuery(const CallerRequest& aRequest);
+
+/// Emits the actions that answer a caller.
+class ReplyWriter
+{
+public:
+  explicit ReplyWriter(World& aWorld)
+    : world_(aWorld)
+  {
+  }
+
+  /// Adds a token to the row and sends it if the caller streams.
+  void SendToken(RequestId aId, RequestRow& aRow, const std::string& aText);
+
+  /// Ends the answer of a model request.
+  void SendModelEnd(RequestId aId, const RequestRow& aRow,
+                    std::string_view aFinishReason);
+
+  /// Sends the error's answer from the table, or an error event in a running stream.
+  void SendError(RequestId aId, const RequestRow& aRow, const Error& aError);
+
+  /// Sends a whole answer.
+  void SendWhole(RequestId aId, const RequestRow& aRow, const StoredAnswer& aAnswer);
+
+  /// Answers GET /v1/outcomes/{service}/{key}. Fails with BadRequest or NotReady.
+  void SendOutcome(const CallerRequest& aEvent);
+
+private:
+  AnswerIdentity IdentityOf(const RequestRow& aRow) const;
+  void SendEvent(RequestId aId, std::string aData);
+
+  World& world_;
+};
+
+} // namespace gooseberrypath
+
+#endif // GOOSEBERRYPATH_REPLY_WRITER_H_
--- /dev/null
+++ b/gooseberrypath/testing/dispatch_system_test.cc
@@ -0,0 +1,304 @@
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "gooseberrypath/errors.h"
+#include "gooseberrypath/testing/dispatch_fixture.h"
+
+using namespace gooseberrypath;
+using namespace gooseberrypath::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::string_view kChat =
+  R"({"messages":[{"role":"user","content":"plan"}],"stream":true,"max_tokens":20})";
+
+std::string WireName(AttemptId aId)
+{
+  return "d0-1000-a" + std::to_string(aId.value);
+}
+
+AttemptToken Token(AttemptId aId, uint64_t aOffset)
+{
+  return { .attempt = aId,
+           .answerId = "chatcmpl-" + WireName(aId),
+           .offset = aOffset,
+           .text = "t" + std::to_string(aOffset) + " " };
+}
+
+std::string ErrorKindOf(const ReplyWhole& aReply)
+{
+  return nlohmann::json::parse(aReply.body)["error"]["kind"];
+}
+
+/// Returns the text that a streaming caller received.
+std::string ReceivedText(const std::vector<ReplyStreamEvent>& aEvents)
+{
+  std::string text;
+  for (const ReplyStreamEvent& event : aEvents) {
+    if (event.data != "[DONE]" && event.event.empty()) {
+      const auto chunk = nlohmann::json::parse(event.data);
+      text += chunk["choices"][0]["delta"].value("content", "");
+    }
+  }
+  return text;
+}
+
+} // namespace
+
+TEST_CASE("A stream goes on after its engine breaks, without gap or repeat", "[dispatch]")
+{
+  // Guards against a stream that restarts from the beginning or loses a token.
+  DispatchFixture f;
+  f.Request("POST", "/v1/chat/completions", {}, std::string(kChat));
+  const auto first = f.Take<StartModelAttempt>().at(0);
+  f.Post(Token(first.attempt, 0));
+  f.Post(Token(first.attempt, 1));
+  f.Post(AttemptBroken{ first.attempt, "reset" });
+  const auto second = f.Take<StartModelAttempt>().at(0);
+  CHECK(second.address != first.address);
+  const auto body = nlohmann::json::parse(second.body);
+  CHECK(body["messages"].back()["content"] == "t0 t1 ");
+  CHECK(body["continue_final_message"] == true);
+  CHECK(body["max_tokens"] == 18);
+  f.Post(Token(second.attempt, 2));
+  f.Post(AttemptFinished{ second.attempt, "stop" });
+  CHECK(ReceivedText(f.Take<ReplyStreamEvent>()) == "t0 t1 t2 ");
+  CHECK(f.Take<ReplyStreamEnd>().size() == 1);
+  CHECK(f.world.requests.IsEmpty());
+  CHECK(f.world.attempts.IsEmpty());
+}
+
+TEST_CASE("Late and crossed tokens are dropped", "[dispatch]")
+{
+  // Guards against answers that are matched to requests by arrival.
+  DispatchFixture f;
+  f.Request("POST", "/v1/chat/completions", {}, std::string(kChat));
+  const auto first = f.Take<StartModelAttempt>().at(0);
+  f.Post(Token(first.attempt, 0));
+  AttemptToken crossed = Token(first.attempt, 1);
+  crossed.answerId = "chatcmpl-d1-2000-a7";
+  crossed.text = "other ";
+  f.Post(crossed);
+  CHECK(f.Take<CancelAttempt>().size() == 1);
+  f.Post(Token(first.attempt, 1)); // late
+  const auto second = f.Take<StartModelAttempt>().at(0);
+  f.Post(Token(second.attempt, 1));
+  f.Post(AttemptFinished{ second.attempt, "stop" });
+  CHECK(ReceivedText(f.Take<ReplyStreamEvent>()) == "t0 t1 ");
+  CHECK(f.world.counters.Get(Counter::TokensDropped) == 2);
+}
+
+TEST_CASE("A stalled stream is moved and the old attempt cancelled", "[dispatch]")
+{
+  DispatchFixture f;
+  f.Request("POST", "/v1/chat/completions", {}, std::string(kChat));
+  const auto first = f.Take<StartModelAttempt>().at(0);
+  f.Advance(1s);
+  f.Post(Token(first.attempt, 0));
+  f.Advance(9s);
+  f.Advance(1s);
+  CHECK(f.Take<CancelAttempt>().size() == 1);
+  CHECK(f.Take<StartModelAttempt>().size() == 1);
+  CHECK(f.world.counters.Get(Counter::AttemptsStalled) == 1);
+}
+
+TEST_CASE("A reclaim notice moves streams before the host goes", "[dispatch]")
+{
+  DispatchFixture f;
+  f.Request("POST", "/v1/chat/completions", {}, std::string(kChat));
+  const auto first = f.Take<StartModelAttempt>().at(0);
+  for (auto& [id, backend] : f.world.backends) {
+    if (backend.spec.address == first.address) {
+      backend.leaving = true;
+      f.Post(ReclaimNotice{ .host = backend.spec.host, .timeLeft = 5s });
+      break;
+    }
+  }
+  CHECK(f.Take<StartModelAttempt>().empty());
+  f.Advance(4500ms);
+  const auto second = f.Take<StartModelAttempt>();
+  REQUIRE(second.size() == 1);
+  CHECK(second[0].address != first.address);
+}
+
+TEST_CASE("An action whose connection broke is never sent again", "[dispatch]")
+{
+  // Guards against a retry on any error, which runs the action twice.
+  DispatchFixture f;
+  f.Request("POST", "/pickups", { { "Idempotency-Key", "k1" } }, "{}");
+  const auto attempt = f.Take<StartServiceAttempt>().at(0);
+  f.Post(AttemptBroken{ attempt.attempt, "reset" });
+  f.Advance(20s);
+  CHECK(f.Take<StartServiceAttempt>().empty());
+  CHECK(ErrorKindOf(f.Take<ReplyWhole>().at(0)) == "outcome_unknown");
+  REQUIRE(f.world.claimEnds.size() == 1);
+  CHECK(f.world.claimEnds[0].how == ClaimEnd::How::Unknown);
+}
+
+TEST_CASE("A refused connection proves that nothing was sent", "[dispatch]")
+{
+  DispatchFixture f;
+  f.Request("POST", "/pickups", { { "Idempotency-Key", "k1" } }, "{}");
+  const auto first = f.Take<StartServiceAttempt>().at(0);
+  f.Post(AttemptNotSent{ first.attempt, "refused" });
+  const auto second = f.Take<StartServiceAttempt>().at(0);
+  CHECK(second.address != first.address);
+  for (auto& [id, backend] : f.world.backends) {
+    backend.leaving = true;
+  }
+  f.Post(AttemptNotSent{ second.attempt, "refused" });
+  const auto reply = f.Take<ReplyWhole>().at(0);
+  CHECK(ErrorKindOf(reply) == "no_backend");
+  CHECK(FindHeader(reply.headers, "Retry-After") == "2");
+  REQUIRE(f.world.claimEnds.size() == 1);
+  CHECK(f.world.claimEnds[0].how == ClaimEnd::How::Abandoned);
+}
+
+TEST_CASE("A late answer of an action is recorded after the caller was answered",
+          "[dispatch]")
+{
+  DispatchFixture f;
+  f.Request("POST", "/pickups", { { "Idempotency-Key", "k1" } }, "{}");
+  const auto attempt = f.Take<StartServiceAttempt>().at(0);
+  CHECK(attempt.timeout > 30s);
+  f.Advance(30s);
+  CHECK(ErrorKindOf(f.Take<ReplyWhole>().at(0)) == "outcome_unknown");
+  f.Post(AttemptAnswered{ attempt.attempt, 200, {}, "done" });
+  CHECK(f.Take<ReplyWhole>().empty());
+  REQUIRE(f.world.claimEnds.size() == 1);
+  CHECK(f.world.claimEnds[0].how == ClaimEnd::How::Done);
+  CHECK(f.world.claimEnds[0].answer.body == "done");
+}
+
+TEST_CASE("A caller that leaves cancels a stream but not an action", "[dispatch]")
+{
+  DispatchFixture f;
+  const RequestId chat =
+    f.Request("POST", "/v1/chat/completions", {}, std::string(kChat));
+  f.Post(CallerGone{ chat });
+  CHECK(f.Take<CancelAttempt>().size() == 1);
+  const RequestId pickup =
+    f.Request("POST", "/pickups", { { "Idempotency-Key", "k1" } }, "{}");
+  f.Post(CallerGone{ pickup });
+  CHECK(f.Take<CancelAttempt>().empty());
+  CHECK(f.world.requests.Size() == 1);
+}
+
+TEST_CASE("Requests that cannot be served get one typed error", "[dispatch]")
+{
+  DispatchFixture f;
+  const auto kindOf = [&](const char* aMethod, const char* aTarget,
+                          const Headers& aHeaders, const char* aBody) {
+    f.Request(aMethod, aTarget, aHeaders, aBody);
+    return ErrorKindOf(f.Take<ReplyWhole>().at(0));
+  };
+  CHECK(kindOf("GET", "/nowhere", {}, "") == "route_not_found");
+  CHECK(kindOf("POST", "/pickupsx", {}, "") == "route_not_found");
+  CHECK(kindOf("POST", "/pickups/1", {}, "") == "key_missing");
+  CHECK(kindOf("POST", "/pickups", { { "Idempotency-Key", "a b" } }, "") ==
+        "key_invalid");
+  CHECK(kindOf("POST", "/pickups", { { "X-Team", "nobody" } }, "") == "bad_header");
+  CHECK(kindOf("POST", "/v1/chat/completions", {}, "{") == "bad_request");
+  CHECK(kindOf("POST", "/v1/chat/completions", {}, R"({"messages":[]})") ==
+        "bad_request");
+  CHECK(kindOf("GET", "/v1/chat/completions", {}, "") == "method_not_allowed");
+  f.world.refusesRequests = true;
+  CHECK(kindOf("GET", "/status", {}, "") == "draining");
+  CHECK(f.world.requests.IsEmpty());
+}
+
+TEST_CASE("An idempotent call is tried again within the retry budget", "[dispatch]")
+{
+  // Guards against a retry storm: five calls earn one retry at 20 percent.
+  DispatchFixture f;
+  size_t sent = 0;
+  for (int i = 0; i < 5; ++i) {
+    f.Request("GET", "/status");
+    for (auto attempts = f.Take<StartServiceAttempt>(); !attempts.empty();
+         attempts = f.Take<StartServiceAttempt>()) {
+      sent += attempts.size();
+      f.Post(AttemptBroken{ attempts[0].attempt, "reset" });
+    }
+  }
+  CHECK(sent == 6);
+  CHECK(f.Take<ReplyWhole>().size() == 5);
+}
+
+namespace {
+
+/// An engine that fails at random. The naive version takes each token as it comes and
+/// starts again from the beginning.
+struct StreamRun
+{
+  std::string ours;
+  std::string naive;
+  uint64_t attempts = 0;
+};
+
+StreamRun RunFaultyStream(uint64_t aSeed)
+{
+  constexpr uint64_t kTokens = 20;
+  DispatchFixture f(aSeed);
+  std::mt19937_64 random(aSeed);
+  f.Request("POST", "/v1/chat/completions", {}, std::string(kChat));
+  StreamRun run;
+  auto starts = f.Take<StartModelAttempt>();
+  while (!starts.empty()) {
+    const AttemptId id = starts[0].attempt;
+    uint64_t next = f.world.attempts.Find(id)->firstOffset;
+    ++run.attempts;
+    while (starts[0].attempt == id && f.world.attempts.Find(id)) {
+      // At most 7 attempts fail, since the policy allows 8.
+      const uint64_t fault = run.attempts < 8 ? random() % 12 : 11;
+      AttemptToken token = Token(id, next);
+      if (next == kTokens) {
+        f.Post(AttemptFinished{ id, "stop" });
+        break;
+      }
+      if (fault == 0) {
+        f.Post(AttemptBroken{ id, "reset" });
+        break;
+      }
+      if (fault == 1) {
+        token.answerId = "chatcmpl-other";
+        token.text = "other ";
+      } else if (fault == 2) {
+        token = Token(id, next + 1);
+      } else {
+        ++next;
+      }
+      run.naive += token.text;
+      f.Post(token);
+      if (fault == 3) {
+        f.Post(token);
+        run.naive += token.text;
+      }
+    }
+    f.Advance(1s);
+    starts = f.Take<StartModelAttempt>();
+  }
+  run.ours = ReceivedText(f.Take<ReplyStreamEvent>());
+  return run;
+}
+
+} // namespace
+
+TEST_CASE("Streams are whole under random engine faults; the naive version's are not",
+          "[dispatch][differential]")
+{
+  constexpr uint64_t kSeeds = 500;
+  std::string expected;
+  for (int i = 0; i < 20; ++i) {
+    expected += "t" + std::to_string(i) + " ";
+  }
+  uint64_t naiveWrong = 0;
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    const StreamRun run = RunFaultyStream(seed);
+    INFO("seed " << seed << " attempts " << run.attempts);
+    REQUIRE(run.ours == expected);
+    naiveWrong += run.naive != expected ? 1 : 0;
+  }
+  WARN("streams: " << kSeeds << " scenarios, ours wrong 0, naive wrong " << naiveWrong);
+  CHECK(naiveWrong > 0);
+}
--- a/gooseberrypath/world.cc
+++ b/gooseberrypath/world.cc
@@ -4,6 +4,13 @@
 
 namespace gooseberrypath {
 
+int64_t World::WallMs() const
+{
+  const auto elapsed =
+    std::chrono::duration_cast<std::chrono::milliseconds>(Now() - started);
+  return static_cast<int64_t>(options.incarnation) + elapsed.count();
+}
+
 void World::Log(LogLevel aLevel, std::string_view aPart, std::string aText)
 {
   Emit(WriteLog{ .level = aLevel, .part = std::string(aPart), .text = std::move(aText) });
--- a/gooseberrypath/world.h
+++ b/gooseberrypath/world.h
@@ -203,12 +203,14 @@
 {
   explicit World(CoreOptions aOptions, TimePoint aNow)
     : options(std::move(aOptions))
+    , started(aNow)
     , timers(aNow)
     , random(options.seed)
   {
   }
 
   const CoreOptions options;
+  const TimePoint started;
   TimerService timers;
   std::mt19937_64 random;
   Counters counters;
@@ -225,6 +227,8 @@
   Table<std::string, HostRow> hosts;
   Table<std::string, MemberRow> members;
   Table<RequestId, RequestRow> requests;
+  /// Requests whose stage became Ready or Decided; drained by DispatchSystem.
+  std::deque<RequestId> dispatchQueue;
   Table<AttemptId, AttemptRow> attempts;
   Table<ActionId, ActionRow> actions;
   std::deque<ClaimEnd> claimEnds; // from DispatchSystem to ClaimSystem
@@ -236,6 +240,9 @@
   /// Returns the time of the current tick.
   TimePoint Now() const { return timers.Now(); }
 
+  /// Returns the time in ms since 1970, from the start time in the options.
+  int64_t WallMs() const;
+
   /// Queues an action.
   void Emit(Action aAction) { outbox.push_back(std::move(aAction)); }
 
