Stand-ins: fix a dangling callback in the service, HEAD answers and log noise

A delayed answer of the service stand-in crashed: kj keeps a reference to a callback that is passed as an lvalue. Clients that leave are no longer reported as errors.

--- a/standins/engine_model.cc
+++ b/standins/engine_model.cc
@@ -60,7 +60,7 @@
 SequenceId EngineModel::Submit(ChatCall aCall, TimePoint aNow)
 {
   Advance(aNow);
-  const SequenceId id{ ++lastId_ };
+  const SequenceId id = ++lastId_;
   ++stats_.requests;
   if (aCall.continues) {
     ++stats_.continuations;
--- a/standins/engine_model.h
+++ b/standins/engine_model.h
@@ -40,7 +40,8 @@
   bool checkFencing = false;
 };
 
-using SequenceId = StrongId<struct SequenceTag>;
+/// A submitted request, in order of arrival.
+using SequenceId = uint64_t;
 
 struct EngineToken
 {
--- a/standins/http_call.cc
+++ b/standins/http_call.cc
@@ -101,9 +101,6 @@
   auto stream = response_.send(static_cast<kj::uint>(aStatus), StatusText(aStatus),
                                headers, text.size());
   context_.close.closeNext = false;
-  if (method_ == kj::HttpMethod::HEAD) {
-    return kj::READY_NOW;
-  }
   auto promise = stream->write(text.begin(), text.size());
   return promise.attach(kj::mv(stream), kj::mv(text));
 }
--- a/standins/http_service.h
+++ b/standins/http_service.h
@@ -84,6 +84,41 @@
   CallContext context_;
 };
 
+/// Accepts connections and serves each until it ends.
+class ConnectionLoop final : private kj::TaskSet::ErrorHandler
+{
+public:
+  ConnectionLoop(kj::HttpServer& aServer, kj::ConnectionReceiver& aReceiver)
+    : server_(aServer)
+    , receiver_(aReceiver)
+    , tasks_(*this)
+  {
+  }
+
+  /// Runs until accepting fails.
+  kj::Promise<void> Run()
+  {
+    return receiver_.accept().then([this](kj::Own<kj::AsyncIoStream> aStream) {
+      tasks_.add(server_.listenHttp(kj::mv(aStream)));
+      return Run();
+    });
+  }
+
+private:
+  /// Clients that leave and cut connections are expected here, so they are not reported.
+  void taskFailed(
+    kj::Exception&& aError) override // NOLINT(readability-identifier-naming)
+  {
+    if (aError.getType() != kj::Exception::Type::DISCONNECTED) {
+      std::cerr << "connection failed: " << aError.getDescription().cStr() << '\n';
+    }
+  }
+
+  kj::HttpServer& server_;
+  kj::ConnectionReceiver& receiver_;
+  kj::TaskSet tasks_;
+};
+
 /// Listens on "IP:PORT" and serves the stand-in that aMake(kj::Timer&) returns. Does not
 /// return.
 template<typename Make>
@@ -114,7 +149,7 @@
   auto receiver = address->listen();
   const std::string ip = aListen.substr(0, aListen.rfind(':'));
   std::cout << "listening on " << ip << ':' << receiver->getPort() << std::endl;
-  server.listenHttp(*receiver).wait(io.waitScope);
+  ConnectionLoop(server, *receiver).Run().wait(io.waitScope);
 }
 
 } // namespace gooseberrypath::standins
--- a/standins/prefix_cache.cc
+++ b/standins/prefix_cache.cc
@@ -1,6 +1,7 @@
 #include "standins/prefix_cache.h"
 
 #include <algorithm>
+#include <ranges>
 
 #include "standins/chat_request.h"
 
@@ -39,15 +40,15 @@
   // A prefix longer than the memory keeps its start, which is what a later match needs.
   hashes.resize(std::min(hashes.size(), limitTokens_ / kBlockTokens));
   // From the end, so that the last block of a prefix is evicted before the first.
-  for (auto hash = hashes.rbegin(); hash != hashes.rend(); ++hash) {
-    const auto found = blocks_.find(*hash);
+  for (const uint64_t hash : std::views::reverse(hashes)) {
+    const auto found = blocks_.find(hash);
     if (found != blocks_.end()) {
       order_.splice(order_.begin(), order_, found->second);
       continue;
     }
-    order_.push_front(*hash);
-    blocks_[*hash] = order_.begin();
-    onChange_(*hash, true);
+    order_.push_front(hash);
+    blocks_[hash] = order_.begin();
+    onChange_(hash, true);
   }
   while (UsedTokens() > limitTokens_) {
     const uint64_t evicted = order_.back();
--- a/standins/service_http.cc
+++ b/standins/service_http.cc
@@ -29,10 +29,10 @@
   }
   const TimePoint now = SteadyNow();
   const Duration wait = std::max(delay_, frozenUntil_ - now);
-  const auto finish = [this, &aCall, answer, cuts] {
-    return cuts ? aCall.Cut() : Answer(aCall, answer);
-  };
-  return wait <= Duration::zero() ? finish() : timer_.afterDelay(ToKj(wait)).then(finish);
+  auto delay = wait > Duration::zero() ? timer_.afterDelay(ToKj(wait))
+                                       : kj::Promise<void>(kj::READY_NOW);
+  return delay.then(
+    [this, &aCall, answer, cuts] { return cuts ? aCall.Cut() : Answer(aCall, answer); });
 }
 
 kj::Promise<void> ServiceHttp::Answer(HttpCall& aCall, const json& aAnswer)
--- a/standins/testing/models_test.cc
+++ b/standins/testing/models_test.cc
@@ -37,7 +37,7 @@
   CHECK(log.Head("a") == 1);
   CHECK(log.Read("a", 1, 10, 0) ==
         json{ { "start", 1 }, { "head", 1 }, { "records", json::array() } });
-  for (int i = 1; i <= 3; ++i) {
+  for (int64_t i = 1; i <= 3; ++i) {
     CHECK(log.Append("a", { { "n", i } }, i * 1000) == Offset(i));
   }
   CHECK(log.Append("b", json::object(), 3000) == Offset(1));
