--- a/gooseberrypath/records.h
+++ b/gooseberrypath/records.h
@@ -56,6 +56,11 @@
   std::string daemon;
   uint64_t incarnation = 0;
   std::string peerAddress; // where the holder can be asked
+  // How long the claim is remembered after its log time. It stands in the record so that
+  // all daemons forget a claim at the same position, whatever configuration they have.
+  int64_t windowMs = 86'400'000;
+  // The writer had read all records before this offset and the key had no claim.
+  Offset asOf = 0;
 
   bool operator==(const ClaimRecord&) const = default;
 };
@@ -88,7 +93,9 @@
 struct CarryRecord
 {
   ClaimRecord claim;
-  int64_t claimedMs = 0; // log time of the first claim record
+  int64_t claimedMs = 0;  // log time of the first claim record
+  Offset claimOffset = 0; // offset of the first claim record
+  Offset asOf = 0;        // the writer had read all records before this offset
   bool hasOutcome = false;
   OutcomeRecord outcome;
 
--- a/gooseberrypath/world.h
+++ b/gooseberrypath/world.h
@@ -55,6 +55,8 @@
   int status = 0;
   Headers headers;
   std::string body;
+
+  bool operator==(const StoredAnswer&) const = default;
 };
 
 /// A chat-completions request as far as routing needs it.
@@ -138,10 +140,13 @@
   std::string holder; // daemon
   uint64_t holderIncarnation = 0;
   std::string holderAddress;
-  Offset offset = 0; // of the newest record that carries it
+  Offset offset = 0; // the row can be rebuilt from the records at and after this offset
   Offset claimOffset = 0;
   int64_t claimedMs = 0; // log time
+  int64_t windowMs = 0;  // the row is dropped at log time claimedMs + windowMs
   StoredAnswer answer;   // when Done
+
+  bool operator==(const ActionRow&) const = default;
 };
 
 /// How the holder of a claim ended it; drained by ClaimSystem.
