--- a/gooseberrypath/counters.h
+++ b/gooseberrypath/counters.h
@@ -8,7 +8,12 @@
 
 #include <array>
 #include <cstdint>
+#include <limits>
+#include <span>
 #include <string>
+#include <string_view>
+
+#include "gooseberrypath/messages.h"
 
 namespace gooseberrypath {
 
@@ -68,6 +73,27 @@
   std::array<uint64_t, static_cast<size_t>(Counter::Count_)> values_{};
 };
 
+/// One value that may fall.
+struct Gauge
+{
+  std::string_view name; // without prefix
+  std::string_view help;
+  double value = 0;
+};
+
+/// The gauges of a daemon.
+struct DaemonGauges
+{
+  DaemonState state = DaemonState::Starting;
+  uint64_t runningRequests = 0;
+  Offset appliedOffset = 0;
+  double secondsSinceLogContact = std::numeric_limits<double>::infinity(); // no contact
+};
+
+/// Returns gauges in the Prometheus text form, with HELP and TYPE lines.
+std::string RenderGauges(std::span<const Gauge> aGauges);
+std::string RenderGauges(const DaemonGauges& aGauges);
+
 } // namespace gooseberrypath
 
 #endif // GOOSEBERRYPATH_COUNTERS_H_
