--- /dev/null
+++ b/gooseberrypath/caller_http.h
@@ -0,0 +1,121 @@
+// Callers over HTTP/1.1.
+//
+//   CallerHttp callers({ .network = network, .timer = timer, .sink = sink,
+//                        .address = "127.0.0.1:8080" });
+//   callers.Execute(ReplyWhole{ ... });
+
+#ifndef GOOSEBERRYPATH_CALLER_HTTP_H_
+#define GOOSEBERRYPATH_CALLER_HTTP_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+
+#include <kj/async-io.h>
+#include <kj/compat/http.h>
+#include <kj/timer.h>
+
+#include "gooseberrypath/http_io.h"
+#include "gooseberrypath/ports.h"
+#include "gooseberrypath/task_errors.h"
+
+namespace gooseberrypath {
+
+struct CallerHttpOptions
+{
+  kj::Network& network;
+  kj::Timer& timer;
+  EventSink sink;
+  std::string address = "127.0.0.1:0"; // "IP:port"; port 0 chooses a free one
+  size_t maxBodyBytes = 1024 * 1024;
+  size_t maxQueuedBytes = 256 * 1024; // of one stream, for a caller that reads slowly
+  size_t maxConnections = 4096;
+  size_t maxRequests = 2048; // running requests, including those being read
+  Duration headTimeout = std::chrono::seconds(10);
+  Duration bodyTimeout = std::chrono::seconds(10);
+  Duration idleTimeout = std::chrono::seconds(60); // between requests on a connection
+  // After an answer that was sent before the whole body was read, so much of the rest is
+  // read: closing a socket with unread data would reset the answer away.
+  size_t maxDiscardedBytes = 4 * 1024 * 1024;
+  Duration discardTimeout = std::chrono::seconds(1);
+  // A caller that closed its connection and one that only ended its sending side look the
+  // same until something is written. If true, both are gone; if false, a half-closed
+  // caller gets its answer, and a closed one is noticed on writing.
+  bool isHalfCloseGone = true;
+};
+
+/// Models CallerPort. Answers for requests that are gone are ignored.
+class CallerHttp final
+  : private kj::HttpServerErrorHandler
+  , private kj::HttpServerCallbacks
+{
+public:
+  /// Listens at once. Throws kj::Exception if the address is malformed or in use.
+  explicit CallerHttp(CallerHttpOptions aOptions);
+  ~CallerHttp() noexcept(false);
+
+  CallerHttp(const CallerHttp&) = delete;
+  CallerHttp& operator=(const CallerHttp&) = delete;
+
+  void Execute(const ReplyWhole& aAction);
+  void Execute(const ReplyStreamHead& aAction);
+  void Execute(const ReplyStreamEvent& aAction);
+  void Execute(const ReplyStreamEnd& aAction);
+
+  /// Stops accepting connections and closes idle ones. Running requests are answered,
+  /// with "Connection: close".
+  void Stop();
+
+  /// Returns the port that the listener is bound to.
+  uint16_t Port() const { return port_; }
+
+  size_t ConnectionCount() const { return connectionCount_; }
+  size_t RequestCount() const { return exchanges_.size(); }
+
+  const TaskErrors& Errors() const { return errors_; }
+
+private:
+  class Connection;
+  class Exchange;
+  class Service;
+  class Stream;
+
+  kj::Promise<void> AcceptLoop();
+  void Serve(kj::Own<kj::AsyncIoStream> aStream);
+  void Refuse(kj::Own<kj::AsyncIoStream> aStream);
+  kj::Promise<void> CloseLingering(kj::Own<kj::AsyncIoStream> aStream,
+                                   kj::Maybe<Error> aError);
+  void Emit(Event aEvent);
+  Exchange* Find(RequestId aId);
+  kj::Promise<void> SendError(kj::HttpService::Response& aResponse, ErrorKind aKind,
+                              std::string aMessage, RequestId aId);
+
+  /// kj's drain() alone does not announce the end of the connection to a caller whose
+  /// request was already running.
+  bool shouldClose() override { return isStopped_; }
+
+  kj::Promise<void> handleClientProtocolError(
+    kj::HttpHeaders::ProtocolError aError, kj::HttpService::Response& aResponse) override;
+  kj::Promise<void> handleApplicationError(
+    kj::Exception aError, kj::Maybe<kj::HttpService::Response&> aResponse) override;
+  kj::Promise<void> handleNoResponse(kj::HttpService::Response& aResponse) override;
+
+  CallerHttpOptions options_;
+  bool isClosing_ = false; // the port is being destroyed
+  bool isStopped_ = false;
+  size_t connectionCount_ = 0;
+  size_t refusalCount_ = 0;
+  uint64_t lastRequest_ = 0;
+  uint16_t port_ = 0;
+  std::unordered_map<RequestId, Exchange*> exchanges_; // owned by the handlers' promises
+  TaskErrors errors_;
+  kj::Own<kj::ConnectionReceiver> listener_;
+  kj::Own<kj::HttpServer> server_;
+  kj::TaskSet tasks_;
+  kj::Promise<void> accepting_ = nullptr;
+};
+
+} // namespace gooseberrypath
+
+#endif // GOOSEBERRYPATH_CALLER_HTTP_H_
--- /dev/null
+++ b/gooseberrypath/peer_rpc.cc
@@ -0,0 +1,374 @@
+#include "gooseberrypath/peer_rpc.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <capnp/message.h>
+#include <capnp/rpc-twoparty.h>
+#include <kj/debug.h>
+#include <kj/refcount.h>
+
+#include "gooseberrypath/http_io.h"
+
+namespace gooseberrypath {
+
+namespace {
+
+capnp::ReaderOptions ToReaderOptions(uint64_t aMaxBytes)
+{
+  capnp::ReaderOptions options;
+  options.traversalLimitInWords = aMaxBytes / sizeof(capnp::word);
+  options.nestingLimit = 16; // the schema nests less
+  return options;
+}
+
+std::string ToText(capnp::Text::Reader aText)
+{
+  return { aText.begin(), aText.size() };
+}
+
+DaemonState FromWire(wire::MemberDigest::State aState)
+{
+  switch (aState) {
+    case wire::MemberDigest::State::SERVING:
+      return DaemonState::Serving;
+    case wire::MemberDigest::State::DRAINING:
+      return DaemonState::Draining;
+    case wire::MemberDigest::State::STARTING:
+      break;
+  }
+  return DaemonState::Starting; // also for a state of a newer version
+}
+
+GossipMessage FromWire(wire::GossipMessage::Reader aMessage)
+{
+  GossipMessage message{ .fromAddress = ToText(aMessage.getFromAddress()),
+                         .wantsReply = aMessage.getWantsReply(),
+                         .members = {},
+                         .hosts = {} };
+  for (const auto member : aMessage.getMembers()) {
+    message.members.push_back(
+      MemberDigest{ .daemon = ToText(member.getDaemon()),
+                    .incarnation = member.getIncarnation(),
+                    .heartbeat = member.getHeartbeat(),
+                    .peerAddress = ToText(member.getPeerAddress()),
+                    .zone = ToText(member.getZone()),
+                    .appliedConfig = member.getAppliedConfig(),
+                    .state = FromWire(member.getState()) });
+  }
+  for (const auto host : aMessage.getHosts()) {
+    message.hosts.push_back(HostNews{ .host = ToText(host.getHost()),
+                                      .sequence = host.getSequence(),
+                                      .leaving = host.getLeaving() });
+  }
+  return message;
+}
+
+void ToWire(const GossipMessage& aMessage, wire::GossipMessage::Builder aInto)
+{
+  aInto.setFromAddress(View(aMessage.fromAddress));
+  aInto.setWantsReply(aMessage.wantsReply);
+  auto members = aInto.initMembers(static_cast<kj::uint>(aMessage.members.size()));
+  for (kj::uint i = 0; i < members.size(); ++i) {
+    const MemberDigest& from = aMessage.members[i];
+    auto into = members[i];
+    into.setDaemon(View(from.daemon));
+    into.setIncarnation(from.incarnation);
+    into.setHeartbeat(from.heartbeat);
+    into.setPeerAddress(View(from.peerAddress));
+    into.setZone(View(from.zone));
+    into.setAppliedConfig(from.appliedConfig);
+    into.setState(from.state == DaemonState::Serving ? wire::MemberDigest::State::SERVING
+                  : from.state == DaemonState::Draining
+                    ? wire::MemberDigest::State::DRAINING
+                    : wire::MemberDigest::State::STARTING);
+  }
+  auto hosts = aInto.initHosts(static_cast<kj::uint>(aMessage.hosts.size()));
+  for (kj::uint i = 0; i < hosts.size(); ++i) {
+    hosts[i].setHost(View(aMessage.hosts[i].host));
+    hosts[i].setSequence(aMessage.hosts[i].sequence);
+    hosts[i].setLeaving(aMessage.hosts[i].leaving);
+  }
+}
+
+ClaimWord FromWire(wire::ClaimWord aWord)
+{
+  switch (aWord) {
+    case wire::ClaimWord::RUNNING:
+      return ClaimWord::Running;
+    case wire::ClaimWord::GAVE_UP:
+      return ClaimWord::GaveUp;
+    case wire::ClaimWord::NOT_HELD:
+      return ClaimWord::NotHeld;
+  }
+  return ClaimWord::Unreachable; // a word of a newer version says nothing to this one
+}
+
+} // namespace
+
+/// The capability that peers call.
+class PeerRpc::Server final : public wire::Peer::Server
+{
+public:
+  explicit Server(PeerRpc& aPort)
+    : port_(&aPort)
+  {
+  }
+
+  /// The RPC system may keep the capability for longer than the port lives.
+  void Close() { port_ = nullptr; }
+
+  kj::Promise<void> gossip(GossipContext aContext) override
+  {
+    GossipMessage message = FromWire(aContext.getParams().getMessage());
+    aContext.releaseParams();
+    Port().options_.sink(GossipReceived{ std::move(message) });
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> askClaim(AskClaimContext aContext) override
+  {
+    std::string claim = ToText(aContext.getParams().getClaim());
+    aContext.releaseParams();
+    aContext.allowCancellation();
+    return Port().Ask(std::move(claim)).then([aContext](ClaimWord aWord) mutable {
+      switch (aWord) {
+        case ClaimWord::Running:
+          aContext.getResults().setWord(wire::ClaimWord::RUNNING);
+          return;
+        case ClaimWord::GaveUp:
+          aContext.getResults().setWord(wire::ClaimWord::GAVE_UP);
+          return;
+        case ClaimWord::NotHeld:
+          aContext.getResults().setWord(wire::ClaimWord::NOT_HELD);
+          return;
+        case ClaimWord::Unreachable:
+          break;
+      }
+      KJ_FAIL_REQUIRE("the claim question was refused");
+    });
+  }
+
+private:
+  PeerRpc& Port()
+  {
+    KJ_REQUIRE(port_ != nullptr, "the port is closed");
+    return *port_;
+  }
+
+  PeerRpc* port_;
+};
+
+/// Open claim questions. It is counted, because a call of the RPC system may end after
+/// the port.
+struct PeerRpc::Questions : public kj::Refcounted
+{
+  std::unordered_map<QuestionId, kj::Own<kj::PromiseFulfiller<ClaimWord>>> byId;
+};
+
+/// One accepted connection. Members are destroyed in reverse order.
+struct PeerRpc::Incoming
+{
+  Incoming(PeerRpc& aPort, kj::Own<kj::AsyncIoStream> aStream)
+    : port(aPort)
+    , stream(kj::mv(aStream))
+    , network(*stream, capnp::rpc::twoparty::Side::SERVER,
+              ToReaderOptions(aPort.options_.maxMessageBytes))
+    , rpc(capnp::makeRpcServer(network, aPort.server_))
+  {
+    // Calls without an answer may hold no more than two full messages.
+    rpc.setFlowLimit(2 * aPort.options_.maxMessageBytes / sizeof(capnp::word));
+    ++port.incomingCount_;
+  }
+
+  ~Incoming() noexcept(false) { --port.incomingCount_; }
+
+  PeerRpc& port;
+  kj::Own<kj::AsyncIoStream> stream;
+  capnp::TwoPartyVatNetwork network;
+  capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpc;
+};
+
+/// The connection to one peer. It is counted, because the promise that connects it may
+/// outlive its place in the table while a call waits.
+struct PeerRpc::Outgoing : public kj::Refcounted
+{
+  struct Rpc
+  {
+    Rpc(kj::Own<kj::AsyncIoStream> aStream, uint64_t aMaxBytes)
+      : stream(kj::mv(aStream))
+      , network(*stream, capnp::rpc::twoparty::Side::CLIENT, ToReaderOptions(aMaxBytes))
+      , system(capnp::makeRpcClient(network))
+    {
+    }
+
+    kj::Own<kj::AsyncIoStream> stream;
+    capnp::TwoPartyVatNetwork network;
+    capnp::RpcSystem<capnp::rpc::twoparty::VatId> system;
+  };
+
+  uint64_t generation = 0;
+  uint64_t lastUse = 0;
+  kj::Maybe<kj::Own<Rpc>> rpc; // once connected
+  kj::Maybe<wire::Peer::Client> client;
+};
+
+PeerRpc::PeerRpc(PeerRpcOptions aOptions)
+  : options_(std::move(aOptions))
+  , questions_(kj::refcounted<Questions>())
+  , newServer_(kj::heap<Server>(*this))
+  , serverImpl_(*newServer_)
+  , server_(kj::mv(newServer_))
+  , tasks_(errors_)
+{
+  KJ_IF_MAYBE (address, ParseAddress(options_.network, options_.address)) {
+    listener_ = (*address)->listen();
+  } else {
+    KJ_FAIL_REQUIRE("the peer address is not IP:port", options_.address.c_str());
+  }
+  port_ = static_cast<uint16_t>(listener_->getPort());
+  accepting_ = AcceptLoop().eagerlyEvaluate(
+    [this](kj::Exception&& aError) { errors_.taskFailed(kj::mv(aError)); });
+}
+
+PeerRpc::~PeerRpc() noexcept(false)
+{
+  serverImpl_.Close();
+}
+
+size_t PeerRpc::QuestionCount() const
+{
+  return questions_->byId.size();
+}
+
+kj::Promise<void> PeerRpc::AcceptLoop()
+{
+  return listener_->accept()
+    .then(
+      [this](kj::Own<kj::AsyncIoStream> aStream) -> kj::Promise<void> {
+        Serve(kj::mv(aStream));
+        return kj::READY_NOW;
+      },
+      [this](kj::Exception&&) -> kj::Promise<void> {
+        // For example, the process has no free file descriptor: retry without spinning.
+        return options_.timer.afterDelay(50 * kj::MILLISECONDS);
+      })
+    .then([this] { return AcceptLoop(); });
+}
+
+void PeerRpc::Serve(kj::Own<kj::AsyncIoStream> aStream)
+{
+  if (incomingCount_ >= options_.maxIncoming) {
+    return; // closes the connection
+  }
+  auto incoming = kj::heap<Incoming>(*this, kj::mv(aStream));
+  auto disconnected = incoming->network.onDisconnect();
+  tasks_.add(disconnected.attach(kj::mv(incoming)).catch_([](kj::Exception&&) {}));
+}
+
+kj::Promise<ClaimWord> PeerRpc::Ask(std::string aClaim)
+{
+  if (questions_->byId.size() >= options_.maxQuestions) {
+    return KJ_EXCEPTION(OVERLOADED, "too many claim questions are open");
+  }
+  const QuestionId id{ lastQuestion_++ };
+  auto answer = kj::newPromiseAndFulfiller<ClaimWord>();
+  questions_->byId.emplace(id, kj::mv(answer.fulfiller));
+  options_.sink(ClaimAsked{ id, std::move(aClaim) });
+  return options_.timer
+    .timeoutAfter(ToKj(options_.questionTimeout), kj::mv(answer.promise))
+    .attach(kj::defer([questions = kj::addRef(*questions_), id]() mutable {
+      questions->byId.erase(id);
+    }));
+}
+
+void PeerRpc::Execute(const AnswerClaimQuestion& aAction)
+{
+  const auto found = questions_->byId.find(aAction.question);
+  if (found != questions_->byId.end()) {
+    auto question = kj::mv(found->second);
+    questions_->byId.erase(found);
+    question->fulfill(ClaimWord(aAction.word));
+  }
+}
+
+PeerRpc::Outgoing& PeerRpc::ConnectionTo(const std::string& aAddress)
+{
+  const auto found = connections_.find(aAddress);
+  if (found != connections_.end()) {
+    found->second->lastUse = ++lastUse_;
+    return *found->second;
+  }
+  if (connections_.size() >= options_.maxOutgoing) {
+    const auto oldest = std::ranges::min_element(
+      connections_, {}, [](const auto& aEntry) { return aEntry.second->lastUse; });
+    Drop(std::string(oldest->first), oldest->second->generation);
+  }
+  auto outgoing = kj::refcounted<Outgoing>();
+  outgoing->generation = outgoing->lastUse = ++lastUse_;
+  outgoing->client = wire::Peer::Client(
+    Connect(options_.network, options_.timer, aAddress, options_.callTimeout)
+      .then([self = kj::addRef(*outgoing), maxBytes = options_.maxMessageBytes](
+              kj::Own<kj::AsyncIoStream> aStream) mutable {
+        auto rpc = kj::heap<Outgoing::Rpc>(kj::mv(aStream), maxBytes);
+        capnp::MallocMessageBuilder builder;
+        auto vat = builder.initRoot<capnp::rpc::twoparty::VatId>();
+        vat.setSide(capnp::rpc::twoparty::Side::SERVER);
+        auto client = rpc->system.bootstrap(vat).castAs<wire::Peer>();
+        self->rpc = kj::mv(rpc);
+        return client;
+      }));
+  return *connections_.emplace(aAddress, kj::mv(outgoing)).first->second;
+}
+
+void PeerRpc::Drop(const std::string& aAddress, uint64_t aGeneration)
+{
+  const auto found = connections_.find(aAddress);
+  if (found == connections_.end() || found->second->generation != aGeneration) {
+    return; // another call dropped it, and it may be replaced already
+  }
+  kj::Own<Outgoing> outgoing = kj::mv(found->second);
+  connections_.erase(found);
+  // Closed in a fresh turn, since the caller may be a continuation of its RPC system.
+  tasks_.add(kj::evalLater([outgoing = kj::mv(outgoing)]() mutable {
+    outgoing->client = nullptr;
+    outgoing->rpc = nullptr;
+    outgoing = nullptr;
+  }));
+}
+
+void PeerRpc::Execute(const SendGossip& aAction)
+{
+  Outgoing& outgoing = ConnectionTo(aAction.address);
+  auto request = KJ_ASSERT_NONNULL(outgoing.client).gossipRequest();
+  ToWire(aAction.message, request.initMessage());
+  tasks_.add(
+    options_.timer.timeoutAfter(ToKj(options_.callTimeout), request.send().ignoreResult())
+      .catch_([this, address = aAction.address,
+               generation = outgoing.generation](kj::Exception&&) {
+        Drop(address, generation);
+        options_.sink(GossipFailed{ address });
+      }));
+}
+
+void PeerRpc::Execute(const AskClaim& aAction)
+{
+  Outgoing& outgoing = ConnectionTo(aAction.address);
+  auto request = KJ_ASSERT_NONNULL(outgoing.client).askClaimRequest();
+  request.setClaim(View(aAction.claim));
+  auto answered =
+    request.send().then([](capnp::Response<wire::Peer::AskClaimResults>&& aResponse) {
+      return FromWire(aResponse.getWord());
+    });
+  tasks_.add(options_.timer.timeoutAfter(ToKj(options_.callTimeout), kj::mv(answered))
+               .catch_([this, address = aAction.address,
+                        generation = outgoing.generation](kj::Exception&&) {
+                 Drop(address, generation);
+                 return ClaimWord::Unreachable;
+               })
+               .then([this, question = aAction.question](ClaimWord aWord) {
+                 options_.sink(ClaimAnswered{ question, aWord });
+               }));
+}
+
+} // namespace gooseberrypath
--- /dev/null
+++ b/gooseberrypath/peer_rpc.h
@@ -0,0 +1,95 @@
+// Other daemons over Cap'n Proto RPC.
+//
+//   PeerRpc peers({ .network = network, .timer = timer, .sink = sink,
+//                   .address = "127.0.0.1:7200" });
+//   peers.Execute(SendGossip{ "127.0.0.1:7201", message });
+
+#ifndef GOOSEBERRYPATH_PEER_RPC_H_
+#define GOOSEBERRYPATH_PEER_RPC_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+
+#include <kj/async-io.h>
+#include <kj/timer.h>
+
+#include "gooseberrypath/peer.capnp.h"
+#include "gooseberrypath/ports.h"
+#include "gooseberrypath/task_errors.h"
+
+namespace gooseberrypath {
+
+struct PeerRpcOptions
+{
+  kj::Network& network;
+  kj::Timer& timer;
+  EventSink sink;
+  std::string address = "127.0.0.1:0"; // "IP:port"; port 0 chooses a free one
+  Duration callTimeout = std::chrono::milliseconds(300); // with connecting
+  size_t maxQuestions = 1024;                            // open claim questions
+  Duration questionTimeout = std::chrono::seconds(2);
+  size_t maxIncoming = 1024; // accepted connections
+  size_t maxOutgoing = 64;   // cached connections; the least recently used is dropped
+  uint64_t maxMessageBytes = 1024 * 1024;
+};
+
+/// Models PeerPort. One connection per peer is kept; it is dropped when a call on it
+/// fails, and the next call connects again.
+class PeerRpc
+{
+public:
+  /// Listens at once. Throws kj::Exception if the address is malformed or in use.
+  explicit PeerRpc(PeerRpcOptions aOptions);
+  ~PeerRpc() noexcept(false);
+
+  PeerRpc(const PeerRpc&) = delete;
+  PeerRpc& operator=(const PeerRpc&) = delete;
+
+  void Execute(const SendGossip& aAction);
+  void Execute(const AskClaim& aAction);
+
+  /// Answers a ClaimAsked event. Unknown questions are ignored, since the asker may have
+  /// gone. The word Unreachable refuses the question.
+  void Execute(const AnswerClaimQuestion& aAction);
+
+  uint16_t Port() const { return port_; }
+  size_t IncomingCount() const { return incomingCount_; }
+  size_t OutgoingCount() const { return connections_.size(); }
+  size_t QuestionCount() const;
+
+  const TaskErrors& Errors() const { return errors_; }
+
+private:
+  class Server;
+  struct Incoming;
+  struct Outgoing;
+  struct Questions;
+
+  kj::Promise<void> AcceptLoop();
+  void Serve(kj::Own<kj::AsyncIoStream> aStream);
+  kj::Promise<ClaimWord> Ask(std::string aClaim);
+  Outgoing& ConnectionTo(const std::string& aAddress);
+  void Drop(const std::string& aAddress, uint64_t aGeneration);
+
+  PeerRpcOptions options_;
+  uint16_t port_ = 0;
+  size_t incomingCount_ = 0;
+  // The core numbers its own questions from 1, so the port's start far above.
+  uint64_t lastQuestion_ = uint64_t{ 1 } << 32;
+  uint64_t lastUse_ = 0;
+  kj::Own<Questions> questions_;
+  TaskErrors errors_;
+  kj::Own<kj::ConnectionReceiver> listener_;
+  kj::Own<Server> newServer_; // until server_ owns it
+  Server& serverImpl_;
+  wire::Peer::Client server_;
+  std::unordered_map<std::string, kj::Own<Outgoing>> connections_;
+  kj::TaskSet tasks_;
+  kj::Promise<void> accepting_ = nullptr;
+};
+
+} // namespace gooseberrypath
+
+#endif // GOOSEBERRYPATH_PEER_RPC_H_
