--- a/standins/http_service.h
+++ b/standins/http_service.h
@@ -84,18 +84,29 @@
   CallContext context_;
 };
 
-/// Accepts connections and serves each until it ends.
-class ConnectionLoop final : private kj::TaskSet::ErrorHandler
+/// Serves a stand-in to the connections of a receiver. All arguments outlive it.
+template<Standin S>
+class StandinServer final : private kj::TaskSet::ErrorHandler
 {
 public:
-  ConnectionLoop(kj::HttpServer& aServer, kj::ConnectionReceiver& aReceiver)
-    : server_(aServer)
-    , receiver_(aReceiver)
+  StandinServer(S& aStandin, kj::Timer& aTimer, kj::ConnectionReceiver& aReceiver)
+    : receiver_(aReceiver)
+    , server_(
+        aTimer, table_,
+        [this, &aStandin,
+         &aTimer](kj::AsyncIoStream& aStream) -> kj::Own<kj::HttpService> {
+          return kj::heap<StandinService<S>>(
+            aStandin, CallContext{ .table = table_,
+                                   .timer = aTimer,
+                                   .close = close_,
+                                   .fd = aStream.getFd().orDefault(-1) });
+        },
+        MakeSettings())
     , tasks_(*this)
   {
   }
 
-  /// Runs until accepting fails.
+  /// Accepts connections until that fails.
   kj::Promise<void> Run()
   {
     return receiver_.accept().then([this](kj::Own<kj::AsyncIoStream> aStream) {
@@ -105,6 +116,15 @@
   }
 
 private:
+  kj::HttpServerSettings MakeSettings()
+  {
+    kj::HttpServerSettings settings;
+    // Clients keep idle connections; closing one early would look like a fault.
+    settings.pipelineTimeout = 1 * kj::HOURS;
+    settings.callbacks = close_;
+    return settings;
+  }
+
   /// Clients that leave and cut connections are expected here, so they are not reported.
   void taskFailed(
     kj::Exception&& aError) override // NOLINT(readability-identifier-naming)
@@ -114,8 +134,10 @@
     }
   }
 
-  kj::HttpServer& server_;
   kj::ConnectionReceiver& receiver_;
+  kj::HttpHeaderTable table_;
+  CloseDecision close_;
+  kj::HttpServer server_;
   kj::TaskSet tasks_;
 };
 
@@ -127,29 +149,13 @@
   auto io = kj::setupAsyncIo();
   kj::Timer& timer = io.provider->getTimer();
   auto standin = aMake(timer);
-  kj::HttpHeaderTable table;
-  CloseDecision close;
-  kj::HttpServerSettings settings;
-  // Clients keep idle connections; closing one early would look like a fault.
-  settings.pipelineTimeout = 1 * kj::HOURS;
-  settings.callbacks = close;
-  kj::HttpServer server(
-    timer, table,
-    [&](kj::AsyncIoStream& aStream) -> kj::Own<kj::HttpService> {
-      const CallContext context{ .table = table,
-                                 .timer = timer,
-                                 .close = close,
-                                 .fd = aStream.getFd().orDefault(-1) };
-      return kj::heap<StandinService<std::remove_reference_t<decltype(*standin)>>>(
-        *standin, context);
-    },
-    settings);
   auto address =
     io.provider->getNetwork().parseAddress(aListen.c_str()).wait(io.waitScope);
   auto receiver = address->listen();
+  StandinServer server(*standin, timer, *receiver);
   const std::string ip = aListen.substr(0, aListen.rfind(':'));
   std::cout << "listening on " << ip << ':' << receiver->getPort() << std::endl;
-  ConnectionLoop(server, *receiver).Run().wait(io.waitScope);
+  server.Run().wait(io.waitScope);
 }
 
 } // namespace gooseberrypath::standins
--- a/standins/platform_model.cc
+++ b/standins/platform_model.cc
@@ -77,8 +77,8 @@
 {
   json notices = json::array();
   for (size_t i = std::min<uint64_t>(aAfter, notices_.size()); i < notices_.size(); ++i) {
-    const auto left =
-      std::chrono::duration_cast<std::chrono::seconds>(notices_[i].end - aNow);
+    // Rounded up, so that a notice is first seen with its full time.
+    const auto left = std::chrono::ceil<std::chrono::seconds>(notices_[i].end - aNow);
     notices.push_back({ { "seq", i + 1 },
                         { "host", notices_[i].host },
                         { "seconds_left", std::max<int64_t>(left.count(), 0) } });
--- a/standins/prefix_cache.cc
+++ b/standins/prefix_cache.cc
@@ -1,7 +1,6 @@
 #include "standins/prefix_cache.h"
 
 #include <algorithm>
-#include <ranges>
 
 #include "standins/chat_request.h"
 
@@ -40,7 +39,8 @@
   // A prefix longer than the memory keeps its start, which is what a later match needs.
   hashes.resize(std::min(hashes.size(), limitTokens_ / kBlockTokens));
   // From the end, so that the last block of a prefix is evicted before the first.
-  for (const uint64_t hash : std::views::reverse(hashes)) {
+  std::reverse(hashes.begin(), hashes.end());
+  for (const uint64_t hash : hashes) {
     const auto found = blocks_.find(hash);
     if (found != blocks_.end()) {
       order_.splice(order_.begin(), order_, found->second);
