Engine stand-in: fix a stream that never ended

Output that came while the previous piece was being written was announced to nobody. If it was the last output, the stream hung.

--- a/standins/engine_http.cc
+++ b/standins/engine_http.cc
@@ -38,7 +38,25 @@
   Answer(const Answer&) = delete;
   Answer& operator=(const Answer&) = delete;
 
-  EngineOutput Take() { return engine_.model_.TakeOutput(sequence_); }
+  EngineOutput Take()
+  {
+    hasNews_ = false;
+    return engine_.model_.TakeOutput(sequence_);
+  }
+
+  /// Tells that there is new output.
+  void Announce()
+  {
+    hasNews_ = true;
+    changed_.Notify();
+  }
+
+  /// Waits until there is output that was not taken. Output that came while the previous
+  /// piece was being written counts; there may be no later one.
+  kj::Promise<void> WaitForNews()
+  {
+    return hasNews_ ? kj::Promise<void>(kj::READY_NOW) : changed_.Wait();
+  }
 
   HttpCall& call;
   std::string requestId;
@@ -47,13 +65,14 @@
   uint64_t firstOffset;
   uint64_t nextOffset; // of the token after those in `text` or written to `stream`
   int64_t createdS;
-  Signal changed;
   kj::Own<kj::AsyncOutputStream> stream;
   std::string text; // of an answer that is sent whole
 
 private:
   EngineHttp& engine_;
   SequenceId sequence_;
+  Signal changed_;
+  bool hasNews_ = false;
 };
 
 EngineHttp::EngineHttp(const EngineOptions& aOptions, kj::Timer& aTimer)
@@ -69,7 +88,7 @@
   for (const SequenceId id : model_.AdvanceTo(SteadyNow())) {
     const auto found = answers_.find(id);
     if (found != answers_.end()) {
-      found->second->changed.Notify();
+      found->second->Announce();
     }
   }
   auto wait = wake_.Wait();
@@ -147,7 +166,7 @@
     }
   }
   if (output.finish.empty()) {
-    return aAnswer.changed.Wait().then([this, &aAnswer] { return SendWhole(aAnswer); });
+    return aAnswer.WaitForNews().then([this, &aAnswer] { return SendWhole(aAnswer); });
   }
   const uint64_t generated = aAnswer.nextOffset - aAnswer.firstOffset;
   return aAnswer.call.SendJson(
@@ -181,7 +200,7 @@
       aAnswer.stream = nullptr;
       return kj::Promise<void>(kj::READY_NOW);
     }
-    return aAnswer.changed.Wait().then([this, &aAnswer] { return SendStream(aAnswer); });
+    return aAnswer.WaitForNews().then([this, &aAnswer] { return SendStream(aAnswer); });
   });
 }
 
