--- a/gooseberrypath/types.h
+++ b/gooseberrypath/types.h
@@ -30,7 +30,8 @@
 {
   uint64_t value = 0;
 
-  auto operator<=>(const StrongId&) const = default;
+  // clang-tidy 14 takes the 0 in the generated comparison for a null pointer.
+  auto operator<=>(const StrongId&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 using RequestId = StrongId<struct RequestTag>;
