--- a/gooseberrypath/client.cc
+++ b/gooseberrypath/client.cc
@@ -116,23 +116,45 @@
   }
 }
 
-cxxopts::Options MakeOptions()
+bool Takes(const Command& aCommand, std::string_view aOption)
 {
-  cxxopts::Options options("gooseberrypath");
-  options.add_options()("server",
-                        "operators' addresses, comma-separated IP:port, tried in order",
-                        cxxopts::value<std::string>())(
-    "o,output", "json or table", cxxopts::value<std::string>()->default_value("table"))(
-    "timeout-ms", "time to connect, and for the answer (1 to 3600000 ms)",
-    cxxopts::value<uint64_t>()->default_value("10000"))(
-    "f,file", "file with one resource or an array of them; -: standard input",
-    cxxopts::value<std::string>())("dry-run", "check without writing")(
-    "base", "version that the change is based on", cxxopts::value<uint64_t>())(
-    "count", "end after this many changes", cxxopts::value<uint64_t>())(
-    "after", "print changes after this offset; default: the current one",
-    cxxopts::value<uint64_t>())("help", "print this text and exit")(
-    "args", "", cxxopts::value<std::vector<std::string>>());
+  return std::ranges::find(aCommand.options, aOption) != aCommand.options.end();
+}
+
+/// Returns the options of a command; others are refused by the parser.
+cxxopts::Options MakeOptions(const Command& aCommand)
+{
+  cxxopts::Options options("gooseberrypath " + std::string(aCommand.name));
+  auto add = options.add_options();
+  add("server",
+      "operators' addresses, comma-separated IP:port, tried in order (default: "
+      "GOOSEBERRYPATH_SERVER or 127.0.0.1:8082)",
+      cxxopts::value<std::string>());
+  add("o,output", "json or table", cxxopts::value<std::string>()->default_value("table"));
+  add("timeout-ms", "time to connect, and for the answer (1 to 3600000 ms)",
+      cxxopts::value<uint64_t>()->default_value("10000"));
+  if (Takes(aCommand, "file")) {
+    add("f,file", "file with one resource or an array of them; -: standard input",
+        cxxopts::value<std::string>());
+  }
+  if (Takes(aCommand, "dry-run")) {
+    add("dry-run", "check without writing");
+  }
+  if (Takes(aCommand, "base")) {
+    add("base", "version that the change is based on", cxxopts::value<uint64_t>());
+  }
+  if (Takes(aCommand, "count")) {
+    add("count", "end after this many changes", cxxopts::value<uint64_t>());
+  }
+  if (Takes(aCommand, "after")) {
+    add("after", "print changes after this offset; default: the current one",
+        cxxopts::value<uint64_t>());
+  }
+  add("help", "print this text and exit");
+  options.add_options("positional")("args", "",
+                                    cxxopts::value<std::vector<std::string>>());
   options.parse_positional("args");
+  options.positional_help(std::string(aCommand.positional));
   return options;
 }
 
@@ -482,21 +504,14 @@
   return found == kCommands.end() ? nullptr : &*found;
 }
 
-/// Refuses options and arguments that the command does not take.
-void CheckUsage(const Command& aCommand, const cxxopts::ParseResult& aParsed)
+/// Refuses a number of arguments that the command does not take.
+void CheckArguments(const Command& aCommand, const cxxopts::ParseResult& aParsed)
 {
-  for (const char* option : { "file", "dry-run", "base", "count", "after" }) {
-    if (aParsed.count(option) > 0 &&
-        std::ranges::find(aCommand.options, option) == aCommand.options.end()) {
-      throw UsageError(std::string(aCommand.name) + ": option --" + option +
-                       " is not allowed");
-    }
-  }
   const size_t count =
     aParsed.count("args") > 0 ? aParsed["args"].as<std::vector<std::string>>().size() : 0;
   if (count < aCommand.leastArgs || count > aCommand.mostArgs) {
-    throw UsageError("usage: gooseberrypath " + std::string(aCommand.name) + " " +
-                     std::string(aCommand.positional) + " [OPTION...]");
+    throw UsageError("usage: gooseberrypath " + std::string(aCommand.name) +
+                     " [OPTION...] " + std::string(aCommand.positional));
   }
 }
 
@@ -572,14 +587,13 @@
     if (command == nullptr) {
       throw UsageError("the command is missing or unknown");
     }
-    cxxopts::Options options = MakeOptions();
+    cxxopts::Options options = MakeOptions(*command);
     const auto parsed = options.parse(static_cast<int>(argv.size()), argv.data());
     if (parsed.count("help") > 0) {
-      options.positional_help(std::string(command->positional));
-      aStreams.out << options.set_width(90).help() << '\n';
+      aStreams.out << options.set_width(90).help({ "" }) << '\n';
       return kDone;
     }
-    CheckUsage(*command, parsed);
+    CheckArguments(*command, parsed);
     return Client(parsed, aLookup, aTransport, aStreams).Run(command->name);
   } catch (const UsageError& problem) {
     aStreams.errors << problem.what() << '\n';
--- a/gooseberrypath/tracing.cc
+++ b/gooseberrypath/tracing.cc
@@ -43,9 +43,11 @@
   std::ranges::stable_sort(selected, {}, [](const SpanLine* aSpan) {
     return std::tie(aSpan->startUs, aSpan->span);
   });
-  const auto repeated = std::ranges::unique(
-    selected, [](const SpanLine* a, const SpanLine* b) { return *a == *b; });
-  selected.erase(repeated.begin(), repeated.end());
+  // clang-tidy 14 cannot compile std::ranges::unique() of this standard library.
+  selected.erase(
+    std::unique(selected.begin(), selected.end(),
+                [](const auto* aLeft, const auto* aRight) { return *aLeft == *aRight; }),
+    selected.end());
   return selected;
 }
 
@@ -142,9 +144,10 @@
       }
       text += RenderLine(*span, depth, startUs, depth == 0 ? aRemark : "");
       if (const auto found = children.find(span->span); found != children.end()) {
-        for (auto child = found->second.rbegin(); child != found->second.rend();
-             ++child) {
-          stack.emplace_back(*child, depth + 1);
+        // The stack reverses the order, so the last child is pushed first.
+        const size_t count = found->second.size();
+        for (size_t i = 0; i < count; ++i) {
+          stack.emplace_back(found->second[count - 1 - i], depth + 1);
         }
       }
     }
@@ -164,8 +167,13 @@
 int RunTrace(std::span<const std::string> aArgs, std::ostream& aOut,
              std::ostream& aErrors)
 {
+  constexpr std::string_view kUsage = "usage: gooseberrypath trace FILE... REQUEST\n";
+  if (aArgs.size() == 1 && aArgs.front() == "--help") {
+    aOut << kUsage;
+    return 0;
+  }
   if (aArgs.size() < 2) {
-    aErrors << "usage: gooseberrypath trace FILE... REQUEST\n";
+    aErrors << kUsage;
     return 2;
   }
   std::vector<SpanLine> spans;
