Operators' port keeps threads free for health checks

Each waiting call on /v1/ holds a thread of cxxtools, so enough long polls would make health checks fail and take a daemon out of service. Waiting calls are now limited (48) and 16 further threads stay free; a call over the limit is refused as overloaded. A test runs the operators' client against the port.

--- a/gooseberrypath/client.h
+++ b/gooseberrypath/client.h
@@ -23,7 +23,7 @@
   std::string server; // "IP:port"
   bool isPost = false;
   std::string target; // path and query
-  std::string body;   // JSON of a POST
+  std::string body{}; // JSON of a POST
   Duration timeout{}; // for connecting, and again for the answer
 };
 
@@ -44,7 +44,8 @@
 /// Sends one request to one server.
 using ClientTransport = std::function<ClientAnswer(const ClientRequest&)>;
 
-/// Sends the request by kj-http on a new connection and waits for the whole answer.
+/// Sends the request by kj-http on a new connection and waits for the whole answer. The
+/// calling thread must have no kj event loop.
 ClientAnswer SendByHttp(const ClientRequest& aRequest);
 
 struct ClientStreams
--- a/gooseberrypath/operator_http.cc
+++ b/gooseberrypath/operator_http.cc
@@ -31,8 +31,9 @@
 /// Ids of the core's own requests stay below this one.
 constexpr uint64_t kFirstWriteId = uint64_t{ 1 } << 32U;
 
-/// Threads that answer requests. Each waiting long poll holds one.
-constexpr unsigned kMaxThreads = 64;
+/// Threads kept free for /healthz, /readyz and /metrics. Each waiting call on /v1/ holds
+/// a thread, and long polls must not make health checks fail.
+constexpr unsigned kHealthThreads = 16;
 
 struct Answer
 {
@@ -245,7 +246,7 @@
     , tasks_(*this)
   {
     Listen();
-    server_.maxThreads(kMaxThreads);
+    server_.maxThreads(static_cast<unsigned>(options_.maxCalls) + kHealthThreads);
     server_.addService(cxxtools::Regex("^/"), *this);
     // Signals belong to the thread of the event loop; the threads of cxxtools inherit
     // this mask.
@@ -376,7 +377,12 @@
     if (!event) {
       return AnswerOf(event.error());
     }
-    return HandleEvent(id, *event);
+    const bool isAdmitted = calls_.fetch_add(1) < options_.maxCalls;
+    Answer answer =
+      isAdmitted ? HandleEvent(id, *event)
+                 : AnswerOf({ ErrorKind::Overloaded, "too many operators' calls wait" });
+    calls_.fetch_sub(1);
+    return answer;
   }
 
   Answer HandleSnapshot(const std::string& aPath)
@@ -459,6 +465,7 @@
   std::shared_ptr<Mailbox> mailbox_;
   std::unordered_map<WriteId, AnswerPromise> waiting_; // loop thread only
   std::atomic<uint64_t> nextId_ = kFirstWriteId;
+  std::atomic<size_t> calls_ = 0; // calls on /v1/ that wait
   cxxtools::EventLoop serverLoop_;
   cxxtools::http::Server server_;
   std::thread thread_;
--- a/gooseberrypath/operator_http.h
+++ b/gooseberrypath/operator_http.h
@@ -40,6 +40,7 @@
   Duration replyTimeout = std::chrono::seconds(10); // for an OperatorReply, over the wait
   Duration maxWait = std::chrono::seconds(60); // longest wait_ms; a longer one is cut
   size_t maxBodyBytes = 1'048'576;             // a larger body is refused
+  size_t maxCalls = 48;   // calls on /v1/ that wait at once; more are refused
   size_t maxQueued = 256; // work that the event loop has not taken; more is refused
 };
 
--- a/gooseberrypath/testing/operator_http_test.cc
+++ b/gooseberrypath/testing/operator_http_test.cc
@@ -14,6 +14,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "gooseberrypath/client.h"
+
 using namespace gooseberrypath;
 using namespace std::chrono_literals;
 
@@ -217,6 +219,65 @@
   CHECK(got.status == 503);
 }
 
+TEST_CASE("Waiting calls leave threads for health checks", "[operator_http]")
+{
+  // Guards against a daemon that is taken out of service because many operators watch.
+  Fixture fixture(1h);
+  const size_t limit = OperatorHttpOptions{}.maxCalls;
+  auto full = kj::newPromiseAndFulfiller<void>();
+  fixture.onEvent = [&](const Event&) {
+    if (fixture.events.size() == limit) {
+      full.fulfiller->fulfill();
+    }
+  };
+  std::vector<std::thread> callers;
+  for (size_t i = 0; i < limit; ++i) {
+    callers.emplace_back([&] { fixture.Send("GET", "/v1/status"); });
+  }
+  full.promise.wait(fixture.io.waitScope);
+  CHECK(KindOf(fixture.Call("GET", "/v1/status")) == "overloaded");
+  CHECK(fixture.Call("GET", "/healthz").status == 200);
+  fixture.operators.reset();
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+}
+
+TEST_CASE("The operators' client works with the operators' port", "[operator_http]")
+{
+  // Guards against a client and a server that differ about the protocol.
+  Fixture fixture;
+  fixture.onEvent = [&](const Event& aEvent) {
+    const auto& write = std::get<OperatorWrite>(aEvent);
+    fixture.operators->Execute(
+      { write.write, 200, write.isDelete ? R"({"version":9})" : write.spec });
+  };
+  const std::string server = "127.0.0.1:" + std::to_string(fixture.port);
+  ClientAnswer answer;
+  ClientAnswer tooLarge;
+  fixture.WhileLoopRuns([&] {
+    answer = SendByHttp({ .server = server,
+                          .isPost = true,
+                          .target = "/v1/resources",
+                          .body = R"({"kind":"team","name":"t","delete":true})",
+                          .timeout = 1min });
+    tooLarge = SendByHttp({ .server = server,
+                            .isPost = true,
+                            .target = "/v1/resources",
+                            .body = std::string(1'048'577, ' '),
+                            .timeout = 1min });
+  });
+  CHECK(answer.status == 200);
+  CHECK(answer.body == R"({"version":9})");
+  CHECK(tooLarge.status == 413);
+  CHECK(fixture.events.size() == 1);
+  fixture.operators.reset();
+  fixture.WhileLoopRuns([&] {
+    answer = SendByHttp({ .server = server, .target = "/v1/status", .timeout = 1min });
+  });
+  CHECK(answer.outcome == ClientAnswer::Outcome::NotSent);
+}
+
 TEST_CASE("An address in use is reported", "[operator_http]")
 {
   // Guards against a daemon that runs without its operators' port.
