Core: run the systems again while one left work for an earlier one

Cause: claims run before dispatch in a tick, so an ended claim that dispatch reports in its own run waited for the next event. Change: BasicCore::Tick() repeats the pass, at most 8 times, and NextDue() is now while work is left.

--- a/gooseberrypath/core.h
+++ b/gooseberrypath/core.h
@@ -46,22 +46,31 @@
     std::visit([this](const auto& aOne) { this->HandleOne(aOne); }, aEvent);
   }
 
-  /// Advances the time, calls due timers and runs every system once.
+  /// Advances the time, calls due timers and runs the systems, again while one of them left
+  /// work for an earlier one.
   void Tick(TimePoint aNow)
   {
     world_.timers.AdvanceTo(aNow);
-    ForEach([](auto& aSystem) { aSystem.Run(); });
+    for (int pass = 0; pass == 0 || (world_.HasWork() && pass < kMaxPasses); ++pass) {
+      ForEach([](auto& aSystem) { aSystem.Run(); });
+    }
   }
 
   /// Returns the queued actions in order and empties the queue.
   std::vector<Action> TakeActions() { return std::exchange(world_.outbox, {}); }
 
   /// Returns when the next tick is due without an event.
-  std::optional<TimePoint> NextDue() const { return world_.timers.NextDue(); }
+  std::optional<TimePoint> NextDue() const
+  {
+    return world_.HasWork() ? world_.Now() : world_.timers.NextDue();
+  }
 
   const World& GetWorld() const { return world_; }
 
 private:
+  /// Bounds a tick, so that events are not kept waiting.
+  static constexpr int kMaxPasses = 8;
+
   template<typename E>
   void HandleOne(const E& aEvent)
   {
--- a/gooseberrypath/testing/claim_simulation.h
+++ b/gooseberrypath/testing/claim_simulation.h
@@ -92,6 +92,7 @@
 
   void Run()
   {
+    world_.dispatchQueue.clear(); // every request is looked at
     std::vector<RequestId> ids;
     for (const auto& [id, row] : world_.requests) {
       ids.push_back(id);
--- a/gooseberrypath/world.h
+++ b/gooseberrypath/world.h
@@ -246,6 +246,9 @@
   /// Returns the time of the current tick.
   TimePoint Now() const { return timers.Now(); }
 
+  /// Tells whether a system left work for a system that has already run in this tick.
+  bool HasWork() const { return !claimEnds.empty() || !dispatchQueue.empty(); }
+
   /// Returns the time in ms since 1970, from the start time in the options.
   int64_t WallMs() const;
 
