--- a/gooseberrypath/backend_system.cc
+++ b/gooseberrypath/backend_system.cc
@@ -8,6 +8,8 @@
 
 namespace {
 
+using namespace std::chrono_literals;
+
 constexpr std::string_view kPart = "backends";
 constexpr int kServiceUnavailable = 503;
 
@@ -178,9 +180,14 @@
   Departure& departure = departures_[aHost];
   if (departure.sequence != aRow.sequence) {
     // A newer sign from a peer. It may be about a reclaim of which this daemon had the
-    // notice, so the end of that one is kept.
+    // notice, so the end of that one is kept. Word of one reclaim arrives with different
+    // sequences and late, so what the list showed counts on unless the sign is clearly
+    // newer.
+    const uint64_t known = departure.sequence;
+    const bool isSame = known != 0 && aRow.sequence <= known + kSameSign / 1ms;
     departure = { .sequence = aRow.sequence,
-                  .noticeEnd = std::max(departure.noticeEnd, aRow.leavingSince) };
+                  .noticeEnd = std::max(departure.noticeEnd, aRow.leavingSince),
+                  .wasListed = isSame && departure.wasListed };
   }
   return departure;
 }
--- a/gooseberrypath/core.h
+++ b/gooseberrypath/core.h
@@ -43,7 +43,7 @@
   /// after the next Tick().
   void Handle(const Event& aEvent)
   {
-    std::visit([this](const auto& aOne) { HandleOne(aOne); }, aEvent);
+    std::visit([this](const auto& aOne) { this->HandleOne(aOne); }, aEvent);
   }
 
   /// Advances the time, calls due timers and runs every system once.
--- a/gooseberrypath/membership_system.cc
+++ b/gooseberrypath/membership_system.cc
@@ -1,7 +1,7 @@
 #include "gooseberrypath/membership_system.h"
 
 #include <algorithm>
-#include <set>
+#include <map>
 #include <utility>
 
 #include "gooseberrypath/backend_system.h"
@@ -16,6 +16,8 @@
 constexpr int kNewsLifetime = 10; // suspicion times on the regular messages
 constexpr size_t kNewsPeers = 3;  // that get news of hosts at once
 
+constexpr size_t kProbeInterval = 4; // one message in so many goes to a silent peer
+
 } // namespace
 
 bool IsReachable(const World& aWorld, const MemberRow& aRow)
@@ -149,11 +151,8 @@
                .learned = world_.Now() };
   }
   std::vector<std::string> live;
-  for (const auto& [daemon, row] : world_.members) {
-    if (IsReachable(world_, row)) {
-      live.push_back(row.digest.peerAddress);
-    }
-  }
+  std::vector<std::string> silent;
+  SortAddresses(live, silent);
   std::vector<std::string> chosen;
   std::ranges::sample(live, std::back_inserter(chosen), kNewsPeers, world_.random);
   for (const std::string& address : chosen) {
@@ -165,9 +164,15 @@
 {
   ++heartbeat_;
   ExpireMembers();
-  const std::vector<std::string> addresses = KnownAddresses();
-  if (!addresses.empty()) {
-    const std::string& address = addresses[world_.random() % addresses.size()];
+  std::vector<std::string> live;
+  std::vector<std::string> silent;
+  SortAddresses(live, silent);
+  // Silent peers are tried too, so that the sides of a partition find each other again.
+  const bool isProbe =
+    !silent.empty() && (live.empty() || world_.random() % kProbeInterval == 0);
+  const std::vector<std::string>& peers = isProbe ? silent : live;
+  if (!peers.empty()) {
+    const std::string& address = peers[world_.random() % peers.size()];
     Send(address, MakeMessage(address, true));
   }
 }
@@ -229,15 +234,21 @@
   world_.Emit(SendGossip{ .address = aAddress, .message = std::move(aMessage) });
 }
 
-std::vector<std::string> MembershipSystem::KnownAddresses() const
+void MembershipSystem::SortAddresses(std::vector<std::string>& aLive,
+                                     std::vector<std::string>& aSilent) const
 {
-  std::set<std::string> addresses(world_.options.seedPeers.begin(),
-                                  world_.options.seedPeers.end());
+  std::map<std::string, bool> addresses; // address to whether it is live
+  for (const std::string& seed : world_.options.seedPeers) {
+    addresses[seed] = false;
+  }
   for (const auto& [daemon, row] : world_.members) {
-    addresses.insert(row.digest.peerAddress);
+    bool& isLive = addresses[row.digest.peerAddress];
+    isLive = isLive || IsReachable(world_, row);
   }
   addresses.erase(world_.options.peerAddress);
-  return { addresses.begin(), addresses.end() };
+  for (const auto& [address, isLive] : addresses) {
+    (isLive ? aLive : aSilent).push_back(address);
+  }
 }
 
 } // namespace gooseberrypath
--- a/gooseberrypath/membership_system.h
+++ b/gooseberrypath/membership_system.h
@@ -61,7 +61,9 @@
   /// Makes a message with all that changed since the last message to this address.
   GossipMessage MakeMessage(const std::string& aAddress, bool aWantsReply);
   void Send(const std::string& aAddress, GossipMessage aMessage);
-  std::vector<std::string> KnownAddresses() const;
+  /// Lists the addresses of reachable members and those of all other members and seeds.
+  void SortAddresses(std::vector<std::string>& aLive,
+                     std::vector<std::string>& aSilent) const;
 
   World& world_;
   uint64_t heartbeat_ = 0;
--- a/gooseberrypath/types.h
+++ b/gooseberrypath/types.h
@@ -30,7 +30,7 @@
 {
   uint64_t value = 0;
 
-  auto operator<=>(const StrongId&) const = default;
+  auto operator<=>(const StrongId&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 using RequestId = StrongId<struct RequestTag>;
