--- a/gooseberrypath/testing/backend_system_test.cc
+++ b/gooseberrypath/testing/backend_system_test.cc
@@ -99,6 +99,9 @@
     cluster.Post(
       3, AttemptAnswered{ { 5 }, 503, { { "connection", "Keep-Alive, Close" } }, "" });
   }
+  // At once to 3 peers, not only with the regular messages.
+  cluster.Run(100ms);
+  CHECK(CountUsable(cluster) <= 4);
   cluster.Run(2s);
   CHECK(CountUsable(cluster) == 0);
   HostState naive = HostState::Live;
