--- a/gooseberrypath/core.h
+++ b/gooseberrypath/core.h
@@ -2,6 +2,7 @@
 // input or output and reads no clock.
 //
 //   Core core(options, now);
+//   core.SetTime(now);
 //   core.Handle(event);
 //   core.Tick(now);
 //   for (Action& action : core.TakeActions()) { ... }
@@ -39,6 +40,9 @@
   BasicCore(const BasicCore&) = delete;
   BasicCore& operator=(const BasicCore&) = delete;
 
+  /// Sets the time for events that are handled before the next Tick().
+  void SetTime(TimePoint aNow) { world_.timers.SetTime(aNow); }
+
   /// Passes the event to the systems that handle it. The tables are consistent again
   /// after the next Tick().
   void Handle(const Event& aEvent)
--- a/gooseberrypath/daemon.h
+++ b/gooseberrypath/daemon.h
@@ -73,6 +73,7 @@
       if (!queue_.empty()) {
         const Event event = std::move(queue_.front());
         queue_.pop_front();
+        core_.SetTime(ports_.clock.Now());
         core_.Handle(event);
       }
       core_.Tick(ports_.clock.Now());
--- a/gooseberrypath/timer_service.cc
+++ b/gooseberrypath/timer_service.cc
@@ -48,9 +48,7 @@
 
 size_t TimerService::AdvanceTo(TimePoint aNow)
 {
-  if (aNow > now_) {
-    now_ = aNow;
-  }
+  SetTime(aNow);
   size_t calls = 0;
   while (!byDue_.empty() && byDue_.begin()->first <= now_) {
     const TimerId id = byDue_.begin()->second;
--- a/gooseberrypath/timer_service.h
+++ b/gooseberrypath/timer_service.h
@@ -45,6 +45,15 @@
   /// Returns the earliest due time, if there is a subscription.
   std::optional<TimePoint> NextDue() const;
 
+  /// Sets the time without calling anything, so that an event that arrived before a due
+  /// time can be handled first. An earlier time than Now() is ignored.
+  void SetTime(TimePoint aNow)
+  {
+    if (aNow > now_) {
+      now_ = aNow;
+    }
+  }
+
   /// Sets the time and calls what is due, in order of due time. An earlier time than
   /// Now() is ignored. Returns the number of calls made.
   size_t AdvanceTo(TimePoint aNow);
