--- a/gooseberrypath/core.h
+++ b/gooseberrypath/core.h
@@ -50,8 +50,8 @@
     std::visit([this](const auto& aOne) { this->HandleOne(aOne); }, aEvent);
   }
 
-  /// Advances the time, calls due timers and runs the systems, again while one of them left
-  /// work for an earlier one.
+  /// Advances the time, calls due timers and runs the systems, again while one of them
+  /// left work for an earlier one.
   void Tick(TimePoint aNow)
   {
     world_.timers.AdvanceTo(aNow);
