--- a/gooseberrypath/backend_http.cc
+++ b/gooseberrypath/backend_http.cc
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr size_t kMaxLoadBytes = 64 * 1024;
+constexpr size_t kMaxLoadBytes = size_t{ 64 } * 1024;
 
 std::string ReasonOf(const kj::Exception& aError)
 {
@@ -122,7 +122,9 @@
     return call_->Body()
       .tryRead(buffer_.data(), 1, buffer_.size())
       .then([this](size_t aRead) -> kj::Promise<void> {
-        KJ_REQUIRE(aRead > 0, "the stream ended without [DONE]");
+        if (aRead == 0) {
+          return KJ_EXCEPTION(DISCONNECTED, "the stream ended without [DONE]");
+        }
         auto chunks = parser_.Feed({ buffer_.data(), aRead });
         if (chunks) {
           for (ModelChunk& chunk : *chunks) {
@@ -310,7 +312,7 @@
   return Fetch(*aWatch.client, options_.timer, std::move(request), kMaxLoadBytes,
                options_.loadTimeout)
     .then(
-      [this, &aWatch](HttpReply aReply) {
+      [this, &aWatch](const HttpReply& aReply) {
         auto report =
           aReply.status == 200 ? ParseLoad(aWatch.address, aReply.body) : std::nullopt;
         if (report) {
--- a/gooseberrypath/backend_http.h
+++ b/gooseberrypath/backend_http.h
@@ -27,7 +27,7 @@
   kj::Timer& timer;
   EventSink sink;
   Duration connectTimeout = std::chrono::milliseconds(500);
-  size_t maxAnswerBytes = 4 * 1024 * 1024;
+  size_t maxAnswerBytes = size_t{ 4 } * 1024 * 1024;
   SseParserOptions stream{};
   Duration loadInterval = std::chrono::milliseconds(500); // jittered by half
   Duration loadTimeout = std::chrono::seconds(1);
--- a/gooseberrypath/caller_http.cc
+++ b/gooseberrypath/caller_http.cc
@@ -90,7 +90,7 @@
     ++port_.connectionCount_;
   }
 
-  ~Connection() noexcept(false) { --port_.connectionCount_; }
+  ~Connection() noexcept(false) override { --port_.connectionCount_; }
 
   /// Closes the connection in a fresh turn of the loop, because the caller may be a
   /// continuation that runs for this connection.
--- a/gooseberrypath/caller_http.h
+++ b/gooseberrypath/caller_http.h
@@ -28,8 +28,9 @@
   kj::Timer& timer;
   EventSink sink;
   std::string address = "127.0.0.1:0"; // "IP:port"; port 0 chooses a free one
-  size_t maxBodyBytes = 1024 * 1024;
-  size_t maxQueuedBytes = 256 * 1024; // of one stream, for a caller that reads slowly
+  size_t maxBodyBytes = size_t{ 1024 } * 1024;
+  size_t maxQueuedBytes =
+    size_t{ 256 } * 1024; // of one stream, for a caller that reads slowly
   size_t maxConnections = 4096;
   size_t maxRequests = 2048; // running requests, including those being read
   Duration headTimeout = std::chrono::seconds(10);
@@ -37,7 +38,7 @@
   Duration idleTimeout = std::chrono::seconds(60); // between requests on a connection
   // After an answer that was sent before the whole body was read, so much of the rest is
   // read: closing a socket with unread data would reset the answer away.
-  size_t maxDiscardedBytes = 4 * 1024 * 1024;
+  size_t maxDiscardedBytes = size_t{ 4 } * 1024 * 1024;
   Duration discardTimeout = std::chrono::seconds(1);
   // A caller that closed its connection and one that only ended its sending side look the
   // same until something is written. If true, both are gone; if false, a half-closed
--- a/gooseberrypath/http_io.cc
+++ b/gooseberrypath/http_io.cc
@@ -223,7 +223,7 @@
 kj::Promise<bool> ReadBounded(kj::AsyncInputStream& aStream, size_t aLimit,
                               std::string& aInto)
 {
-  static constexpr size_t kChunk = 16 * 1024;
+  static constexpr size_t kChunk = size_t{ 16 } * 1024;
   const size_t before = aInto.size();
   const size_t room = std::min(kChunk, aLimit + 1 - before);
   aInto.resize(before + room);
@@ -250,7 +250,9 @@
 {
   return kj::evalNow([&]() -> kj::Promise<void> {
     KJ_IF_MAYBE (method, kj::tryParseHttpMethod(View(request_.method))) {
-      KJ_REQUIRE(IsValidTarget(request_.target), "the request target is malformed");
+      if (!IsValidTarget(request_.target)) {
+        return KJ_EXCEPTION(FAILED, "the request target is malformed");
+      }
       kj::HttpHeaders headers(HeaderTable());
       AddHeaders(headers, request_.headers);
       auto request =
--- a/gooseberrypath/log_http.cc
+++ b/gooseberrypath/log_http.cc
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr size_t kMaxAppendAnswerBytes = 64 * 1024;
+constexpr size_t kMaxAppendAnswerBytes = size_t{ 64 } * 1024;
 
 // A log that answers an empty long poll at once must not make the port spin.
 constexpr Duration kMinEmptyReadTime = std::chrono::milliseconds(20);
@@ -135,8 +135,8 @@
   const kj::TimePoint started = options_.timer.now();
   return Fetch(*aFollower.client, options_.timer, std::move(request),
                options_.maxReadBytes, options_.readTimeout)
-    .then([this, &aFollower,
-           started](HttpReply aReply) { return Accept(aFollower, aReply, started); },
+    .then([this, &aFollower, started](
+            const HttpReply& aReply) { return Accept(aFollower, aReply, started); },
           [this, &aFollower](kj::Exception&& aError) {
             return Retry(aFollower, ReasonOf(aError));
           })
@@ -235,10 +235,11 @@
         auto fetched = Fetch(*append->client, options_.timer, std::move(request),
                              kMaxAppendAnswerBytes, std::max(left, Duration(1)));
         return fetched.attach(kj::mv(append))
-          .then([this, id](HttpReply aReply) { Finish(ParseAppendReply(id, aReply)); },
-                [this, id](kj::Exception&& aError) {
-                  Finish(AppendFailed{ id, true, ReasonOf(aError) });
-                });
+          .then(
+            [this, id](const HttpReply& aReply) { Finish(ParseAppendReply(id, aReply)); },
+            [this, id](kj::Exception&& aError) {
+              Finish(AppendFailed{ id, true, ReasonOf(aError) });
+            });
       },
       [this, id](kj::Exception&& aError) -> kj::Promise<void> {
         Finish(AppendFailed{ id, false, ReasonOf(aError) });
--- a/gooseberrypath/log_http.h
+++ b/gooseberrypath/log_http.h
@@ -36,7 +36,7 @@
   Duration minBackoff = std::chrono::milliseconds(100);
   Duration maxBackoff = std::chrono::seconds(1);
   size_t maxRecordsPerRead = 500;
-  size_t maxReadBytes = 16 * 1024 * 1024;
+  size_t maxReadBytes = size_t{ 16 } * 1024 * 1024;
   Duration appendTimeout = std::chrono::seconds(1);
   size_t maxAppendsInFlight = 16;
   size_t maxQueuedAppends = 4096;
--- a/gooseberrypath/peer_rpc.cc
+++ b/gooseberrypath/peer_rpc.cc
@@ -145,7 +145,7 @@
         case ClaimWord::Unreachable:
           break;
       }
-      KJ_FAIL_REQUIRE("the claim question was refused");
+      kj::throwFatalException(KJ_EXCEPTION(OVERLOADED, "the claim question was refused"));
     });
   }
 
--- a/gooseberrypath/peer_rpc.h
+++ b/gooseberrypath/peer_rpc.h
@@ -32,7 +32,7 @@
   Duration questionTimeout = std::chrono::seconds(2);
   size_t maxIncoming = 1024; // accepted connections
   size_t maxOutgoing = 64;   // cached connections; the least recently used is dropped
-  uint64_t maxMessageBytes = 1024 * 1024;
+  uint64_t maxMessageBytes = uint64_t{ 1024 } * 1024;
 };
 
 /// Models PeerPort. One connection per peer is kept; it is dropped when a call on it
--- a/gooseberrypath/platform_http.cc
+++ b/gooseberrypath/platform_http.cc
@@ -81,7 +81,7 @@
 kj::Promise<void> PlatformHttp::PollHosts()
 {
   return Get("/hosts", options_.readTimeout)
-    .then([this](HttpReply aReply) { return EmitHosts(aReply); },
+    .then([this](const HttpReply& aReply) { return EmitHosts(aReply); },
           [](kj::Exception&&) { return false; })
     .then([this](bool aIsGood) {
       failures_ += aIsGood ? 0 : 1;
@@ -98,7 +98,7 @@
   return Get("/notices?after=" + std::to_string(lastNotice_) +
                "&wait_ms=" + std::to_string(wait.count()),
              options_.noticesWait + options_.readTimeout)
-    .then([this](HttpReply aReply) { return EmitNotices(aReply); },
+    .then([this](const HttpReply& aReply) { return EmitNotices(aReply); },
           [](kj::Exception&&) { return false; })
     .then([this, started](bool aIsGood) -> kj::Promise<void> {
       if (aIsGood) {
--- a/gooseberrypath/platform_http.h
+++ b/gooseberrypath/platform_http.h
@@ -31,7 +31,7 @@
   Duration readTimeout = std::chrono::seconds(2); // beyond noticesWait
   Duration minBackoff = std::chrono::milliseconds(100);
   Duration maxBackoff = std::chrono::seconds(1);
-  size_t maxReadBytes = 4 * 1024 * 1024;
+  size_t maxReadBytes = size_t{ 4 } * 1024 * 1024;
 };
 
 /// Models HostListPort. Failed and malformed answers are counted, and the last host list
--- a/gooseberrypath/sse_parser.h
+++ b/gooseberrypath/sse_parser.h
@@ -33,7 +33,8 @@
 
 struct SseParserOptions
 {
-  size_t maxEventBytes = 256 * 1024; // limit on a line and on the data of one event
+  size_t maxEventBytes =
+    size_t{ 256 } * 1024; // limit on a line and on the data of one event
 };
 
 class SseParser
--- a/gooseberrypath/testing/caller_http_test.cc
+++ b/gooseberrypath/testing/caller_http_test.cc
@@ -245,6 +245,7 @@
   auto options = OptionsOf(loop);
   options.maxConnections = 2;
   options.maxRequests = 1;
+  options.discardTimeout = 50ms;
   CallerHttp callers(std::move(options));
   RawPeer first = loop.ConnectTo(callers.Port());
   first.Write(kGet);
--- a/gooseberrypath/testing/loop_fixture.h
+++ b/gooseberrypath/testing/loop_fixture.h
@@ -31,13 +31,17 @@
     stream->write(aBytes.data(), aBytes.size()).wait(io_.waitScope);
   }
 
-  /// Reads until the bytes read so far end with this text, or to the end of the stream.
+  /// Reads until the bytes read so far end with this text, or to the end of the stream; a
+  /// reset counts as the end.
   std::string ReadUntil(std::string_view aEnd)
   {
     std::string bytes;
     char next = 0;
     const auto read = [&] {
-      auto promise = stream->tryRead(&next, 1, 1);
+      auto promise = stream->tryRead(&next, 1, 1).catch_([](kj::Exception&& aError) {
+        KJ_REQUIRE(aError.getType() == kj::Exception::Type::DISCONNECTED, aError);
+        return size_t{ 0 };
+      });
       return io_.provider->getTimer()
         .timeoutAfter(20 * kj::SECONDS, kj::mv(promise))
         .wait(io_.waitScope);
@@ -48,7 +52,6 @@
     return bytes;
   }
 
-  /// Reads to the end of the stream; a reset counts as the end.
   std::string ReadAll() { return ReadUntil(""); }
 
   void Close() { stream = nullptr; }
--- a/gooseberrypath/testing/sse_parser_test.cc
+++ b/gooseberrypath/testing/sse_parser_test.cc
@@ -1,5 +1,6 @@
 #include "gooseberrypath/sse_parser.h"
 
+#include <algorithm>
 #include <random>
 
 #include <catch2/catch.hpp>
@@ -86,10 +87,8 @@
           input.insert(at, kStream, upTo(kStream.size()), upTo(300));
       }
     }
-    std::vector<size_t> sizes;
-    for (int i = 0; i < 200; ++i) {
-      sizes.push_back(1 + upTo(20));
-    }
+    std::vector<size_t> sizes(200);
+    std::ranges::generate(sizes, [&] { return 1 + upTo(20); });
     CHECK(ParseIn(input, sizes) == ParseIn(input, { input.size() + 1 }));
   }
 }
