--- a/gooseberrypath/errors.cc
+++ b/gooseberrypath/errors.cc
@@ -36,6 +36,8 @@
   ErrorInfo{ NotReady, "not_ready", 503, NotRun, 1 },
   ErrorInfo{ ResourceInvalid, "resource_invalid", 422, NotRun, 0 },
   ErrorInfo{ ResourceNotFound, "resource_not_found", 404, NotRun, 0 },
+  ErrorInfo{ JobNotFound, "job_not_found", 404, NotRun, 0 },
+  ErrorInfo{ StreamNotFound, "stream_not_found", 404, MayHaveRun, 0 },
   ErrorInfo{ VersionConflict, "version_conflict", 409, NotRun, 0 },
   ErrorInfo{ WriteUnknown, "write_unknown", 504, MayHaveRun, 1 },
   ErrorInfo{ Internal, "internal", 500, MayHaveRun, 0 },
--- a/gooseberrypath/errors.h
+++ b/gooseberrypath/errors.h
@@ -41,6 +41,8 @@
   NotReady,         // the daemon has not read its configuration yet
   ResourceInvalid,  // a resource fails its checks
   ResourceNotFound, // no such resource
+  JobNotFound,      // no such queued request
+  StreamNotFound,   // no daemon has a stream with this id
   VersionConflict,  // the write is based on an old version
   WriteUnknown,     // the log did not answer; the write may be in force later
   Internal,         // a bug
