Team limits, and answers are flushed before a planned exit

Cause: maxConcurrent and requestsPerSecond were accepted and not enforced, and the process exited 200 ms after its last request whether or not the caller had read the answer. Change: each daemon admits its share, the limit divided by the serving daemons known from gossip; no message per request. The exit waits for callers up to 5 s. Conclusion: the limit holds over all daemons when callers are spread evenly; a balancer that sends a team to few daemons makes them refuse early.

--- a/gooseberrypath/request_intake.cc
+++ b/gooseberrypath/request_intake.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "gooseberrypath/chat_format.h"
+#include "gooseberrypath/team_limits.h"
 
 namespace gooseberrypath {
 
@@ -190,6 +191,10 @@
   if (!taken) {
     return tl::unexpected(taken.error());
   }
+  // Last, so that a request that is refused for another reason takes no share.
+  if (const auto admitted = AdmitTeam(aWorld, row.team); !admitted) {
+    return tl::unexpected(admitted.error());
+  }
   return row;
 }
 
--- a/gooseberrypath/serve.cc
+++ b/gooseberrypath/serve.cc
@@ -27,8 +27,10 @@
 
 using namespace std::chrono_literals;
 
-/// Before the process exits, for answers that are still being written.
-constexpr Duration kFlushTime = 200ms;
+/// How long the process waits at its end for answers that callers still read, and for the
+/// replies to operators.
+constexpr Duration kMaxFlushTime = 5s;
+constexpr Duration kFlushStep = 50ms;
 
 using PortSet =
   Ports<CallerHttp, BackendHttp, LogHttp, PeerRpc, OperatorHttp, Observation, KjClock>;
@@ -164,7 +166,7 @@
     auto signals =
       DrainOnSignal(aIo.unixEventPort, sink).eagerlyEvaluate([](const kj::Exception&) {});
     exit_.promise.wait(aIo.waitScope);
-    timer_.afterDelay(kFlushTime.count() * kj::MICROSECONDS).wait(aIo.waitScope);
+    Flush(aIo.waitScope);
     Log("daemon " + settings_.daemon + " has stopped");
   }
 
@@ -174,6 +176,15 @@
     return [this](Event aEvent) { daemon_->Post(std::move(aEvent)); };
   }
 
+  /// Waits until callers have read their answers, for a limited time.
+  void Flush(kj::WaitScope& aScope)
+  {
+    const TimePoint end = clock_.Now() + kMaxFlushTime;
+    do {
+      timer_.afterDelay(kFlushStep.count() * kj::MICROSECONDS).wait(aScope);
+    } while (callers_.RequestCount() > 0 && clock_.Now() < end);
+  }
+
   void Log(std::string aText)
   {
     observation_.Execute(WriteLog{ .part = "serve", .text = std::move(aText) });
--- a/gooseberrypath/world.h
+++ b/gooseberrypath/world.h
@@ -194,6 +194,13 @@
   TimePoint heard; // when the heartbeat last grew
 };
 
+/// What is left of a team's share of its request rate.
+struct TeamBucket
+{
+  double requests = 0;
+  TimePoint filled{};
+};
+
 /// How far a stream has been read.
 struct StreamRow
 {
@@ -232,6 +239,7 @@
   Table<std::string, HostRow> hosts;
   uint64_t hostsRevision = 0; // grows with each change in `hosts`
   Table<std::string, MemberRow> members;
+  Table<std::string, TeamBucket> teamBuckets;
   Table<RequestId, RequestRow> requests;
   /// Requests whose stage became Ready or Decided; drained by DispatchSystem.
   std::deque<RequestId> dispatchQueue;
