Claims: split the system and its tests into shorter files

Change: claim_requests.cc has the way of one request, claim_appends.cc the appends with their retries and the carries, action_key.h the hash and the time of a key. The code of functions and tests is unchanged. Measured: the claim tests were linked alone and pass; the other tests were not run on this commit.

--- a/gooseberrypath/claim_system.h
+++ b/gooseberrypath/claim_system.h
@@ -3,6 +3,8 @@
 // A request in stage AwaitingClaim leaves it as Ready, with its own admitted claim or,
 // for a service that deduplicates, without one, or as Decided with an error or the
 // recorded answer. DispatchSystem reports the end of each claim through World::claimEnds.
+// The members are defined in claim_system.cc (events and ticks), claim_requests.cc and
+// claim_appends.cc.
 
 #ifndef GOOSEBERRYPATH_CLAIM_SYSTEM_H_
 #define GOOSEBERRYPATH_CLAIM_SYSTEM_H_
@@ -13,6 +15,7 @@
 #include <string>
 #include <string_view>
 
+#include "gooseberrypath/action_key.h"
 #include "gooseberrypath/claim_table.h"
 #include "gooseberrypath/world.h"
 
@@ -43,6 +46,10 @@
   void Handle(const ClaimAnswered& aEvent);
 
 private:
+  /// An asked holder is asked again after this time; without an answer for this time it
+  /// counts as unreachable.
+  static constexpr Duration kAskInterval = std::chrono::seconds(1);
+
   /// What this daemon remembers of a claim that it made.
   enum class Own : uint8_t
   {
@@ -141,15 +148,6 @@
 ActionView FindAction(const World& aWorld, const std::string& aService,
                       const std::string& aKey);
 
-/// Returns XXH3 (128 bit) of method, target and body, each with its length in front, as
-/// 32 hexadecimal digits.
-std::string HashAction(std::string_view aMethod, std::string_view aTarget,
-                       std::string_view aBody);
-
-/// Returns the creation time of a UUID version 7 in ms since 1970, or nothing for any
-/// other text.
-std::optional<int64_t> TimeOfUuidV7(std::string_view aKey);
-
 } // namespace gooseberrypath
 
 #endif // GOOSEBERRYPATH_CLAIM_SYSTEM_H_
