Split the caller port into stream, exchange and server

Its own error answers carried a bare number as X-Request-Id, which could equal the number of another daemon's answer.

Change: CallerHttp::Connection and Stream are in caller_stream, Exchange in caller_exchange. Own error answers carry <daemon>-<incarnation>-c<number>, the core's form with another letter. The test checks the form.

--- a/gooseberrypath/caller_http.h
+++ b/gooseberrypath/caller_http.h
@@ -28,6 +28,9 @@
   kj::Timer& timer;
   EventSink sink;
   std::string address = "127.0.0.1:0"; // "IP:port"; port 0 chooses a free one
+  // Starts the X-Request-Id of answers that the core does not make:
+  // "<daemon>-<incarnation>".
+  std::string idPrefix = "d0-1";
   size_t maxBodyBytes = size_t{ 1024 } * 1024;
   size_t maxQueuedBytes =
     size_t{ 256 } * 1024; // of one stream, for a caller that reads slowly
@@ -89,6 +92,11 @@
                                    kj::Maybe<Error> aError);
   void Emit(Event aEvent);
   Exchange* Find(RequestId aId);
+
+  /// Returns the X-Request-Id of an answer of the port itself. It has the core's form
+  /// with another letter, so that it never equals the id of another request.
+  std::string PublicIdOf(RequestId aId) const;
+
   kj::Promise<void> SendError(kj::HttpService::Response& aResponse, ErrorKind aKind,
                               std::string aMessage, RequestId aId);
 
--- /dev/null
+++ b/gooseberrypath/caller_stream.cc
@@ -0,0 +1,155 @@
+#include "gooseberrypath/caller_stream.h"
+
+#include <algorithm>
+#include <cstring>
+#include <utility>
+
+#include <kj/debug.h>
+
+namespace gooseberrypath {
+
+namespace {
+
+// kj 0.9 refuses a head that does not fit its buffer of fixed size, 64 KiB. The margin is
+// for bytes of the previous request that were read together with the head.
+constexpr size_t kMinTooLargeHead = 60'000;
+
+} // namespace
+
+CallerHttp::Connection::Connection(CallerHttp& aPort)
+  : port_(aPort)
+{
+  ++port_.connectionCount_;
+}
+
+CallerHttp::Connection::~Connection() noexcept(false)
+{
+  --port_.connectionCount_;
+}
+
+void CallerHttp::Connection::CloseLater()
+{
+  if (!std::exchange(isClosing_, true)) {
+    port_.tasks_.add(kj::evalLater([self = kj::addRef(*this)]() mutable {
+      self->canceler.cancel("closed by the server");
+    }));
+  }
+}
+
+void CallerHttp::Connection::Linger(kj::Own<kj::AsyncIoStream> aStream,
+                                    kj::Maybe<Error> aError)
+{
+  if (isClosing_ || port_.isClosing_) {
+    return; // the caller is gone or too slow
+  }
+  port_.tasks_.add(kj::evalLater([self = kj::addRef(*this), stream = kj::mv(aStream),
+                                  error = kj::mv(aError)]() mutable {
+    auto closed = self->port_.CloseLingering(kj::mv(stream), kj::mv(error));
+    return closed.attach(kj::mv(self));
+  }));
+}
+
+CallerHttp::Stream::Stream(kj::Own<kj::AsyncIoStream> aInner,
+                           kj::Own<Connection> aConnection)
+  : connection(kj::mv(aConnection))
+  , inner_(kj::mv(aInner))
+{
+}
+
+CallerHttp::Stream::~Stream() noexcept(false)
+{
+  if (isEnded_ || isReading_) {
+    return;
+  }
+  kj::Maybe<Error> error;
+  if (isHeadExpected_ && headBytes_ > 0) {
+    // kj closes the connection without an answer in these two cases.
+    error = headBytes_ < kMinTooLargeHead
+              ? Error{ ErrorKind::RequestTimeout, "the head was sent too slowly" }
+              : Error{ ErrorKind::HeadersTooLarge, "the head is too large" };
+  }
+  connection->Linger(kj::mv(inner_), kj::mv(error));
+}
+
+void CallerHttp::Stream::ExpectHead(bool aIsExpected)
+{
+  isHeadExpected_ = aIsExpected;
+  headBytes_ = 0;
+}
+
+void CallerHttp::Stream::WatchEnd(std::function<void()> aOnEnd)
+{
+  onEnd_ = std::move(aOnEnd);
+  if (onEnd_ == nullptr || isReading_ || begin_ < end_) {
+    return;
+  }
+  if (isEnded_) {
+    std::exchange(onEnd_, nullptr)();
+    return;
+  }
+  isReading_ = true;
+  ahead_ = inner_->tryRead(buffer_, 1, sizeof(buffer_))
+             .then(
+               [this](size_t aRead) {
+                 begin_ = 0;
+                 end_ = aRead;
+                 isEnded_ = aRead == 0;
+               },
+               [this](kj::Exception&&) { isEnded_ = true; })
+             .then([this] {
+               isReading_ = false;
+               if (isEnded_ && onEnd_ != nullptr) {
+                 std::exchange(onEnd_, nullptr)();
+               }
+             })
+             .fork();
+  reader_ =
+    ahead_.addBranch().eagerlyEvaluate([this](kj::Exception&&) { isEnded_ = true; });
+}
+
+kj::Promise<size_t> CallerHttp::Stream::tryRead(void* aBuffer, size_t aMin, size_t aMax)
+{
+  if (isReading_) {
+    // A read is never cancelled, since it may already have taken data.
+    return ahead_.addBranch().then(
+      [this, aBuffer, aMin, aMax] { return tryRead(aBuffer, aMin, aMax); });
+  }
+  const size_t size = std::min(aMax, end_ - begin_);
+  std::memcpy(aBuffer, buffer_ + begin_, size);
+  begin_ += size;
+  headBytes_ += size;
+  if (size >= aMin || isEnded_) {
+    return size;
+  }
+  return inner_->tryRead(static_cast<char*>(aBuffer) + size, aMin - size, aMax - size)
+    .then(
+      [this, size, aMin](size_t aRead) {
+        isEnded_ = size + aRead < aMin;
+        headBytes_ += aRead;
+        return size + aRead;
+      },
+      [this](kj::Exception&& aError) -> size_t {
+        isEnded_ = true;
+        kj::throwFatalException(kj::mv(aError));
+      });
+}
+
+kj::Promise<void> CallerHttp::Stream::write(const void* aBuffer, size_t aSize)
+{
+  headBytes_ = 0;
+  return inner_->write(aBuffer, aSize);
+}
+
+kj::Promise<void> CallerHttp::Stream::write(
+  kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> aPieces)
+{
+  headBytes_ = 0;
+  return inner_->write(aPieces);
+}
+
+kj::Promise<void> CallerHttp::Stream::whenWriteDisconnected()
+{
+  return inner_->whenWriteDisconnected();
+}
+
+} // namespace gooseberrypath
--- a/gooseberrypath/serve.cc
+++ b/gooseberrypath/serve.cc
@@ -111,6 +111,7 @@
                  .timer = timer_,
                  .sink = Sink(),
                  .address = aSettings.listen,
+                 .idPrefix = aSettings.daemon + "-" + std::to_string(incarnation_),
                  .maxBodyBytes = aSettings.maxBodyBytes,
                  .maxConnections = aSettings.maxConnections,
                  .maxRequests = aSettings.maxRequests,
@@ -132,7 +133,7 @@
                    .sink = Sink(),
                    .snapshot = [this] { return TakeSnapshot(daemon_->GetWorld()); } })
   {
-    daemon_.emplace(ToCoreOptions(aSettings, ToMs(WallNow())),
+    daemon_.emplace(ToCoreOptions(aSettings, incarnation_),
                     PortSet{ .caller = callers_,
                              .backend = backends_,
                              .log = log_,
@@ -182,6 +183,7 @@
   const Settings& settings_;
   kj::Network& network_;
   kj::Timer& timer_;
+  const uint64_t incarnation_ = ToMs(WallNow());
   kj::PromiseFulfillerPair<void> exit_ = kj::newPromiseAndFulfiller<void>();
   std::optional<Daemon<PortSet>> daemon_;
   KjClock clock_;
--- a/gooseberrypath/testing/caller_http_test.cc
+++ b/gooseberrypath/testing/caller_http_test.cc
@@ -27,7 +27,7 @@
 {
   INFO(aAnswer);
   CHECK(aAnswer.starts_with("HTTP/1.1 " + std::to_string(InfoOf(aKind).status)));
-  CHECK(aAnswer.find("X-Request-Id: ") != std::string::npos);
+  CHECK(aAnswer.find("\r\nX-Request-Id: d0-1-c") != std::string::npos);
   const size_t body = aAnswer.find("\r\n\r\n");
   REQUIRE(body != std::string::npos);
   const auto json = nlohmann::json::parse(aAnswer.substr(body + 4));
