A planned stop waits until the outcomes of its actions are in the log

Cause: the exit was decided when no request was left; the outcome of the last action could still be waiting for the log and was lost with the process, so a retry was told outcome_unknown for an action that had been answered. Ruled out: the append itself; with a slow log it takes effect in time. Change: ClaimSystem counts the ends that are not in the log; the exit waits for them up to 10 s. Conclusion: the outcome survives a planned stop unless the log is out of reach for more than 10 s.

--- a/gooseberrypath/claim_appends.cc
+++ b/gooseberrypath/claim_appends.cc
@@ -132,8 +132,13 @@
     }
     BeginEnd(std::move(end));
   }
+  world_.unrecordedEnds = 0;
   for (auto& [claim, ending] : endings_) {
-    if (!ending.appending->confirmed && world_.Now() >= ending.appending->due) {
+    if (ending.appending->confirmed) {
+      continue;
+    }
+    ++world_.unrecordedEnds;
+    if (world_.Now() >= ending.appending->due) {
       Append(ending.appending);
     }
   }
--- a/gooseberrypath/config_system.cc
+++ b/gooseberrypath/config_system.cc
@@ -20,6 +20,8 @@
 // Repetitions of an append are spread out up to this pause, because all daemons share a
 // limit of several hundred appends per second.
 constexpr Duration kLongestPause = std::chrono::seconds(1);
+/// A planned stop waits for the log this long to record the last outcomes.
+constexpr Duration kMaxRecordTime = std::chrono::seconds(10);
 
 std::string Dump(const Json& aJson)
 {
@@ -416,6 +418,21 @@
   }
 }
 
+/// Tells whether the outcomes of this daemon's actions are in the log, or have been
+/// waited for long enough. An outcome that is lost with the daemon stays unknown for
+/// ever.
+bool ConfigSystem::AreOutcomesRecorded()
+{
+  if (world_.claimEnds.empty() && world_.unrecordedEnds == 0) {
+    return true;
+  }
+  if (!idleSince_) {
+    idleSince_ = world_.Now();
+    world_.timers.SubscribeAt(world_.Now() + kMaxRecordTime, [](TimePoint) {});
+  }
+  return world_.Now() >= *idleSince_ + kMaxRecordTime;
+}
+
 void ConfigSystem::RunState()
 {
   if (world_.state == DaemonState::Starting && world_.IsCaughtUp()) {
@@ -433,6 +450,9 @@
       !pending_.empty()) {
     return;
   }
+  if (!AreOutcomesRecorded()) {
+    return;
+  }
   for (const WaitingRead& read : std::exchange(reads_, {})) {
     ReplyRead(read.read);
   }
--- a/gooseberrypath/config_system.h
+++ b/gooseberrypath/config_system.h
@@ -78,6 +78,7 @@
   void RunWrites();
   void RunReads();
   void RunState();
+  bool AreOutcomesRecorded();
 
   void ReplyError(WriteId aRequest, const Error& aError, Offset aCurrent = 0,
                   const std::string& aWrite = {});
@@ -92,6 +93,7 @@
   ConfigLog log_;
   Pending pending_;
   std::vector<WaitingRead> reads_;
+  std::optional<TimePoint> idleSince_; // in a planned stop, no request left
   bool isExitSent_ = false;
   std::vector<std::variant<LogBatch, AppendDone, AppendFailed, OperatorWrite,
                            OperatorRead, OperatorStatus, OperatorDrain>>
--- a/gooseberrypath/world.h
+++ b/gooseberrypath/world.h
@@ -246,6 +246,7 @@
   Table<AttemptId, AttemptRow> attempts;
   Table<ActionId, ActionRow> actions;
   std::deque<ClaimEnd> claimEnds; // from DispatchSystem to ClaimSystem
+  size_t unrecordedEnds = 0;      // ends of claims that are not in the log yet
   /// Hosts about which there is news to spread; drained by MembershipSystem.
   std::vector<HostNews> hostNews;
 
--- a/tests/whole_path_test.py
+++ b/tests/whole_path_test.py
@@ -267,6 +267,26 @@
                 self.assertEqual((ended, text == expected), (True, True))
             self.assertEqual(d.daemons[0].process.wait(timeout=30), 0)
 
+    def test_planned_stop_records_outcomes(self):
+        """Guards against an exit before the outcome of the last action is in the log."""
+        with Deployment(engines=1, services=1, daemons=2,
+                        flags=["--drain-delay-ms", "100"]) as d:
+            d.apply(d.serrana())
+            d.services[0].control(delay_ms=600)
+            headers = {"Idempotency-Key": "last"}
+            first = Background(lambda: d.call(0, "POST", "/pickups", "{}", headers))
+            wait_for(lambda: d.runs().get("last"), "the action to run")
+            d.log.control(outage=True)
+            threading.Timer(1.5, lambda: d.log.control(outage=False)).start()
+            d.daemons[0].signal(signal.SIGTERM)
+            answer = first.wait()
+            self.assertEqual(answer[0], 200)
+            self.assertEqual(d.daemons[0].process.wait(timeout=30), 0)
+            wait_for(
+                lambda: d.call(1, "POST", "/pickups", "{}", headers)[::2] == answer[::2],
+                "the recorded outcome", timeout_s=10)
+            self.assertEqual(d.runs()["last"], 1)
+
     def test_reclaimed_host_gets_no_new_work(self):
         with Deployment(engines=2, services=1, daemons=3) as d:
             d.apply(d.serrana())
