--- a/gooseberrypath/actions.h
+++ b/gooseberrypath/actions.h
@@ -115,6 +115,12 @@
   ClaimWord word = ClaimWord::NotHeld;
 };
 
+/// Asks a peer for its configuration.
+struct AskSnapshot
+{
+  std::string address;
+};
+
 // ---- Operators ----
 
 struct OperatorReply
@@ -163,8 +169,8 @@
 using Action =
   std::variant<ReplyWhole, ReplyStreamHead, ReplyStreamEvent, ReplyStreamEnd,
                StartModelAttempt, StartServiceAttempt, CancelAttempt, WatchLoads,
-               AppendRecord, SendGossip, AskClaim, AnswerClaimQuestion, OperatorReply,
-               WriteLog, WriteSpan, ExitProcess>;
+               AppendRecord, SendGossip, AskClaim, AnswerClaimQuestion, AskSnapshot,
+               OperatorReply, WriteLog, WriteSpan, ExitProcess>;
 
 } // namespace gooseberrypath
 
--- a/gooseberrypath/config_log.cc
+++ b/gooseberrypath/config_log.cc
@@ -1,5 +1,12 @@
 #include "gooseberrypath/config_log.h"
 
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <iterator>
+
+#include <xxhash.h>
+
 #include "gooseberrypath/records.h"
 
 namespace gooseberrypath {
@@ -18,9 +25,8 @@
   bool isDelete = false;
 };
 
-Result<Change> DecodeChange(std::string_view aData)
+Result<Change> ToChange(Result<Record>& record)
 {
-  Result<Record> record = DecodeRecord(aData);
   if (!record) {
     return tl::unexpected<Error>(record.error());
   }
@@ -40,6 +46,25 @@
   return MakeError(ErrorKind::BadRequest, "the type is not known in stream config");
 }
 
+uint64_t HashOf(const ResourceId& aId, const ResourceRow& aRow)
+{
+  // Lengths keep the parts apart.
+  std::string text;
+  for (const std::string& part : { aId.first, aId.second, std::to_string(aRow.version),
+                                   std::to_string(aRow.sinceMs), aRow.json }) {
+    text += std::to_string(part.size()) + ':' + part;
+  }
+  return XXH3_64bits(text.data(), text.size());
+}
+
+std::string ToHex(uint64_t aHash)
+{
+  std::array<char, 17> text{};
+  std::snprintf(text.data(), text.size(), "%016llx",
+                static_cast<unsigned long long>(aHash));
+  return text.data();
+}
+
 } // namespace
 
 Offset VersionOf(const ResourceTable& aResources, const ResourceId& aId)
@@ -65,7 +90,11 @@
 {
   using How = ConfigResult::How;
   ConfigResult result;
-  Result<Change> change = DecodeChange(aEntry.data);
+  Result<Record> record = DecodeRecord(aEntry.data);
+  if (record && std::holds_alternative<SnapshotRecord>(*record)) {
+    return CheckSnapshot(std::get<SnapshotRecord>(*record));
+  }
+  Result<Change> change = ToChange(record);
   if (!change) {
     result.message = change.error().message;
     return result;
@@ -113,17 +142,103 @@
   if (!checked) {
     return skip(checked.error());
   }
+  const auto old = aResources.find(change->id);
+  const uint64_t removed = old == aResources.end() ? 0 : HashOf(old->first, old->second);
+  uint64_t added = 0;
   if (change->isDelete) {
     aResources.erase(change->id);
   } else {
-    aResources.insert_or_assign(change->id, ResourceRow{ .version = aEntry.offset,
-                                                         .sinceMs = aEntry.timeMs,
-                                                         .json = std::move(change->spec),
-                                                         .spec = std::move(spec) });
+    const auto placed = aResources.insert_or_assign(
+      change->id, ResourceRow{ .version = aEntry.offset,
+                               .sinceMs = aEntry.timeMs,
+                               .json = std::move(change->spec),
+                               .spec = std::move(spec) });
+    added = HashOf(change->id, placed.first->second);
   }
+  Rehash(aEntry.offset, removed, added);
   result.current = VersionOf(aResources, change->id);
   result.how = How::Accepted;
   return result;
 }
 
+void ConfigLog::Rehash(Offset aOffset, uint64_t aRemoved, uint64_t aAdded)
+{
+  hash_ = hash_ - aRemoved + aAdded;
+  hashes_.emplace_back(aOffset, hash_);
+  if (hashes_.size() > kKeptHashes) {
+    hashes_.pop_front();
+  }
+}
+
+std::optional<std::string> ConfigLog::HashAt(Offset aOffset) const
+{
+  const auto after =
+    std::ranges::upper_bound(hashes_, aOffset, {}, &std::pair<Offset, uint64_t>::first);
+  if (after == hashes_.begin()) {
+    return std::nullopt;
+  }
+  return ToHex(std::prev(after)->second);
+}
+
+ConfigResult ConfigLog::CheckSnapshot(const SnapshotRecord& aSnapshot) const
+{
+  const std::optional<std::string> own = HashAt(aSnapshot.upTo);
+  ConfigResult result;
+  result.how = ConfigResult::How::Snapshot;
+  result.current = aSnapshot.upTo;
+  result.differs = own && *own != aSnapshot.hash;
+  return result;
+}
+
+SnapshotRecord ConfigLog::MakeSnapshot(const ResourceTable& aResources,
+                                       Offset aUpTo) const
+{
+  SnapshotRecord snapshot{
+    .upTo = aUpTo, .resources = {}, .writes = {}, .hash = ToHex(hash_)
+  };
+  for (const auto& [id, row] : aResources) {
+    snapshot.resources.push_back({ .kind = id.first,
+                                   .name = id.second,
+                                   .version = row.version,
+                                   .sinceMs = row.sinceMs,
+                                   .spec = row.json });
+  }
+  const size_t count = std::min(order_.size(), kSnapshotWrites);
+  snapshot.writes.assign(order_.end() - static_cast<std::ptrdiff_t>(count), order_.end());
+  return snapshot;
+}
+
+Result<void> ConfigLog::Restore(ResourceTable& aResources,
+                                const SnapshotRecord& aSnapshot)
+{
+  ResourceTable resources;
+  uint64_t hash = 0;
+  for (const SnapshotResource& one : aSnapshot.resources) {
+    Result<Spec> spec = ParseSpec(one.kind, one.spec);
+    if (!spec) {
+      return MakeError(ErrorKind::BadRequest, one.kind + " \"" + one.name + "\" of the " +
+                                                "snapshot: " + spec.error().message);
+    }
+    const ResourceId id{ one.kind, one.name };
+    const auto placed =
+      resources.insert_or_assign(id, ResourceRow{ .version = one.version,
+                                                  .sinceMs = one.sinceMs,
+                                                  .json = one.spec,
+                                                  .spec = std::move(*spec) });
+    hash += HashOf(id, placed.first->second);
+  }
+  if (ToHex(hash) != aSnapshot.hash) {
+    return MakeError(ErrorKind::BadRequest, "the hash of the snapshot is wrong");
+  }
+  aResources = std::move(resources);
+  writes_.clear();
+  order_.clear();
+  for (const std::string& write : aSnapshot.writes) {
+    Remember(write);
+  }
+  hash_ = hash;
+  hashes_ = { { aSnapshot.upTo, hash } };
+  return {};
+}
+
 } // namespace gooseberrypath
--- a/gooseberrypath/config_system.cc
+++ b/gooseberrypath/config_system.cc
@@ -1,12 +1,11 @@
 #include "gooseberrypath/config_system.h"
 
 #include <algorithm>
-#include <array>
-#include <ctime>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 
-#include "gooseberrypath/membership_system.h"
+#include "gooseberrypath/config_status.h"
 #include "gooseberrypath/records.h"
 
 namespace gooseberrypath {
@@ -21,118 +20,6 @@
 // limit of several hundred appends per second.
 constexpr Duration kLongestPause = std::chrono::seconds(1);
 
-std::string Dump(const Json& aJson)
-{
-  return aJson.dump(-1, ' ', false, Json::error_handler_t::replace);
-}
-
-std::string FormatTime(int64_t aMs)
-{
-  const std::time_t seconds = aMs / 1000;
-  std::tm parts{};
-  if (aMs < 0 || gmtime_r(&seconds, &parts) == nullptr) {
-    return {};
-  }
-  std::array<char, 64> text{};
-  const size_t size =
-    std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
-  std::string fraction = std::to_string(1000 + aMs % 1000);
-  fraction.front() = '.';
-  return std::string(text.data(), size) + fraction + "Z";
-}
-
-/// Which daemons have applied a version. A daemon that is out of reach counts as missing
-/// unless it said before that it has applied the version: it may still serve.
-struct InForce
-{
-  size_t applied = 0;
-  size_t daemons = 0;
-  std::vector<std::string> missing;
-};
-
-InForce CountInForce(const World& aWorld, Offset aVersion)
-{
-  InForce result;
-  const auto add = [&](const std::string& aDaemon, Offset aApplied) {
-    ++result.daemons;
-    if (aApplied >= aVersion) {
-      ++result.applied;
-    } else {
-      result.missing.push_back(aDaemon);
-    }
-  };
-  add(aWorld.options.daemon, aWorld.appliedConfig);
-  for (const auto& [daemon, row] : aWorld.members) {
-    add(daemon, row.digest.appliedConfig);
-  }
-  return result;
-}
-
-std::string_view NameOf(DaemonState aState)
-{
-  switch (aState) {
-    case DaemonState::Starting:
-      return "starting";
-    case DaemonState::Serving:
-      return "serving";
-    case DaemonState::Draining:
-      break;
-  }
-  return "draining";
-}
-
-std::string_view StateName(const World& aWorld, const BackendRow& aRow)
-{
-  if (aRow.gone) {
-    return "gone";
-  }
-  if (aRow.leaving) {
-    return "leaving";
-  }
-  return aRow.refusedUntil > aWorld.Now() ? "refusing" : "live";
-}
-
-Json StatusJson(const World& aWorld)
-{
-  Json daemons = Json::array();
-  daemons.push_back({ { "daemon", aWorld.options.daemon },
-                      { "state", NameOf(aWorld.state) },
-                      { "appliedConfig", aWorld.appliedConfig },
-                      { "reachable", true } });
-  for (const auto& [daemon, row] : aWorld.members) {
-    daemons.push_back({ { "daemon", daemon },
-                        { "state", NameOf(row.digest.state) },
-                        { "appliedConfig", row.digest.appliedConfig },
-                        { "reachable", IsReachable(aWorld, row) } });
-  }
-  Json backends = Json::array();
-  for (const auto& [id, row] : aWorld.backends) {
-    backends.push_back({ { "id", id },
-                         { "address", row.spec.address },
-                         { "state", StateName(aWorld, row) },
-                         { "inFlight", row.inFlight } });
-  }
-  const auto stream = aWorld.streams.find(kConfigStream);
-  const StreamRow config = stream == aWorld.streams.end() ? StreamRow{} : stream->second;
-  const auto count = [&](Counter aCounter) { return aWorld.counters.Get(aCounter); };
-  return { { "daemon", aWorld.options.daemon },
-           { "state", NameOf(aWorld.state) },
-           { "appliedConfig", aWorld.appliedConfig },
-           { "log",
-             { { "reachable", aWorld.IsLogReachable(kConfigStream) },
-               { "caughtUp", aWorld.IsCaughtUp() },
-               { "next", config.next } } },
-           { "daemons", std::move(daemons) },
-           { "backends", std::move(backends) },
-           { "counters",
-             { { "recordsApplied", count(Counter::RecordsApplied) },
-               { "recordsSkipped", count(Counter::RecordsSkipped) },
-               { "writesAccepted", count(Counter::WritesAccepted) },
-               { "writesRefused", count(Counter::WritesRefused) },
-               { "appendFailures", count(Counter::AppendFailures) },
-               { "logReadFailures", count(Counter::LogReadFailures) } } } };
-}
-
 Error ConflictError(Offset aCurrent)
 {
   return { ErrorKind::VersionConflict,
@@ -162,6 +49,7 @@
   }
   RunWrites();
   RunReads();
+  snapshots_.Run();
   RunState();
 }
 
@@ -174,14 +62,12 @@
     stream.targetHead = aBatch.head;
   }
   if (aBatch.start > stream.next) {
-    if (stream.next > 1) {
-      world_.Log(LogLevel::Error, kPart,
-                 "records " + std::to_string(stream.next) + " to " +
-                   std::to_string(aBatch.start - 1) +
-                   " were removed from the log before they were read");
-    }
+    world_.Log(LogLevel::Warning, kPart,
+               "records " + std::to_string(stream.next) + " to " +
+                 std::to_string(aBatch.start - 1) +
+                 " were removed before they were read; a snapshot is awaited");
     stream.next = aBatch.start;
-    world_.appliedConfig = stream.next - 1;
+    snapshots_.Await(aBatch.start);
   }
   for (const LogEntry& entry : aBatch.entries) {
     if (entry.offset < stream.next) {
@@ -194,15 +80,27 @@
                    std::to_string(stream.next) + " was expected; it is ignored");
       break;
     }
-    Apply(entry);
     stream.next = entry.offset + 1;
-    world_.appliedConfig = entry.offset;
+    if (world_.awaitsConfigSnapshot) {
+      for (const LogEntry& one : snapshots_.Collect(entry)) {
+        Apply(one);
+        world_.appliedConfig = one.offset;
+      }
+    } else {
+      Apply(entry);
+      world_.appliedConfig = entry.offset;
+    }
   }
+  snapshots_.CheckRetention(aBatch.start, aBatch.head);
 }
 
 void ConfigSystem::Apply(const LogEntry& aEntry)
 {
-  const ConfigResult result = log_.Apply(world_.resources, aEntry);
+  const ConfigResult result = world_.configLog.Apply(world_.resources, aEntry);
+  if (result.how == ConfigResult::How::Snapshot) {
+    snapshots_.See(aEntry, result);
+    return;
+  }
   if (result.how == ConfigResult::How::Skipped) {
     world_.counters.Add(Counter::RecordsSkipped);
     world_.Log(LogLevel::Warning, kPart,
@@ -237,7 +135,7 @@
 {
   const auto stream = world_.streams.find(kConfigStream);
   if (stream == world_.streams.end() || !stream->second.contacted ||
-      stream->second.next < stream->second.targetHead) {
+      stream->second.next < stream->second.targetHead || world_.awaitsConfigSnapshot) {
     return MakeError(ErrorKind::NotReady, "the configuration has not been read yet");
   }
   const ResourceId id{ aWrite.kind, aWrite.name };
@@ -283,10 +181,10 @@
   if (aWrite.isDryRun) {
     world_.Emit(OperatorReply{ .write = aWrite.write,
                                .status = 200,
-                               .body = Dump({ { "kind", aWrite.kind },
-                                              { "name", aWrite.name },
-                                              { "version", *base },
-                                              { "dryRun", true } }) });
+                               .body = DumpJson({ { "kind", aWrite.kind },
+                                                  { "name", aWrite.name },
+                                                  { "version", *base },
+                                                  { "dryRun", true } }) });
     return;
   }
   if (!world_.IsLogReachable(kConfigStream)) {
@@ -399,7 +297,7 @@
 
 void ConfigSystem::Process(const OperatorStatus& aStatus)
 {
-  world_.Emit(OperatorReply{ .write = aStatus.write, .body = Dump(StatusJson(world_)) });
+  world_.Emit(OperatorReply{ .write = aStatus.write, .body = RenderStatus(world_) });
 }
 
 void ConfigSystem::Process(const OperatorDrain& aDrain)
@@ -418,10 +316,12 @@
 
 void ConfigSystem::RunState()
 {
-  if (world_.state == DaemonState::Starting && world_.IsCaughtUp()) {
+  const bool isCaughtUp = world_.IsCaughtUp();
+  if (world_.state == DaemonState::Starting && (isCaughtUp || world_.usesPeerConfig)) {
     world_.state = DaemonState::Serving;
     world_.Log(LogLevel::Info, kPart, "the daemon is ready");
   }
+  world_.usesPeerConfig = world_.usesPeerConfig && !isCaughtUp;
   if (world_.state != DaemonState::Draining) {
     return;
   }
@@ -440,68 +340,6 @@
   world_.Emit(ExitProcess{});
 }
 
-void ConfigSystem::ReplyError(WriteId aRequest, const Error& aError, Offset aCurrent,
-                              const std::string& aWrite)
-{
-  world_.counters.Add(Counter::WritesRefused);
-  Json body = Json::parse(ErrorBody(aError), nullptr, false);
-  if (aError.kind == ErrorKind::VersionConflict) {
-    body["error"]["version"] = aCurrent;
-  }
-  if (!aWrite.empty()) {
-    body["error"]["write"] = aWrite;
-  }
-  world_.Emit(OperatorReply{
-    .write = aRequest, .status = InfoOf(aError.kind).status, .body = Dump(body) });
-}
-
-void ConfigSystem::ReplyAccepted(WriteId aRequest, const ResourceId& aId, Offset aVersion)
-{
-  const InForce inForce = CountInForce(world_, aVersion);
-  world_.Emit(OperatorReply{ .write = aRequest,
-                             .status = 200,
-                             .body = Dump({ { "kind", aId.first },
-                                            { "name", aId.second },
-                                            { "version", aVersion },
-                                            { "inForce",
-                                              { { "applied", inForce.applied },
-                                                { "daemons", inForce.daemons },
-                                                { "missing", inForce.missing } } } }) });
-}
-
-void ConfigSystem::ReplyRead(const OperatorRead& aRead)
-{
-  Json resources = Json::array();
-  for (const auto& [id, row] : world_.resources) {
-    if ((!aRead.kind.empty() && aRead.kind != id.first) ||
-        (!aRead.name.empty() && aRead.name != id.second)) {
-      continue;
-    }
-    const InForce inForce = CountInForce(world_, row.version);
-    resources.push_back({ { "kind", id.first },
-                          { "name", id.second },
-                          { "version", row.version },
-                          { "spec", Json::parse(row.json, nullptr, false) },
-                          { "status",
-                            { { "inForceOn", inForce.applied },
-                              { "daemons", inForce.daemons },
-                              { "missing", inForce.missing },
-                              { "since", FormatTime(row.sinceMs) } } } });
-  }
-  if (resources.empty() && !aRead.name.empty() && aRead.wait <= Duration::zero()) {
-    const Error error{ ErrorKind::ResourceNotFound,
-                       "there is no " + aRead.kind + " \"" + aRead.name + "\"" };
-    world_.Emit(OperatorReply{ .write = aRead.write,
-                               .status = InfoOf(error.kind).status,
-                               .body = ErrorBody(error) });
-    return;
-  }
-  world_.Emit(OperatorReply{ .write = aRead.write,
-                             .status = 200,
-                             .body = Dump({ { "applied", world_.appliedConfig },
-                                            { "resources", std::move(resources) } }) });
-}
-
 void ConfigSystem::WakeAt(TimePoint aTime)
 {
   world_.timers.SubscribeAt(aTime, [](TimePoint) {});
--- a/gooseberrypath/config_system.h
+++ b/gooseberrypath/config_system.h
@@ -11,7 +11,7 @@
 #include <variant>
 #include <vector>
 
-#include "gooseberrypath/config_log.h"
+#include "gooseberrypath/config_snapshots.h"
 #include "gooseberrypath/world.h"
 
 namespace gooseberrypath {
@@ -40,6 +40,7 @@
   void Handle(const OperatorRead& aEvent) { inbox_.emplace_back(aEvent); }
   void Handle(const OperatorStatus& aEvent) { inbox_.emplace_back(aEvent); }
   void Handle(const OperatorDrain& aEvent) { inbox_.emplace_back(aEvent); }
+  void Handle(const SnapshotReceived& aEvent) { inbox_.emplace_back(aEvent); }
 
 private:
   /// An operator's write that was not seen in the log yet.
@@ -70,6 +71,7 @@
   void Process(const OperatorRead& aRead);
   void Process(const OperatorStatus& aStatus);
   void Process(const OperatorDrain& aDrain);
+  void Process(const SnapshotReceived& aEvent) { snapshots_.Receive(aEvent); }
 
   void Apply(const LogEntry& aEntry);
   Result<Offset> CheckWrite(const OperatorWrite& aWrite) const;
@@ -89,12 +91,12 @@
   void WakeAt(TimePoint aTime);
 
   World& world_;
-  ConfigLog log_;
+  ConfigSnapshots snapshots_{ world_ };
   Pending pending_;
   std::vector<WaitingRead> reads_;
   bool isExitSent_ = false;
   std::vector<std::variant<LogBatch, AppendDone, AppendFailed, OperatorWrite,
-                           OperatorRead, OperatorStatus, OperatorDrain>>
+                           OperatorRead, OperatorStatus, OperatorDrain, SnapshotReceived>>
     inbox_;
 };
 
--- a/gooseberrypath/counters.cc
+++ b/gooseberrypath/counters.cc
@@ -48,6 +48,11 @@
   { Counter::GossipReceived, "gossip_received", "Gossip messages received." },
   { GossipFailures, "gossip_failures", "Gossip messages that were not delivered." },
   { HostsLeaving, "hosts_leaving", "Hosts that were found to be leaving." },
+  { SnapshotsAppended, "snapshots_appended", "Configuration snapshots appended." },
+  { SnapshotsDiffering, "snapshots_differing",
+    "Configuration snapshots that differ from the own state at their offset." },
+  { SnapshotsInstalled, "snapshots_installed",
+    "Configuration snapshots that replaced the own state." },
 };
 
 constexpr bool IsInEnumOrder()
--- a/gooseberrypath/counters.h
+++ b/gooseberrypath/counters.h
@@ -49,6 +49,9 @@
   GossipReceived,
   GossipFailures,
   HostsLeaving,
+  SnapshotsAppended,
+  SnapshotsDiffering, // another state than the own one at that offset
+  SnapshotsInstalled,
   Count_, // not a counter
 };
 
--- a/gooseberrypath/events.h
+++ b/gooseberrypath/events.h
@@ -183,6 +183,13 @@
   ClaimWord word = ClaimWord::Unreachable;
 };
 
+/// The answer to an AskSnapshot action. Without an answer there is no event.
+struct SnapshotReceived
+{
+  std::string address;
+  std::string record; // an encoded SnapshotRecord; empty: the peer has no state
+};
+
 // ---- Operators ----
 
 /// An operator creates, replaces or deletes a resource.
@@ -223,8 +230,8 @@
   std::variant<CallerRequest, CallerGone, AttemptNotSent, AttemptToken, AttemptFinished,
                AttemptAnswered, AttemptBroken, LoadReport, LogBatch, LogReadFailed,
                AppendDone, AppendFailed, HostList, ReclaimNotice, GossipReceived,
-               GossipFailed, ClaimAsked, ClaimAnswered, OperatorWrite, OperatorRead,
-               OperatorStatus, OperatorDrain>;
+               GossipFailed, ClaimAsked, ClaimAnswered, SnapshotReceived, OperatorWrite,
+               OperatorRead, OperatorStatus, OperatorDrain>;
 
 } // namespace gooseberrypath
 
--- a/gooseberrypath/log_http.h
+++ b/gooseberrypath/log_http.h
@@ -35,7 +35,7 @@
   Duration readTimeout = std::chrono::seconds(2);
   Duration minBackoff = std::chrono::milliseconds(100);
   Duration maxBackoff = std::chrono::seconds(1);
-  size_t maxRecordsPerRead = 500;
+  size_t maxRecordsPerRead = 100; // 100 KB each, as snapshots have, fit maxReadBytes
   size_t maxReadBytes = size_t{ 16 } * 1024 * 1024;
   Duration appendTimeout = std::chrono::seconds(1);
   size_t maxAppendsInFlight = 16;
--- a/gooseberrypath/membership_system.cc
+++ b/gooseberrypath/membership_system.cc
@@ -1,9 +1,12 @@
 #include "gooseberrypath/membership_system.h"
 
 #include <algorithm>
+#include <bit>
 #include <map>
 #include <utility>
 
+#include <xxhash.h>
+
 #include "gooseberrypath/address.h"
 #include "gooseberrypath/backend_system.h"
 
@@ -19,11 +22,61 @@
 
 constexpr size_t kProbeInterval = 4; // one message in so many goes to a silent peer
 
+// A daemon of the target scale (380) may send and receive 25 KB/s in total. Each change
+// of a row is sent kCopies times by each daemon that learns of it, which leaves e^-6
+// (0.25%) of the daemons without it until the next heartbeat.
+constexpr uint32_t kCopies = 6;
+// 1 heartbeat per 12 ms from all daemons together: 83 rows/s * 16 bytes * kCopies is
+// 8 KB/s in each direction.
+constexpr Duration kBeatSpacing = std::chrono::milliseconds(12);
+// Heartbeats that may be missed in a row. With a loss of 0.25% each, fewer than 4 would
+// lead to a false suspicion among 380 daemons about every half hour.
+constexpr int kMissedBeats = 4;
+constexpr size_t kFewDaemons = 8;
+// At 4 messages per second in each direction, 160 rows of 16 bytes are 10 KB/s.
+constexpr size_t kMaxBeats = 160;
+// A whole row has about 90 bytes.
+constexpr size_t kMaxRows = 40;
+constexpr size_t kMaxNews = 16; // on a regular message
+// The count that a peer told is replaced by a smaller one after this time.
+constexpr Duration kCountLifetime = std::chrono::seconds(60);
+
 } // namespace
 
+uint64_t MemberId(const MemberDigest& aDigest)
+{
+  std::string text = aDigest.daemon;
+  for (const std::string& part :
+       { std::to_string(aDigest.incarnation), aDigest.peerAddress, aDigest.zone,
+         std::to_string(static_cast<int>(aDigest.state)) }) {
+    text += '\0';
+    text += part;
+  }
+  return XXH3_64bits(text.data(), text.size());
+}
+
+Duration HeartbeatPeriod(const World& aWorld)
+{
+  const size_t daemons = std::max(aWorld.members.Size() + 1, aWorld.daemonsReported);
+  return std::max(aWorld.options.gossipInterval,
+                  kBeatSpacing * static_cast<int64_t>(daemons));
+}
+
+Duration SuspicionTime(const World& aWorld)
+{
+  const size_t daemons = std::max(aWorld.members.Size() + 1, aWorld.daemonsReported);
+  const Duration interval = aWorld.options.gossipInterval;
+  // A heartbeat passes through about log2(daemons) exchanges, some of them late. The
+  // suspicion time of the settings suits up to kFewDaemons.
+  const int64_t doublings =
+    std::bit_width(std::max(daemons, kFewDaemons) - 1) - std::bit_width(kFewDaemons - 1);
+  return aWorld.options.suspicionTime + 2 * interval * doublings +
+         kMissedBeats * (HeartbeatPeriod(aWorld) - interval);
+}
+
 bool IsReachable(const World& aWorld, const MemberRow& aRow)
 {
-  return aWorld.Now() - aRow.heard <= aWorld.options.suspicionTime;
+  return aWorld.Now() - aRow.heard <= SuspicionTime(aWorld);
 }
 
 void MembershipSystem::Start()
@@ -65,8 +118,47 @@
   for (const HostNews& news : message.hosts) {
     MergeNews(news);
   }
-  if (message.wantsReply && IsAddress(message.fromAddress)) {
-    Send(message.fromAddress, MakeMessage(message.fromAddress, false));
+  std::vector<uint64_t> unknown;
+  for (const MemberBeat& beat : message.beats) {
+    if (!MergeBeat(beat) && unknown.size() < kMaxRows) {
+      unknown.push_back(beat.id);
+    }
+  }
+  MergeCount(message.daemons);
+  if (!IsAddress(message.fromAddress) ||
+      (!message.wantsReply && unknown.empty() && message.wanted.empty())) {
+    return;
+  }
+  // Compact rows go out only where a reply is wanted, so an exchange ends.
+  GossipMessage reply =
+    message.wantsReply ? MakeMessage(message.fromAddress, false) : EmptyMessage();
+  reply.wanted = std::move(unknown);
+  AddWanted(message.wanted, reply);
+  Send(message.fromAddress, std::move(reply));
+}
+
+bool MembershipSystem::MergeBeat(const MemberBeat& aBeat)
+{
+  const auto found = ids_.find(aBeat.id);
+  if (found == ids_.end()) {
+    return aBeat.id == MemberId(OwnDigest());
+  }
+  const MemberRow* row = world_.members.Find(found->second);
+  if (aBeat.heartbeat > row->digest.heartbeat) {
+    MemberDigest digest = row->digest;
+    digest.heartbeat = aBeat.heartbeat;
+    digest.appliedConfig = aBeat.appliedConfig;
+    MergeMember(digest);
+  }
+  return true;
+}
+
+void MembershipSystem::MergeCount(uint32_t aDaemons)
+{
+  // A daemon that knows few others yet must not suspect them by the time that suits few.
+  if (aDaemons >= world_.daemonsReported || world_.Now() - countedAt_ > kCountLifetime) {
+    world_.daemonsReported = aDaemons;
+    countedAt_ = world_.Now();
   }
 }
 
@@ -101,9 +193,13 @@
       sentRevisions_.erase(aDigest.peerAddress);
     }
   }
+  world_.heardAddresses.insert(aDigest.peerAddress);
   world_.members.Insert(aDigest.daemon,
                         MemberRow{ .digest = aDigest, .heard = world_.Now() });
-  rowRevisions_[aDigest.daemon] = ++revision_;
+  Spread& spread = spreads_[aDigest.daemon];
+  ids_.erase(spread.id);
+  spread = { .id = MemberId(aDigest), .copies = 0, .lastSend = 0 };
+  ids_[spread.id] = aDigest.daemon;
 }
 
 void MembershipSystem::MergeNews(const HostNews& aNews)
@@ -141,9 +237,7 @@
 
 void MembershipSystem::SpreadHostNews()
 {
-  GossipMessage message;
-  message.fromAddress = world_.options.peerAddress;
-  message.members.push_back(OwnDigest());
+  GossipMessage message = EmptyMessage();
   for (HostNews& news : std::exchange(world_.hostNews, {})) {
     message.hosts.push_back(news);
     SpreadNews& spread = news_[news.host];
@@ -163,7 +257,6 @@
 
 void MembershipSystem::Gossip()
 {
-  ++heartbeat_;
   ExpireMembers();
   std::vector<std::string> live;
   std::vector<std::string> silent;
@@ -181,16 +274,18 @@
 void MembershipSystem::ExpireMembers()
 {
   const TimePoint now = world_.Now();
+  const Duration removeAfter = kRemoveAfter * SuspicionTime(world_);
   world_.members.EraseIf([&](const std::string& aDaemon, const MemberRow& aRow) {
-    if (now - aRow.heard <= kRemoveAfter * world_.options.suspicionTime) {
+    if (now - aRow.heard <= removeAfter) {
       return false;
     }
-    rowRevisions_.erase(aDaemon);
+    ids_.erase(spreads_[aDaemon].id);
+    spreads_.erase(aDaemon);
     sentRevisions_.erase(aRow.digest.peerAddress);
     return true;
   });
   std::erase_if(news_, [&](const auto& aItem) {
-    return now - aItem.second.learned > kNewsLifetime * world_.options.suspicionTime;
+    return now - aItem.second.learned > kNewsLifetime * SuspicionTime(world_);
   });
 }
 
@@ -205,28 +300,94 @@
            .state = world_.state };
 }
 
-GossipMessage MembershipSystem::MakeMessage(const std::string& aAddress, bool aWantsReply)
+void MembershipSystem::RefreshOwnRow()
+{
+  const bool isNews = toldApplied_ != world_.appliedConfig || toldState_ != world_.state;
+  if (isNews || heartbeat_ == 0 || world_.Now() - lastBeat_ >= HeartbeatPeriod(world_)) {
+    ++heartbeat_;
+    lastBeat_ = world_.Now();
+    toldApplied_ = world_.appliedConfig;
+    toldState_ = world_.state;
+  }
+}
+
+GossipMessage MembershipSystem::EmptyMessage() const
 {
-  const auto found = sentRevisions_.find(aAddress);
-  const uint64_t sent = found == sentRevisions_.end() ? 0 : found->second;
   GossipMessage message;
   message.fromAddress = world_.options.peerAddress;
-  message.wantsReply = aWantsReply;
   message.members.push_back(OwnDigest());
+  message.daemons = static_cast<uint32_t>(world_.members.Size() + 1);
+  return message;
+}
+
+GossipMessage MembershipSystem::MakeMessage(const std::string& aAddress, bool aWantsReply)
+{
+  RefreshOwnRow();
+  GossipMessage message = EmptyMessage();
+  message.wantsReply = aWantsReply;
+  AddBeats(aAddress, message);
+  AddNews(aAddress, message);
+  return message;
+}
+
+void MembershipSystem::AddBeats(const std::string& aAddress, GossipMessage& aMessage)
+{
+  std::vector<std::pair<Spread*, const MemberDigest*>> candidates;
   for (const auto& [daemon, row] : world_.members) {
+    Spread& spread = spreads_[daemon];
     // Rows out of reach are not sent: a peer that has removed one would take it for new.
-    if (rowRevisions_[daemon] > sent && IsReachable(world_, row) &&
+    if (spread.copies < kCopies && IsReachable(world_, row) &&
         row.digest.peerAddress != aAddress) {
-      message.members.push_back(row.digest);
+      candidates.emplace_back(&spread, &row.digest);
     }
   }
+  // The rows that were sent least often are the newest; among these, the longest unsent.
+  const size_t count = std::min(candidates.size(), kMaxBeats);
+  std::ranges::partial_sort(
+    candidates, candidates.begin() + static_cast<std::ptrdiff_t>(count), {},
+    [](const auto& aItem) {
+      return std::pair(aItem.first->copies, aItem.first->lastSend);
+    });
+  candidates.resize(count);
+  for (auto& [spread, digest] : candidates) {
+    ++spread->copies;
+    spread->lastSend = ++sends_;
+    aMessage.beats.push_back({ .id = spread->id,
+                               .heartbeat = digest->heartbeat,
+                               .appliedConfig = digest->appliedConfig });
+  }
+}
+
+void MembershipSystem::AddNews(const std::string& aAddress, GossipMessage& aMessage)
+{
+  uint64_t& sent = sentRevisions_[aAddress];
+  std::vector<const SpreadNews*> unsent;
   for (const auto& [host, spread] : news_) {
     if (spread.revision > sent) {
-      message.hosts.push_back(spread.news);
+      unsent.push_back(&spread);
+    }
+  }
+  std::ranges::sort(unsent, {}, &SpreadNews::revision);
+  unsent.resize(std::min(unsent.size(), kMaxNews));
+  for (const SpreadNews* spread : unsent) {
+    aMessage.hosts.push_back(spread->news);
+    sent = spread->revision;
+  }
+}
+
+void MembershipSystem::AddWanted(const std::vector<uint64_t>& aIds,
+                                 GossipMessage& aMessage) const
+{
+  for (const uint64_t id : aIds) {
+    const auto found = ids_.find(id);
+    if (found == ids_.end() || aMessage.members.size() > kMaxRows) {
+      continue;
+    }
+    const MemberRow* row = world_.members.Find(found->second);
+    if (IsReachable(world_, *row)) {
+      aMessage.members.push_back(row->digest);
     }
   }
-  sentRevisions_[aAddress] = revision_;
-  return message;
 }
 
 void MembershipSystem::Send(const std::string& aAddress, GossipMessage aMessage)
--- a/gooseberrypath/messages.h
+++ b/gooseberrypath/messages.h
@@ -43,6 +43,19 @@
   bool operator==(const HostNews&) const = default;
 };
 
+/// The part of a row that changes often. The receiver finds the rest by the id.
+struct MemberBeat
+{
+  uint64_t id = 0; // MemberId() of the row
+  uint64_t heartbeat = 0;
+  Offset appliedConfig = 0;
+
+  bool operator==(const MemberBeat&) const = default;
+};
+
+/// Returns a hash of the fields of a row that MemberBeat leaves out.
+uint64_t MemberId(const MemberDigest& aDigest);
+
 /// One gossip message.
 struct GossipMessage
 {
@@ -50,6 +63,9 @@
   bool wantsReply = false;
   std::vector<MemberDigest> members;
   std::vector<HostNews> hosts;
+  std::vector<MemberBeat> beats;
+  std::vector<uint64_t> wanted; // ids whose whole rows the sender asks for
+  uint32_t daemons = 0;         // number of daemons that the sender knows of
 };
 
 /// What a daemon says about a claim.
--- a/gooseberrypath/operator_http.cc
+++ b/gooseberrypath/operator_http.cc
@@ -450,7 +450,11 @@
       return { .body = R"({"healthy":true})" };
     }
     if (aSnapshot.state == DaemonState::Serving) {
-      return { .body = R"({"ready":true})" };
+      json body = { { "ready", true } };
+      if (!aSnapshot.reason.empty()) {
+        body["reason"] = aSnapshot.reason;
+      }
+      return { .body = body.dump(-1, ' ', false, json::error_handler_t::replace) };
     }
     const json body = {
       { "ready", false },
--- a/gooseberrypath/peer.capnp
+++ b/gooseberrypath/peer.capnp
@@ -21,6 +21,13 @@
   }
 }
 
+# 16 bytes, because most of the traffic consists of these.
+struct MemberBeat {
+  id @0 :UInt64;
+  heartbeat @1 :UInt32;
+  behind @2 :UInt32; # applied config offset = highestApplied - behind
+}
+
 struct HostNews {
   host @0 :Text;
   sequence @1 :UInt64;
@@ -32,6 +39,10 @@
   wantsReply @1 :Bool;
   members @2 :List(MemberDigest);
   hosts @3 :List(HostNews);
+  beats @4 :List(MemberBeat);
+  wanted @5 :List(UInt64);
+  daemons @6 :UInt32;
+  highestApplied @7 :UInt64; # base of MemberBeat.behind
 }
 
 enum ClaimWord {
@@ -43,4 +54,5 @@
 interface Peer {
   gossip @0 (message :GossipMessage) -> ();
   askClaim @1 (claim :Text) -> (word :ClaimWord);
+  snapshot @2 () -> (record :Text); # an encoded SnapshotRecord; empty: none
 }
--- a/gooseberrypath/peer.capnp.c++
+++ b/gooseberrypath/peer.capnp.c++
@@ -191,6 +191,80 @@
 };
 #endif  // !CAPNP_LITE
 CAPNP_DEFINE_ENUM(State_93f1e600d56a5cd9, 93f1e600d56a5cd9);
+static const ::capnp::_::AlignedData<63> b_abc63463790c98e4 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    228, 152,  12, 121,  99,  52, 198, 171,
+     11,   0,   0,   0,   1,   0,   2,   0,
+     66, 154,  62,  11, 246, 165, 199, 209,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 178,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 175,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  77, 101, 109,  98, 101,
+    114,  66, 101,  97, 116,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,  26,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73,   0,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+     84,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   3,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     81,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     76,   0,   0,   0,   3,   0,   1,   0,
+     88,   0,   0,   0,   2,   0,   1,   0,
+    105, 100,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    104, 101,  97, 114, 116,  98, 101,  97,
+    116,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     98, 101, 104, 105, 110, 100,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_abc63463790c98e4 = b_abc63463790c98e4.words;
+#if !CAPNP_LITE
+static const uint16_t m_abc63463790c98e4[] = {2, 1, 0};
+static const uint16_t i_abc63463790c98e4[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_abc63463790c98e4 = {
+  0xabc63463790c98e4, b_abc63463790c98e4.words, 63, nullptr, m_abc63463790c98e4,
+  0, 3, i_abc63463790c98e4, nullptr, nullptr, { &s_abc63463790c98e4, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<63> b_f6fa92d083766a12 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      18, 106, 118, 131, 208, 146, 250, 246,
@@ -265,17 +339,17 @@
   0, 3, i_f6fa92d083766a12, nullptr, nullptr, { &s_f6fa92d083766a12, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<88> b_a98777408b776a5f = {
+static const ::capnp::_::AlignedData<157> b_a98777408b776a5f = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      95, 106, 119, 139,  64, 119, 135, 169,
-     11,   0,   0,   0,   1,   0,   1,   0,
+     11,   0,   0,   0,   1,   0,   2,   0,
      66, 154,  62,  11, 246, 165, 199, 209,
-      3,   0,   7,   0,   0,   0,   0,   0,
+      5,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0, 202,   0,   0,   0,
      33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0, 231,   0,   0,   0,
+     29,   0,   0,   0, 199,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
@@ -283,35 +357,63 @@
     112,  77, 101, 115, 115,  97, 103, 101,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     16,   0,   0,   0,   3,   0,   4,   0,
+     32,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     97,   0,   0,   0,  98,   0,   0,   0,
+    209,   0,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     96,   0,   0,   0,   3,   0,   1,   0,
-    108,   0,   0,   0,   2,   0,   1,   0,
+    208,   0,   0,   0,   3,   0,   1,   0,
+    220,   0,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    105,   0,   0,   0,  90,   0,   0,   0,
+    217,   0,   0,   0,  90,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    104,   0,   0,   0,   3,   0,   1,   0,
-    116,   0,   0,   0,   2,   0,   1,   0,
+    216,   0,   0,   0,   3,   0,   1,   0,
+    228,   0,   0,   0,   2,   0,   1,   0,
       2,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   1,   0,   2,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    113,   0,   0,   0,  66,   0,   0,   0,
+    225,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    108,   0,   0,   0,   3,   0,   1,   0,
-    136,   0,   0,   0,   2,   0,   1,   0,
+    220,   0,   0,   0,   3,   0,   1,   0,
+    248,   0,   0,   0,   2,   0,   1,   0,
       3,   0,   0,   0,   2,   0,   0,   0,
       0,   0,   1,   0,   3,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    133,   0,   0,   0,  50,   0,   0,   0,
+    245,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    240,   0,   0,   0,   3,   0,   1,   0,
+     12,   1,   0,   0,   2,   0,   1,   0,
+      4,   0,   0,   0,   3,   0,   0,   0,
+      0,   0,   1,   0,   4,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   1,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      4,   1,   0,   0,   3,   0,   1,   0,
+     32,   1,   0,   0,   2,   0,   1,   0,
+      5,   0,   0,   0,   4,   0,   0,   0,
+      0,   0,   1,   0,   5,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   1,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     24,   1,   0,   0,   3,   0,   1,   0,
+     52,   1,   0,   0,   2,   0,   1,   0,
+      6,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   6,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     49,   1,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    128,   0,   0,   0,   3,   0,   1,   0,
-    156,   0,   0,   0,   2,   0,   1,   0,
+     44,   1,   0,   0,   3,   0,   1,   0,
+     56,   1,   0,   0,   2,   0,   1,   0,
+      7,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     53,   1,   0,   0, 122,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     52,   1,   0,   0,   3,   0,   1,   0,
+     64,   1,   0,   0,   2,   0,   1,   0,
     102, 114, 111, 109,  65, 100, 100, 114,
     101, 115, 115,   0,   0,   0,   0,   0,
      12,   0,   0,   0,   0,   0,   0,   0,
@@ -352,6 +454,47 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     98, 101,  97, 116, 115,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    228, 152,  12, 121,  99,  52, 198, 171,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    119,  97, 110, 116, 101, 100,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100,  97, 101, 109, 111, 110, 115,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    104, 105, 103, 104, 101, 115, 116,  65,
+    112, 112, 108, 105, 101, 100,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
@@ -359,13 +502,14 @@
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_a98777408b776a5f[] = {
   &s_8f0d6c342eff8363,
+  &s_abc63463790c98e4,
   &s_f6fa92d083766a12,
 };
-static const uint16_t m_a98777408b776a5f[] = {0, 3, 2, 1};
-static const uint16_t i_a98777408b776a5f[] = {0, 1, 2, 3};
+static const uint16_t m_a98777408b776a5f[] = {4, 6, 0, 7, 3, 2, 5, 1};
+static const uint16_t i_a98777408b776a5f[] = {0, 1, 2, 3, 4, 5, 6, 7};
 const ::capnp::_::RawSchema s_a98777408b776a5f = {
-  0xa98777408b776a5f, b_a98777408b776a5f.words, 88, d_a98777408b776a5f, m_a98777408b776a5f,
-  2, 4, i_a98777408b776a5f, nullptr, nullptr, { &s_a98777408b776a5f, nullptr, nullptr, 0, 0, nullptr }
+  0xa98777408b776a5f, b_a98777408b776a5f.words, 157, d_a98777408b776a5f, m_a98777408b776a5f,
+  3, 8, i_a98777408b776a5f, nullptr, nullptr, { &s_a98777408b776a5f, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<29> b_fcc91b88548d3348 = {
@@ -408,7 +552,7 @@
 };
 #endif  // !CAPNP_LITE
 CAPNP_DEFINE_ENUM(ClaimWord_fcc91b88548d3348, fcc91b88548d3348);
-static const ::capnp::_::AlignedData<38> b_97ddcca80a9c4d3b = {
+static const ::capnp::_::AlignedData<49> b_97ddcca80a9c4d3b = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      59,  77, 156,  10, 168, 204, 221, 151,
      11,   0,   0,   0,   3,   0,   0,   0,
@@ -418,34 +562,45 @@
      21,   0,   0,   0, 130,   0,   0,   0,
      25,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 135,   0,   0,   0,
-    105,   0,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0, 199,   0,   0,   0,
+    149,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  80, 101, 101, 114,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-      8,   0,   0,   0,   3,   0,   5,   0,
+     12,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     231,  92, 170,  26,  71, 191,  89, 154,
       6, 127,  41,  73, 212,  51, 215, 187,
-     49,   0,   0,   0,  58,   0,   0,   0,
+     81,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     37,   0,   0,   0,   7,   0,   0,   0,
+     69,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
      30,  60, 173,  62, 105,  50,  94, 225,
      30,   6,  61, 230, 215,  89, 140, 154,
-     25,   0,   0,   0,  74,   0,   0,   0,
+     57,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     17,   0,   0,   0,   7,   0,   0,   0,
+     49,   0,   0,   0,   7,   0,   0,   0,
+      2,   0,   0,   0,   0,   0,   0,   0,
+      2,  95, 176, 147, 209, 112, 131, 241,
+     93, 109,  77,  44, 122, 150,  32, 166,
+     37,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
     103, 111, 115, 115, 105, 112,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
      97, 115, 107,  67, 108,  97, 105, 109,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    115, 110,  97, 112, 115, 104, 111, 116,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_97ddcca80a9c4d3b = b_97ddcca80a9c4d3b.words;
@@ -453,13 +608,15 @@
 static const ::capnp::_::RawSchema* const d_97ddcca80a9c4d3b[] = {
   &s_9a59bf471aaa5ce7,
   &s_9a8c59d7e63d061e,
+  &s_a620967a2c4d6d5d,
   &s_bbd733d449297f06,
   &s_e15e32693ead3c1e,
+  &s_f18370d193b05f02,
 };
-static const uint16_t m_97ddcca80a9c4d3b[] = {1, 0};
+static const uint16_t m_97ddcca80a9c4d3b[] = {1, 0, 2};
 const ::capnp::_::RawSchema s_97ddcca80a9c4d3b = {
-  0x97ddcca80a9c4d3b, b_97ddcca80a9c4d3b.words, 38, d_97ddcca80a9c4d3b, m_97ddcca80a9c4d3b,
-  4, 2, nullptr, nullptr, nullptr, { &s_97ddcca80a9c4d3b, nullptr, nullptr, 0, 0, nullptr }
+  0x97ddcca80a9c4d3b, b_97ddcca80a9c4d3b.words, 49, d_97ddcca80a9c4d3b, m_97ddcca80a9c4d3b,
+  6, 3, nullptr, nullptr, nullptr, { &s_97ddcca80a9c4d3b, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<32> b_9a59bf471aaa5ce7 = {
@@ -623,6 +780,75 @@
   1, 1, i_9a8c59d7e63d061e, nullptr, nullptr, { &s_9a8c59d7e63d061e, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<16> b_f18370d193b05f02 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+      2,  95, 176, 147, 209, 112, 131, 241,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,   2,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    115, 110,  97, 112, 115, 104, 111, 116,
+     36,  80,  97, 114,  97, 109, 115,   0, }
+};
+::capnp::word const* const bp_f18370d193b05f02 = b_f18370d193b05f02.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_f18370d193b05f02 = {
+  0xf18370d193b05f02, b_f18370d193b05f02.words, 16, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_f18370d193b05f02, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<33> b_a620967a2c4d6d5d = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     93, 109,  77,  44, 122, 150,  32, 166,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  10,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    115, 110,  97, 112, 115, 104, 111, 116,
+     36,  82, 101, 115, 117, 108, 116, 115,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    114, 101,  99, 111, 114, 100,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_a620967a2c4d6d5d = b_a620967a2c4d6d5d.words;
+#if !CAPNP_LITE
+static const uint16_t m_a620967a2c4d6d5d[] = {0};
+static const uint16_t i_a620967a2c4d6d5d[] = {0};
+const ::capnp::_::RawSchema s_a620967a2c4d6d5d = {
+  0xa620967a2c4d6d5d, b_a620967a2c4d6d5d.words, 33, nullptr, m_a620967a2c4d6d5d,
+  0, 1, i_a620967a2c4d6d5d, nullptr, nullptr, { &s_a620967a2c4d6d5d, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -639,6 +865,14 @@
 constexpr ::capnp::_::RawSchema const* MemberDigest::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// MemberBeat
+constexpr uint16_t MemberBeat::_capnpPrivate::dataWordSize;
+constexpr uint16_t MemberBeat::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind MemberBeat::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* MemberBeat::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // HostNews
 constexpr uint16_t HostNews::_capnpPrivate::dataWordSize;
 constexpr uint16_t HostNews::_capnpPrivate::pointerCount;
@@ -676,6 +910,16 @@
       "peer.capnp:Peer", "askClaim",
       0x97ddcca80a9c4d3bull, 1);
 }
+::capnp::Request< ::gooseberrypath::wire::Peer::SnapshotParams,  ::gooseberrypath::wire::Peer::SnapshotResults>
+Peer::Client::snapshotRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::gooseberrypath::wire::Peer::SnapshotParams,  ::gooseberrypath::wire::Peer::SnapshotResults>(
+      0x97ddcca80a9c4d3bull, 2, sizeHint);
+}
+::kj::Promise<void> Peer::Server::snapshot(SnapshotContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "peer.capnp:Peer", "snapshot",
+      0x97ddcca80a9c4d3bull, 2);
+}
 ::capnp::Capability::Server::DispatchCallResult Peer::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -702,6 +946,12 @@
              ::gooseberrypath::wire::Peer::AskClaimParams,  ::gooseberrypath::wire::Peer::AskClaimResults>(context)),
         false
       };
+    case 2:
+      return {
+        snapshot(::capnp::Capability::Server::internalGetTypedContext<
+             ::gooseberrypath::wire::Peer::SnapshotParams,  ::gooseberrypath::wire::Peer::SnapshotResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -749,6 +999,22 @@
 constexpr ::capnp::_::RawSchema const* Peer::AskClaimResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Peer::SnapshotParams
+constexpr uint16_t Peer::SnapshotParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::SnapshotParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::SnapshotParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::SnapshotParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::SnapshotResults
+constexpr uint16_t Peer::SnapshotResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::SnapshotResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::SnapshotResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::SnapshotResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/gooseberrypath/peer.capnp.h
+++ b/gooseberrypath/peer.capnp.h
@@ -27,6 +27,7 @@
   DRAINING,
 };
 CAPNP_DECLARE_ENUM(State, 93f1e600d56a5cd9);
+CAPNP_DECLARE_SCHEMA(abc63463790c98e4);
 CAPNP_DECLARE_SCHEMA(f6fa92d083766a12);
 CAPNP_DECLARE_SCHEMA(a98777408b776a5f);
 CAPNP_DECLARE_SCHEMA(fcc91b88548d3348);
@@ -41,6 +42,8 @@
 CAPNP_DECLARE_SCHEMA(bbd733d449297f06);
 CAPNP_DECLARE_SCHEMA(e15e32693ead3c1e);
 CAPNP_DECLARE_SCHEMA(9a8c59d7e63d061e);
+CAPNP_DECLARE_SCHEMA(f18370d193b05f02);
+CAPNP_DECLARE_SCHEMA(a620967a2c4d6d5d);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -65,6 +68,21 @@
   };
 };
 
+struct MemberBeat {
+  MemberBeat() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(abc63463790c98e4, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct HostNews {
   HostNews() = delete;
 
@@ -88,7 +106,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a98777408b776a5f, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(a98777408b776a5f, 2, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -109,6 +127,8 @@
   struct GossipResults;
   struct AskClaimParams;
   struct AskClaimResults;
+  struct SnapshotParams;
+  struct SnapshotResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -178,6 +198,36 @@
   };
 };
 
+struct Peer::SnapshotParams {
+  SnapshotParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f18370d193b05f02, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::SnapshotResults {
+  SnapshotResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a620967a2c4d6d5d, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class MemberDigest::Reader {
@@ -301,6 +351,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class MemberBeat::Reader {
+public:
+  typedef MemberBeat Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId() const;
+
+  inline  ::uint32_t getHeartbeat() const;
+
+  inline  ::uint32_t getBehind() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class MemberBeat::Builder {
+public:
+  typedef MemberBeat Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
+
+  inline  ::uint32_t getHeartbeat();
+  inline void setHeartbeat( ::uint32_t value);
+
+  inline  ::uint32_t getBehind();
+  inline void setBehind( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class MemberBeat::Pipeline {
+public:
+  typedef MemberBeat Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class HostNews::Reader {
 public:
   typedef HostNews Reads;
@@ -420,6 +556,16 @@
   inline bool hasHosts() const;
   inline  ::capnp::List< ::gooseberrypath::wire::HostNews,  ::capnp::Kind::STRUCT>::Reader getHosts() const;
 
+  inline bool hasBeats() const;
+  inline  ::capnp::List< ::gooseberrypath::wire::MemberBeat,  ::capnp::Kind::STRUCT>::Reader getBeats() const;
+
+  inline bool hasWanted() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getWanted() const;
+
+  inline  ::uint32_t getDaemons() const;
+
+  inline  ::uint64_t getHighestApplied() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -472,6 +618,27 @@
   inline void adoptHosts(::capnp::Orphan< ::capnp::List< ::gooseberrypath::wire::HostNews,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::gooseberrypath::wire::HostNews,  ::capnp::Kind::STRUCT>> disownHosts();
 
+  inline bool hasBeats();
+  inline  ::capnp::List< ::gooseberrypath::wire::MemberBeat,  ::capnp::Kind::STRUCT>::Builder getBeats();
+  inline void setBeats( ::capnp::List< ::gooseberrypath::wire::MemberBeat,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::gooseberrypath::wire::MemberBeat,  ::capnp::Kind::STRUCT>::Builder initBeats(unsigned int size);
+  inline void adoptBeats(::capnp::Orphan< ::capnp::List< ::gooseberrypath::wire::MemberBeat,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::gooseberrypath::wire::MemberBeat,  ::capnp::Kind::STRUCT>> disownBeats();
+
+  inline bool hasWanted();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getWanted();
+  inline void setWanted( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setWanted(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initWanted(unsigned int size);
+  inline void adoptWanted(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownWanted();
+
+  inline  ::uint32_t getDaemons();
+  inline void setDaemons( ::uint32_t value);
+
+  inline  ::uint64_t getHighestApplied();
+  inline void setHighestApplied( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -521,6 +688,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::gooseberrypath::wire::Peer::AskClaimParams,  ::gooseberrypath::wire::Peer::AskClaimResults> askClaimRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::gooseberrypath::wire::Peer::SnapshotParams,  ::gooseberrypath::wire::Peer::SnapshotResults> snapshotRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -545,6 +714,10 @@
   typedef  ::gooseberrypath::wire::Peer::AskClaimResults AskClaimResults;
   typedef ::capnp::CallContext<AskClaimParams, AskClaimResults> AskClaimContext;
   virtual ::kj::Promise<void> askClaim(AskClaimContext context);
+  typedef  ::gooseberrypath::wire::Peer::SnapshotParams SnapshotParams;
+  typedef  ::gooseberrypath::wire::Peer::SnapshotResults SnapshotResults;
+  typedef ::capnp::CallContext<SnapshotParams, SnapshotResults> SnapshotContext;
+  virtual ::kj::Promise<void> snapshot(SnapshotContext context);
 
   inline  ::gooseberrypath::wire::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -867,6 +1040,158 @@
 };
 #endif  // !CAPNP_LITE
 
+class Peer::SnapshotParams::Reader {
+public:
+  typedef SnapshotParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::SnapshotParams::Builder {
+public:
+  typedef SnapshotParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::SnapshotParams::Pipeline {
+public:
+  typedef SnapshotParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::SnapshotResults::Reader {
+public:
+  typedef SnapshotResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRecord() const;
+  inline  ::capnp::Text::Reader getRecord() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::SnapshotResults::Builder {
+public:
+  typedef SnapshotResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRecord();
+  inline  ::capnp::Text::Builder getRecord();
+  inline void setRecord( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRecord(unsigned int size);
+  inline void adoptRecord(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRecord();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::SnapshotResults::Pipeline {
+public:
+  typedef SnapshotResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline bool MemberDigest::Reader::hasDaemon() const {
@@ -1027,6 +1352,48 @@
       ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t MemberBeat::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MemberBeat::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void MemberBeat::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t MemberBeat::Reader::getHeartbeat() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t MemberBeat::Builder::getHeartbeat() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void MemberBeat::Builder::setHeartbeat( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t MemberBeat::Reader::getBehind() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t MemberBeat::Builder::getBehind() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void MemberBeat::Builder::setBehind( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool HostNews::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1205,6 +1572,106 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool GossipMessage::Reader::hasBeats() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool GossipMessage::Builder::hasBeats() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::gooseberrypath::wire::MemberBeat,  ::capnp::Kind::STRUCT>::Reader GossipMessage::Reader::getBeats() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::wire::MemberBeat,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::gooseberrypath::wire::MemberBeat,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::getBeats() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::wire::MemberBeat,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void GossipMessage::Builder::setBeats( ::capnp::List< ::gooseberrypath::wire::MemberBeat,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::wire::MemberBeat,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::gooseberrypath::wire::MemberBeat,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::initBeats(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::wire::MemberBeat,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void GossipMessage::Builder::adoptBeats(
+    ::capnp::Orphan< ::capnp::List< ::gooseberrypath::wire::MemberBeat,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::wire::MemberBeat,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::gooseberrypath::wire::MemberBeat,  ::capnp::Kind::STRUCT>> GossipMessage::Builder::disownBeats() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::wire::MemberBeat,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool GossipMessage::Reader::hasWanted() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool GossipMessage::Builder::hasWanted() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader GossipMessage::Reader::getWanted() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GossipMessage::Builder::getWanted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void GossipMessage::Builder::setWanted( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void GossipMessage::Builder::setWanted(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GossipMessage::Builder::initWanted(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void GossipMessage::Builder::adoptWanted(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> GossipMessage::Builder::disownWanted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t GossipMessage::Reader::getDaemons() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t GossipMessage::Builder::getDaemons() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void GossipMessage::Builder::setDaemons( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t GossipMessage::Reader::getHighestApplied() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GossipMessage::Builder::getHighestApplied() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void GossipMessage::Builder::setHighestApplied( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -1316,6 +1783,40 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Peer::SnapshotResults::Reader::hasRecord() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::SnapshotResults::Builder::hasRecord() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Peer::SnapshotResults::Reader::getRecord() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Peer::SnapshotResults::Builder::getRecord() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::SnapshotResults::Builder::setRecord( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Peer::SnapshotResults::Builder::initRecord(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::SnapshotResults::Builder::adoptRecord(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Peer::SnapshotResults::Builder::disownRecord() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/gooseberrypath/peer_rpc.cc
+++ b/gooseberrypath/peer_rpc.cc
@@ -9,6 +9,7 @@
 #include <kj/refcount.h>
 
 #include "gooseberrypath/http_io.h"
+#include "gooseberrypath/peer_wire.h"
 
 namespace gooseberrypath {
 
@@ -22,75 +23,6 @@
   return options;
 }
 
-std::string ToText(capnp::Text::Reader aText)
-{
-  return { aText.begin(), aText.size() };
-}
-
-DaemonState FromWire(wire::MemberDigest::State aState)
-{
-  switch (aState) {
-    case wire::MemberDigest::State::SERVING:
-      return DaemonState::Serving;
-    case wire::MemberDigest::State::DRAINING:
-      return DaemonState::Draining;
-    case wire::MemberDigest::State::STARTING:
-      break;
-  }
-  return DaemonState::Starting; // also for a state of a newer version
-}
-
-GossipMessage FromWire(wire::GossipMessage::Reader aMessage)
-{
-  GossipMessage message{ .fromAddress = ToText(aMessage.getFromAddress()),
-                         .wantsReply = aMessage.getWantsReply(),
-                         .members = {},
-                         .hosts = {} };
-  for (const auto member : aMessage.getMembers()) {
-    message.members.push_back(
-      MemberDigest{ .daemon = ToText(member.getDaemon()),
-                    .incarnation = member.getIncarnation(),
-                    .heartbeat = member.getHeartbeat(),
-                    .peerAddress = ToText(member.getPeerAddress()),
-                    .zone = ToText(member.getZone()),
-                    .appliedConfig = member.getAppliedConfig(),
-                    .state = FromWire(member.getState()) });
-  }
-  for (const auto host : aMessage.getHosts()) {
-    message.hosts.push_back(HostNews{ .host = ToText(host.getHost()),
-                                      .sequence = host.getSequence(),
-                                      .leaving = host.getLeaving() });
-  }
-  return message;
-}
-
-void ToWire(const GossipMessage& aMessage, wire::GossipMessage::Builder aInto)
-{
-  aInto.setFromAddress(View(aMessage.fromAddress));
-  aInto.setWantsReply(aMessage.wantsReply);
-  auto members = aInto.initMembers(static_cast<kj::uint>(aMessage.members.size()));
-  for (kj::uint i = 0; i < members.size(); ++i) {
-    const MemberDigest& from = aMessage.members[i];
-    auto into = members[i];
-    into.setDaemon(View(from.daemon));
-    into.setIncarnation(from.incarnation);
-    into.setHeartbeat(from.heartbeat);
-    into.setPeerAddress(View(from.peerAddress));
-    into.setZone(View(from.zone));
-    into.setAppliedConfig(from.appliedConfig);
-    into.setState(from.state == DaemonState::Serving ? wire::MemberDigest::State::SERVING
-                  : from.state == DaemonState::Draining
-                    ? wire::MemberDigest::State::DRAINING
-                    : wire::MemberDigest::State::STARTING);
-  }
-  auto hosts = aInto.initHosts(static_cast<kj::uint>(aMessage.hosts.size()));
-  for (kj::uint i = 0; i < hosts.size(); ++i) {
-    hosts[i].setHost(View(aMessage.hosts[i].host));
-    hosts[i].setSequence(aMessage.hosts[i].sequence);
-    hosts[i].setLeaving(aMessage.hosts[i].leaving);
-  }
-}
-
 ClaimWord FromWire(wire::ClaimWord aWord)
 {
   switch (aWord) {
@@ -149,6 +81,13 @@
     });
   }
 
+  kj::Promise<void> snapshot(SnapshotContext aContext) override
+  {
+    const auto& snapshot = Port().options_.snapshot;
+    aContext.getResults().setRecord(View(snapshot ? snapshot() : std::string()));
+    return kj::READY_NOW;
+  }
+
 private:
   PeerRpc& Port()
   {
@@ -371,4 +310,21 @@
                }));
 }
 
+void PeerRpc::Execute(const AskSnapshot& aAction)
+{
+  Outgoing& outgoing = ConnectionTo(aAction.address);
+  auto answered =
+    KJ_ASSERT_NONNULL(outgoing.client)
+      .snapshotRequest()
+      .send()
+      .then([this, address = aAction.address](
+              capnp::Response<wire::Peer::SnapshotResults>&& aResponse) {
+        options_.sink(SnapshotReceived{ address, ToText(aResponse.getRecord()) });
+      });
+  tasks_.add(
+    options_.timer.timeoutAfter(ToKj(options_.callTimeout), kj::mv(answered))
+      .catch_([this, address = aAction.address, generation = outgoing.generation](
+                kj::Exception&&) { Drop(address, generation); }));
+}
+
 } // namespace gooseberrypath
--- a/gooseberrypath/peer_rpc.h
+++ b/gooseberrypath/peer_rpc.h
@@ -9,6 +9,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <unordered_map>
 
@@ -28,6 +29,7 @@
   EventSink sink;
   std::string address = "127.0.0.1:0"; // "IP:port"; port 0 chooses a free one
   Duration callTimeout = std::chrono::milliseconds(300); // with connecting
+  std::function<std::string()> snapshot;                 // answers the RPC snapshot()
   size_t maxQuestions = 1024;                            // open claim questions
   Duration questionTimeout = std::chrono::seconds(2);
   size_t maxIncoming = 1024; // accepted connections
@@ -49,6 +51,7 @@
 
   void Execute(const SendGossip& aAction);
   void Execute(const AskClaim& aAction);
+  void Execute(const AskSnapshot& aAction);
 
   /// Answers a ClaimAsked event. Unknown questions are ignored, since the asker may have
   /// gone. The word Unreachable refuses the question.
--- /dev/null
+++ b/gooseberrypath/peer_wire.cc
@@ -0,0 +1,119 @@
+#include "gooseberrypath/peer_wire.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "gooseberrypath/http_io.h"
+
+namespace gooseberrypath {
+
+namespace {
+
+DaemonState FromWire(wire::MemberDigest::State aState)
+{
+  switch (aState) {
+    case wire::MemberDigest::State::SERVING:
+      return DaemonState::Serving;
+    case wire::MemberDigest::State::DRAINING:
+      return DaemonState::Draining;
+    case wire::MemberDigest::State::STARTING:
+      break;
+  }
+  return DaemonState::Starting; // also for a state of a newer version
+}
+
+uint32_t Saturate(uint64_t aValue)
+{
+  return static_cast<uint32_t>(
+    std::min<uint64_t>(aValue, std::numeric_limits<uint32_t>::max()));
+}
+
+} // namespace
+
+std::string ToText(capnp::Text::Reader aText)
+{
+  return { aText.begin(), aText.size() };
+}
+
+GossipMessage FromWire(wire::GossipMessage::Reader aMessage)
+{
+  GossipMessage message{ .fromAddress = ToText(aMessage.getFromAddress()),
+                         .wantsReply = aMessage.getWantsReply(),
+                         .members = {},
+                         .hosts = {},
+                         .beats = {},
+                         .wanted = {},
+                         .daemons = aMessage.getDaemons() };
+  for (const auto member : aMessage.getMembers()) {
+    message.members.push_back(
+      MemberDigest{ .daemon = ToText(member.getDaemon()),
+                    .incarnation = member.getIncarnation(),
+                    .heartbeat = member.getHeartbeat(),
+                    .peerAddress = ToText(member.getPeerAddress()),
+                    .zone = ToText(member.getZone()),
+                    .appliedConfig = member.getAppliedConfig(),
+                    .state = FromWire(member.getState()) });
+  }
+  for (const auto host : aMessage.getHosts()) {
+    message.hosts.push_back(HostNews{ .host = ToText(host.getHost()),
+                                      .sequence = host.getSequence(),
+                                      .leaving = host.getLeaving() });
+  }
+  const Offset highest = aMessage.getHighestApplied();
+  for (const auto beat : aMessage.getBeats()) {
+    message.beats.push_back(MemberBeat{
+      .id = beat.getId(),
+      .heartbeat = beat.getHeartbeat(),
+      .appliedConfig = highest - std::min<Offset>(highest, beat.getBehind()) });
+  }
+  for (const uint64_t id : aMessage.getWanted()) {
+    message.wanted.push_back(id);
+  }
+  return message;
+}
+
+void ToWire(const GossipMessage& aMessage, wire::GossipMessage::Builder aInto)
+{
+  aInto.setFromAddress(View(aMessage.fromAddress));
+  aInto.setWantsReply(aMessage.wantsReply);
+  auto members = aInto.initMembers(static_cast<kj::uint>(aMessage.members.size()));
+  for (kj::uint i = 0; i < members.size(); ++i) {
+    const MemberDigest& from = aMessage.members[i];
+    auto into = members[i];
+    into.setDaemon(View(from.daemon));
+    into.setIncarnation(from.incarnation);
+    into.setHeartbeat(from.heartbeat);
+    into.setPeerAddress(View(from.peerAddress));
+    into.setZone(View(from.zone));
+    into.setAppliedConfig(from.appliedConfig);
+    into.setState(from.state == DaemonState::Serving ? wire::MemberDigest::State::SERVING
+                  : from.state == DaemonState::Draining
+                    ? wire::MemberDigest::State::DRAINING
+                    : wire::MemberDigest::State::STARTING);
+  }
+  auto hosts = aInto.initHosts(static_cast<kj::uint>(aMessage.hosts.size()));
+  for (kj::uint i = 0; i < hosts.size(); ++i) {
+    hosts[i].setHost(View(aMessage.hosts[i].host));
+    hosts[i].setSequence(aMessage.hosts[i].sequence);
+    hosts[i].setLeaving(aMessage.hosts[i].leaving);
+  }
+  Offset highest = 0;
+  for (const MemberBeat& beat : aMessage.beats) {
+    highest = std::max(highest, beat.appliedConfig);
+  }
+  aInto.setDaemons(aMessage.daemons);
+  aInto.setHighestApplied(highest);
+  auto beats = aInto.initBeats(static_cast<kj::uint>(aMessage.beats.size()));
+  for (kj::uint i = 0; i < beats.size(); ++i) {
+    const MemberBeat& from = aMessage.beats[i];
+    beats[i].setId(from.id);
+    beats[i].setHeartbeat(Saturate(from.heartbeat));
+    beats[i].setBehind(Saturate(highest - from.appliedConfig));
+  }
+  auto wanted = aInto.initWanted(static_cast<kj::uint>(aMessage.wanted.size()));
+  for (kj::uint i = 0; i < wanted.size(); ++i) {
+    wanted.set(i, aMessage.wanted[i]);
+  }
+}
+
+} // namespace gooseberrypath
--- a/gooseberrypath/ports.h
+++ b/gooseberrypath/ports.h
@@ -49,10 +49,11 @@
   aPort.Follow(aStream, aFrom);
 };
 
-/// Other daemons: emits GossipReceived, GossipFailed, ClaimAsked and ClaimAnswered.
+/// Other daemons: emits GossipReceived, GossipFailed, ClaimAsked, ClaimAnswered and
+/// SnapshotReceived.
 template<typename P>
-concept PeerPort =
-  Executes<P, SendGossip> && Executes<P, AskClaim> && Executes<P, AnswerClaimQuestion>;
+concept PeerPort = Executes<P, SendGossip> && Executes<P, AskClaim> &&
+  Executes<P, AnswerClaimQuestion> && Executes<P, AskSnapshot>;
 
 /// Operators: emits OperatorWrite, OperatorRead, OperatorStatus and OperatorDrain.
 template<typename P>
--- a/gooseberrypath/records.cc
+++ b/gooseberrypath/records.cc
@@ -12,6 +12,8 @@
 
 using Json = nlohmann::json;
 
+constexpr int64_t kMaxTimeMs = int64_t{ 1 } << 50;
+
 std::string ToBase64(std::string_view aBytes)
 {
   const kj::ArrayPtr<const kj::byte> bytes(
@@ -57,6 +59,23 @@
            { "write", aRecord.write } };
 }
 
+Json ToJson(const SnapshotRecord& aRecord)
+{
+  Json resources = Json::array();
+  for (const SnapshotResource& one : aRecord.resources) {
+    resources.push_back({ { "kind", one.kind },
+                          { "name", one.name },
+                          { "version", one.version },
+                          { "sinceMs", one.sinceMs },
+                          { "spec", one.spec } });
+  }
+  return { { "type", "snapshot" },
+           { "upTo", aRecord.upTo },
+           { "resources", std::move(resources) },
+           { "writes", aRecord.writes },
+           { "hash", aRecord.hash } };
+}
+
 Json ToJson(const ClaimRecord& aRecord)
 {
   return { { "type", "claim" },
@@ -180,6 +199,8 @@
 
   const Json* Object(const char* aName) { return Get(aName, &Json::is_object); }
 
+  const Json* Array(const char* aName) { return Get(aName, &Json::is_array); }
+
   void Fail(const std::string& aName)
   {
     if (wrong_.empty()) {
@@ -262,6 +283,37 @@
   return record;
 }
 
+SnapshotRecord ReadSnapshot(FieldReader& aFields)
+{
+  SnapshotRecord record{ .upTo = aFields.Unsigned("upTo"),
+                         .resources = {},
+                         .writes = {},
+                         .hash = aFields.Text("hash") };
+  if (const Json* resources = aFields.Array("resources")) {
+    for (const Json& one : *resources) {
+      FieldReader fields(one);
+      record.resources.push_back({ .kind = fields.Text("kind"),
+                                   .name = fields.Text("name"),
+                                   .version = fields.Unsigned("version"),
+                                   .sinceMs = fields.Integer("sinceMs", 0, kMaxTimeMs),
+                                   .spec = fields.Text("spec") });
+      if (!fields.Wrong().empty()) {
+        aFields.Fail("resources." + fields.Wrong());
+      }
+    }
+  }
+  if (const Json* writes = aFields.Array("writes")) {
+    for (const Json& one : *writes) {
+      if (!one.is_string()) {
+        aFields.Fail("writes");
+        break;
+      }
+      record.writes.push_back(one.get<std::string>());
+    }
+  }
+  return record;
+}
+
 Record ReadRecord(const std::string& aType, FieldReader& aFields)
 {
   if (aType == "put") {
@@ -277,6 +329,9 @@
                          .base = aFields.Unsigned("base"),
                          .write = aFields.Text("write") };
   }
+  if (aType == "snapshot") {
+    return ReadSnapshot(aFields);
+  }
   if (aType == "claim") {
     return ReadClaim(aFields);
   }
--- a/gooseberrypath/records.h
+++ b/gooseberrypath/records.h
@@ -3,9 +3,9 @@
 //   std::string data = EncodeRecord(ClaimRecord{ ... });
 //   Result<Record> record = DecodeRecord(entry.data);
 //
-// Streams: kConfigStream has PutRecord and DeleteRecord; kActionStream has ClaimRecord,
-// OutcomeRecord, AbandonRecord and CarryRecord. A record of an unknown type decodes to
-// UnknownRecord, so that an older daemon can skip what a newer one wrote.
+// Streams: kConfigStream has PutRecord, DeleteRecord and SnapshotRecord; kActionStream
+// has ClaimRecord, OutcomeRecord, AbandonRecord and CarryRecord. A record of an unknown
+// type decodes to UnknownRecord, so that an older daemon can skip what a newer one wrote.
 
 #ifndef GOOSEBERRYPATH_RECORDS_H_
 #define GOOSEBERRYPATH_RECORDS_H_
@@ -14,6 +14,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 #include "gooseberrypath/errors.h"
 #include "gooseberrypath/types.h"
@@ -46,6 +47,30 @@
   bool operator==(const DeleteRecord&) const = default;
 };
 
+/// One resource of a SnapshotRecord.
+struct SnapshotResource
+{
+  std::string kind;
+  std::string name;
+  Offset version = 0;
+  int64_t sinceMs = 0;
+  std::string spec; // JSON object
+
+  bool operator==(const SnapshotResource&) const = default;
+};
+
+/// The whole configuration after the record at offset `upTo`, for daemons that start when
+/// older records have been removed.
+struct SnapshotRecord
+{
+  Offset upTo = 0;
+  std::vector<SnapshotResource> resources;
+  std::vector<std::string> writes; // the last write ids, in log order
+  std::string hash;                // ConfigLog::HashAt(upTo)
+
+  bool operator==(const SnapshotRecord&) const = default;
+};
+
 /// A daemon wants to run the action with this key.
 struct ClaimRecord
 {
@@ -110,8 +135,8 @@
   bool operator==(const UnknownRecord&) const = default;
 };
 
-using Record = std::variant<PutRecord, DeleteRecord, ClaimRecord, OutcomeRecord,
-                            AbandonRecord, CarryRecord, UnknownRecord>;
+using Record = std::variant<PutRecord, DeleteRecord, SnapshotRecord, ClaimRecord,
+                            OutcomeRecord, AbandonRecord, CarryRecord, UnknownRecord>;
 
 /// Returns the record as one JSON object without line breaks.
 std::string EncodeRecord(const Record& aRecord);
--- a/gooseberrypath/serve.cc
+++ b/gooseberrypath/serve.cc
@@ -11,6 +11,7 @@
 
 #include "gooseberrypath/backend_http.h"
 #include "gooseberrypath/caller_http.h"
+#include "gooseberrypath/config_snapshots.h"
 #include "gooseberrypath/counters.h"
 #include "gooseberrypath/daemon.h"
 #include "gooseberrypath/kj_clock.h"
@@ -50,6 +51,17 @@
   if (aWorld.state == DaemonState::Draining) {
     return "the daemon is stopping";
   }
+  if (aWorld.usesPeerConfig) {
+    return "the log has not been read; the configuration up to offset " +
+           std::to_string(aWorld.appliedConfig) +
+           " is a peer's, and actions that need the log are refused";
+  }
+  if (aWorld.state == DaemonState::Serving) {
+    return {};
+  }
+  if (aWorld.awaitsConfigSnapshot) {
+    return "old records of stream config were removed; a snapshot is awaited";
+  }
   for (const std::string_view stream : { kConfigStream, kActionStream }) {
     const auto found = aWorld.streams.find(stream);
     if (found == aWorld.streams.end() || !found->second.contacted) {
@@ -127,7 +139,8 @@
     , peers_({ .network = network_,
                .timer = timer_,
                .sink = Sink(),
-               .address = aSettings.peerListen })
+               .address = aSettings.peerListen,
+               .snapshot = [this] { return EncodeSnapshot(daemon_->GetWorld()); } })
     , operators_({ .address = aSettings.operatorListen,
                    .sink = Sink(),
                    .snapshot = [this] { return TakeSnapshot(daemon_->GetWorld()); } })
--- a/gooseberrypath/testing/cluster.h
+++ b/gooseberrypath/testing/cluster.h
@@ -4,6 +4,8 @@
 #define GOOSEBERRYPATH_TESTING_CLUSTER_H_
 
 #include <deque>
+#include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -11,6 +13,7 @@
 #include <nlohmann/json.hpp>
 
 #include "gooseberrypath/backend_system.h"
+#include "gooseberrypath/config_snapshots.h"
 #include "gooseberrypath/config_system.h"
 #include "gooseberrypath/core.h"
 #include "gooseberrypath/membership_system.h"
@@ -49,6 +52,7 @@
 struct LogFake
 {
   std::vector<LogEntry> entries;
+  Offset start = 1;        // older records were removed
   bool isDown = false;     // neither reads nor appends are answered
   bool isReadDown = false; // reads are not answered
   int lostAnswers = 0;     // appends that are stored without an answer
@@ -62,8 +66,9 @@
   }
   LogBatch Read(Offset aFrom) const
   {
-    LogBatch batch{ std::string(kConfigStream), 1, entries.size() + 1, {} };
-    batch.entries.assign(entries.begin() + long(std::min(aFrom - 1, entries.size())),
+    LogBatch batch{ std::string(kConfigStream), start, entries.size() + 1, {} };
+    const Offset from = std::max(aFrom, start);
+    batch.entries.assign(entries.begin() + long(std::min(from - 1, entries.size())),
                          entries.end());
     return batch;
   }
@@ -97,6 +102,7 @@
       options.seedPeers = { Address(0), Address(aDaemons / 2) };
       options.seed = aSeed * 1000 + i;
       options.incarnation = 1'000 + i;
+      indexes[Address(i)] = i;
       nodes.push_back(Node{});
       nodes.back().core = std::make_unique<TestCore>(options, now);
     }
@@ -108,20 +114,25 @@
            std::to_string(aIndex % 200 + 1) + ":7000";
   }
 
+  /// Replaces a daemon by a new process with the same name.
+  void Restart(size_t aNode)
+  {
+    CoreOptions options = nodes[aNode].GetWorld().options;
+    options.incarnation += 1'000'000;
+    nodes[aNode] = Node{};
+    nodes[aNode].core = std::make_unique<TestCore>(options, now);
+  }
+
   Node* FindByAddress(const std::string& aAddress)
   {
-    for (size_t i = 0; i < nodes.size(); ++i) {
-      if (Address(i) == aAddress) {
-        return &nodes[i];
-      }
-    }
-    return nullptr;
+    const auto found = indexes.find(aAddress);
+    return found == indexes.end() ? nullptr : &nodes[found->second];
   }
 
   /// Advances by one step: a log read and a tick on each daemon that is not paused.
   void Step()
   {
-    now += kStep;
+    now += step;
     for (Node& node : nodes) {
       if (node.isPaused) {
         continue;
@@ -177,13 +188,19 @@
     } else if (auto* gossip = std::get_if<SendGossip>(&aAction)) {
       Node* peer = FindByAddress(gossip->address);
       if (onGossip) {
-        onGossip(gossip->message);
+        onGossip(*gossip);
       }
       if (peer == nullptr || peer->isCut || aNode.isCut) {
         aNode.queue.push_back(GossipFailed{ gossip->address });
       } else {
         peer->queue.push_back(GossipReceived{ gossip->message });
       }
+    } else if (auto* ask = std::get_if<AskSnapshot>(&aAction)) {
+      const Node* peer = FindByAddress(ask->address);
+      if (peer != nullptr && !peer->isCut && !peer->isPaused && !aNode.isCut) {
+        aNode.queue.push_back(
+          SnapshotReceived{ ask->address, EncodeSnapshot(peer->GetWorld()) });
+      }
     } else if (auto* reply = std::get_if<OperatorReply>(&aAction)) {
       aNode.replies.push_back(*reply);
     } else if (auto* watch = std::get_if<WatchLoads>(&aAction)) {
@@ -213,7 +230,9 @@
   TimePoint now{};
   LogFake log;
   std::vector<Node> nodes;
-  std::function<void(const GossipMessage&)> onGossip;
+  Duration step = kStep;
+  std::function<void(const SendGossip&)> onGossip;
+  std::map<std::string, size_t> indexes; // address to index in nodes
 };
 
 /// A service with backends b0, b1 and so on, which are their own hosts.
--- a/gooseberrypath/world.cc
+++ b/gooseberrypath/world.cc
@@ -36,6 +36,9 @@
 
 bool World::IsCaughtUp() const
 {
+  if (awaitsConfigSnapshot) {
+    return false;
+  }
   for (const std::string_view name : { kConfigStream, kActionStream }) {
     const auto found = streams.find(name);
     if (found == streams.end() || !found->second.contacted ||
--- a/gooseberrypath/world.h
+++ b/gooseberrypath/world.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "gooseberrypath/actions.h"
+#include "gooseberrypath/config_log.h"
 #include "gooseberrypath/counters.h"
 #include "gooseberrypath/errors.h"
 #include "gooseberrypath/events.h"
@@ -227,11 +228,19 @@
 
   std::map<std::string, StreamRow, std::less<>> streams;
   ResourceTable resources;
+  ConfigLog configLog;
   Offset appliedConfig = 0;
+  /// Records were removed before they were read; a snapshot record is awaited.
+  bool awaitsConfigSnapshot = false;
+  /// The configuration is a peer's, and the log has not answered yet.
+  bool usesPeerConfig = false;
   Table<std::string, BackendRow> backends;
   Table<std::string, HostRow> hosts;
   uint64_t hostsRevision = 0; // grows with each change in `hosts`
   Table<std::string, MemberRow> members;
+  /// Addresses of daemons that were heard since the start.
+  std::set<std::string, std::less<>> heardAddresses;
+  size_t daemonsReported = 0; // largest number of daemons that a peer told recently
   Table<RequestId, RequestRow> requests;
   /// Requests whose stage became Ready or Decided; drained by DispatchSystem.
   std::deque<RequestId> dispatchQueue;
