Move streams off reclaimed hosts with their KV cache

Cause: a stream on a host with a reclaim notice was resumed elsewhere with its prompt and answer computed again. A notice without time was acted on before the host was marked as leaving, so its streams stayed until they broke. Moves counted against maxAttempts, which ended a stream after its eighth reclaim.

Change: StreamMover exports the KV cache (ExportKv, KvExported, KvExportFailed) while the stream goes on and moves it when the handle arrives, at the latest 500 ms before the reclaim. A refused, failed or late export leads to the plain resume. Notices are handled in Run(), after BackendSystem. Moves and refused handles do not count as failures. Moved and long streams prefer zones that are not being reclaimed (backend_candidates).

--- a/gooseberrypath/actions.h
+++ b/gooseberrypath/actions.h
@@ -77,6 +77,16 @@
   AttemptId attempt;
 };
 
+/// Asks an engine for the KV cache of an attempt that goes on meanwhile. Answered by
+/// exactly one KvExported or KvExportFailed, also after the attempt ended.
+struct ExportKv
+{
+  AttemptId attempt;
+  std::string address; // "IP:port"
+  std::string name;    // the attempt's name on the wire
+  Duration timeout{};  // for the whole call, positive
+};
+
 /// The set of backends to ask for load reports; replaces the previous set.
 struct WatchLoads
 {
@@ -162,9 +172,9 @@
 
 using Action =
   std::variant<ReplyWhole, ReplyStreamHead, ReplyStreamEvent, ReplyStreamEnd,
-               StartModelAttempt, StartServiceAttempt, CancelAttempt, WatchLoads,
-               AppendRecord, SendGossip, AskClaim, AnswerClaimQuestion, OperatorReply,
-               WriteLog, WriteSpan, ExitProcess>;
+               StartModelAttempt, StartServiceAttempt, CancelAttempt, ExportKv,
+               WatchLoads, AppendRecord, SendGossip, AskClaim, AnswerClaimQuestion,
+               OperatorReply, WriteLog, WriteSpan, ExitProcess>;
 
 } // namespace gooseberrypath
 
--- a/gooseberrypath/attempt_runner.cc
+++ b/gooseberrypath/attempt_runner.cc
@@ -20,8 +20,24 @@
   "host",       "content-length", "traceparent",        "x-request-id",
 };
 
+/// Before attempts after the third failed one; doubles up to the maximum.
+constexpr Duration kRetryDelay = 50ms;
+constexpr Duration kMaxRetryDelay = 2s;
+constexpr uint32_t kImmediateAttempts = 3;
+
 } // namespace
 
+Duration RetryDelay(const RequestRow& aRow)
+{
+  const uint32_t attempts = aRow.attempts - aRow.uncountedAttempts;
+  if (attempts < kImmediateAttempts) {
+    return Duration::zero();
+  }
+  constexpr uint32_t kMaxShift = 8;
+  const uint32_t shift = std::min(attempts - kImmediateAttempts, kMaxShift);
+  return std::min(kRetryDelay * (1U << shift), kMaxRetryDelay);
+}
+
 Headers ForwardedHeaders(const Headers& aHeaders)
 {
   Headers kept;
@@ -64,7 +80,8 @@
   return { .id = attempt->request, .request = request, .attempt = attempt };
 }
 
-void AttemptRunner::Start(RequestId aId, RequestRow& aRow, const std::string& aBackend)
+void AttemptRunner::Start(RequestId aId, RequestRow& aRow, const std::string& aBackend,
+                          std::string aReason)
 {
   constexpr size_t kSpanDigits = 16;
   const auto id = world_.NewId<AttemptId>();
@@ -79,7 +96,8 @@
                                            .span = world_.RandomHex(kSpanDigits),
                                            .started = world_.Now(),
                                            .lastToken = world_.Now(),
-                                           .firstOffset = aRow.tokens.size() });
+                                           .firstOffset = aRow.tokens.size(),
+                                           .reason = std::move(aReason) });
   if (aRow.kind == ServiceKind::Model) {
     StartModel(id, aRow, attempt);
   } else {
@@ -99,7 +117,8 @@
     .address = world_.backends.Find(aAttempt.backend)->spec.address,
     .headers = { { "traceparent", TraceParent(aRow.trace, aAttempt.span) },
                  { "X-Request-Id", name } },
-    .body = EngineRequestBody(aRow.chat, aRow.tokens, { .requestId = name }) });
+    .body = EngineRequestBody(aRow.chat, aRow.tokens,
+                              { .requestId = name, .kvHandle = aRow.kvHandle }) });
 }
 
 void AttemptRunner::StartService(AttemptId aId, const RequestRow& aRow,
@@ -130,13 +149,17 @@
     backend->inFlight -= std::min(backend->inFlight, 1U);
   }
   if (running.request) {
+    std::string note = attempt.backend + ": " + std::string(aResult);
+    if (!attempt.reason.empty()) {
+      note += "; " + attempt.reason;
+    }
     world_.Emit(WriteSpan{ .trace = running.request->trace,
                            .span = attempt.span,
                            .parent = running.request->span,
                            .name = "attempt",
                            .request = running.request->publicId,
                            .attempt = NameOf(aId),
-                           .note = attempt.backend + ": " + std::string(aResult),
+                           .note = std::move(note),
                            .start = attempt.started,
                            .end = world_.Now() });
     running.request->attempt = AttemptId{};
--- a/gooseberrypath/attempt_runner.h
+++ b/gooseberrypath/attempt_runner.h
@@ -18,6 +18,10 @@
 /// hop-by-hop fields nor those that the daemon sets itself.
 Headers ForwardedHeaders(const Headers& aHeaders);
 
+/// Returns the pause before the next attempt: none at first, then it doubles with each
+/// failed attempt up to 2 s.
+Duration RetryDelay(const RequestRow& aRow);
+
 /// An attempt with its request. Both are null if the attempt has ended.
 struct RunningAttempt
 {
@@ -36,8 +40,9 @@
   }
 
   /// Starts an attempt at the backend with this id, which must exist. The request becomes
-  /// Running.
-  void Start(RequestId aId, RequestRow& aRow, const std::string& aBackend);
+  /// Running. The reason for the choice is noted in the attempt's span.
+  void Start(RequestId aId, RequestRow& aRow, const std::string& aBackend,
+             std::string aReason = {});
 
   RunningAttempt Find(AttemptId aId);
 
--- a/gooseberrypath/backend_http.cc
+++ b/gooseberrypath/backend_http.cc
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr size_t kMaxLoadBytes = size_t{ 64 } * 1024;
+constexpr size_t kMaxExportBytes = size_t{ 64 } * 1024;
 
 std::string ReasonOf(const kj::Exception& aError)
 {
@@ -45,6 +46,19 @@
   return isValid ? std::optional(std::move(report)) : std::nullopt;
 }
 
+/// Parses the answer of POST /kv/export.
+std::optional<std::string> ParseKvHandle(const std::string& aBody)
+{
+  const auto json = nlohmann::json::parse(aBody, nullptr, false);
+  if (!json.is_object()) {
+    return std::nullopt;
+  }
+  const auto handle = json.find("kv_handle");
+  const bool isValid =
+    handle != json.end() && handle->is_string() && !handle->get<std::string>().empty();
+  return isValid ? std::optional(handle->get<std::string>()) : std::nullopt;
+}
+
 } // namespace
 
 /// One request on its own connection. Members are destroyed in reverse order: first the
@@ -254,6 +268,40 @@
   Remove(aAction.attempt);
 }
 
+void BackendHttp::Execute(const ExportKv& aAction)
+{
+  const AttemptId id = aAction.attempt;
+  KJ_IF_MAYBE (address, ParseAddress(options_.network, aAction.address)) {
+    auto client = kj::newHttpClient(options_.timer, HeaderTable(), **address);
+    HttpRequest request{
+      .method = "POST",
+      .target = "/kv/export",
+      .headers = { { "Host", aAction.address }, { "Content-Type", "application/json" } },
+      .body = nlohmann::json{ { "request_id", aAction.name } }.dump()
+    };
+    tasks_.add(
+      Fetch(*client, options_.timer, std::move(request), kMaxExportBytes, aAction.timeout)
+        .then(
+          [this, id](const HttpReply& aReply) {
+            auto handle =
+              aReply.status == 200 ? ParseKvHandle(aReply.body) : std::nullopt;
+            if (handle) {
+              options_.sink(KvExported{ id, std::move(*handle) });
+            } else {
+              options_.sink(KvExportFailed{ id, "the engine answered " +
+                                                  std::to_string(aReply.status) });
+            }
+          },
+          [this, id](kj::Exception&& aError) {
+            options_.sink(KvExportFailed{ id, ReasonOf(aError) });
+          })
+        .attach(kj::mv(client))
+        .attach(kj::mv(*address)));
+  } else {
+    options_.sink(KvExportFailed{ id, "the address is malformed" });
+  }
+}
+
 void BackendHttp::Remove(AttemptId aId)
 {
   const auto found = attempts_.find(aId);
--- a/gooseberrypath/backend_http.h
+++ b/gooseberrypath/backend_http.h
@@ -52,6 +52,9 @@
 
   void Execute(const CancelAttempt& aAction);
 
+  /// Sends POST /kv/export on a new connection.
+  void Execute(const ExportKv& aAction);
+
   /// Polls GET /load of each address. Failures are only counted.
   void Execute(const WatchLoads& aAction);
 
--- a/gooseberrypath/chat_format.cc
+++ b/gooseberrypath/chat_format.cc
@@ -98,6 +98,10 @@
   body["stream"] = true;
   body["request_id"] = aOptions.requestId;
   body["priority"] = aOptions.priority;
+  body.erase("kv_transfer_params"); // a caller could name another caller's cache
+  if (!aOptions.kvHandle.empty()) {
+    body["kv_transfer_params"] = { { "kv_handle", aOptions.kvHandle } };
+  }
   if (!aTokens.empty()) {
     body["messages"].push_back({ { "role", "assistant" }, { "content", Join(aTokens) } });
     body["continue_final_message"] = true;
--- a/gooseberrypath/chat_format.h
+++ b/gooseberrypath/chat_format.h
@@ -25,6 +25,7 @@
 {
   std::string_view requestId; // the attempt's name on the wire
   int priority = 0;           // lower is sooner
+  std::string_view kvHandle;  // exported KV cache; empty: none
 };
 
 /// Returns the body for an engine. With received tokens, the answer continues after them.
--- a/gooseberrypath/counters.cc
+++ b/gooseberrypath/counters.cc
@@ -48,6 +48,11 @@
   { Counter::GossipReceived, "gossip_received", "Gossip messages received." },
   { GossipFailures, "gossip_failures", "Gossip messages that were not delivered." },
   { HostsLeaving, "hosts_leaving", "Hosts that were found to be leaving." },
+  { StreamsMoved, "streams_moved", "Streams moved away from leaving hosts." },
+  { KvExportsAsked, "kv_exports_asked", "KV cache exports asked for." },
+  { KvExportsFailed, "kv_exports_failed", "KV cache exports refused or not in time." },
+  { KvExportsLate, "kv_exports_late", "KV cache exports of streams that had moved." },
+  { KvHandlesRefused, "kv_handles_refused", "KV handles that a new engine refused." },
 };
 
 constexpr bool IsInEnumOrder()
--- a/gooseberrypath/counters.h
+++ b/gooseberrypath/counters.h
@@ -49,6 +49,11 @@
   GossipReceived,
   GossipFailures,
   HostsLeaving,
+  StreamsMoved,
+  KvExportsAsked,
+  KvExportsFailed,
+  KvExportsLate,
+  KvHandlesRefused,
   Count_, // not a counter
 };
 
--- a/gooseberrypath/dispatch_system.cc
+++ b/gooseberrypath/dispatch_system.cc
@@ -1,10 +1,9 @@
 #include "gooseberrypath/dispatch_system.h"
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
-#include "gooseberrypath/backend_system.h"
+#include "gooseberrypath/backend_candidates.h"
 #include "gooseberrypath/chat_format.h"
 #include "gooseberrypath/request_intake.h"
 
@@ -18,24 +17,11 @@
 
 /// Between looks for a backend when none is usable.
 constexpr Duration kNoBackendDelay = 100ms;
-/// Before attempts after the third one of a request; doubles up to the maximum.
-constexpr Duration kRetryDelay = 50ms;
-constexpr Duration kMaxRetryDelay = 2s;
-constexpr uint32_t kImmediateAttempts = 3;
-/// Streams leave a host this long before its reclaim.
-constexpr Duration kMoveMargin = 500ms;
 /// Retries that can be saved up by the retry budget.
 constexpr double kMaxRetryTokens = 10;
-
-Duration RetryDelay(uint32_t aAttempts)
-{
-  if (aAttempts < kImmediateAttempts) {
-    return Duration::zero();
-  }
-  constexpr uint32_t kMaxShift = 8;
-  const uint32_t shift = std::min(aAttempts - kImmediateAttempts, kMaxShift);
-  return std::min(kRetryDelay * (1U << shift), kMaxRetryDelay);
-}
+constexpr int kFirstClientError = 400;
+constexpr int kTooManyRequests = 429;
+constexpr int kFirstServerError = 500;
 
 } // namespace
 
@@ -98,6 +84,10 @@
 template<BackendChooser C>
 void BasicDispatchSystem<C>::Run()
 {
+  mover_.Run();
+  for (const AttemptId attempt : stalls_.TakeStalled()) {
+    ReplaceAttempt(attempt, attempts_.Find(attempt), "no token in time");
+  }
   for (size_t left = world_.dispatchQueue.size(); left > 0; --left) {
     const RequestId id = world_.dispatchQueue.front();
     world_.dispatchQueue.pop_front();
@@ -106,7 +96,7 @@
       continue;
     }
     if (row->stage == RequestStage::Decided) {
-      SendDecision(id, *row);
+      replies_.SendDecision(id, *row);
       EraseRequest(id, "decided");
     } else if (row->stage == RequestStage::Ready) {
       Dispatch(id, *row);
@@ -121,49 +111,25 @@
     HandleDeadline(aId);
     return;
   }
-  if (BackendRow* backend = ChooseBackend(aRow)) {
-    attempts_.Start(aId, aRow, backend->service + "/" + backend->spec.name);
-    WatchFirstToken(aRow);
-  } else {
+  Candidates candidates = CandidatesFor(world_, aRow);
+  if (candidates.backends.empty()) {
     HandleNoBackend(aId, aRow);
-  }
-}
-
-template<BackendChooser C>
-BackendRow* BasicDispatchSystem<C>::ChooseBackend(const RequestRow& aRow)
-{
-  std::vector<const BackendRow*> fresh;
-  std::vector<const BackendRow*> tried;
-  for (const auto& [id, backend] : world_.backends) {
-    if (backend.service == aRow.service && IsUsable(world_, backend)) {
-      (aRow.avoid.contains(id) ? tried : fresh).push_back(&backend);
-    }
-  }
-  const auto& candidates = fresh.empty() ? tried : fresh;
-  if (candidates.empty()) {
-    return nullptr;
+    return;
   }
   const BackendRow& chosen =
-    *candidates[chooser_.Choose(candidates, world_.Now(), world_.random)];
-  return world_.backends.Find(chosen.service + "/" + chosen.spec.name);
-}
-
-/// A backend that only refused a connection is tried again after its pause.
-template<BackendChooser C>
-bool BasicDispatchSystem<C>::MayBackendReturnSoon(const RequestRow& aRow) const
-{
-  return std::ranges::any_of(world_.backends, [&](const auto& aItem) {
-    const BackendRow& backend = aItem.second;
-    return backend.service == aRow.service && !backend.leaving && !backend.gone;
-  });
+    *candidates
+       .backends[chooser_.Choose(candidates.backends, world_.Now(), world_.random)];
+  attempts_.Start(aId, aRow, chosen.service + "/" + chosen.spec.name,
+                  std::move(candidates.reason));
+  stalls_.Watch(aRow.attempt);
 }
 
 template<BackendChooser C>
 void BasicDispatchSystem<C>::HandleNoBackend(RequestId aId, RequestRow& aRow)
 {
   const bool wasDispatched = aRow.attempts > 0;
-  const bool waits =
-    MayBackendReturnSoon(aRow) || (aRow.kind == ServiceKind::Model && wasDispatched);
+  const bool waits = MayBackendReturnSoon(world_, aRow) ||
+                     (aRow.kind == ServiceKind::Model && wasDispatched);
   if (waits) {
     DispatchLater(aId, kNoBackendDelay);
     return;
@@ -207,7 +173,7 @@
     EraseRequest(running.id, "caller gone");
     return;
   }
-  DispatchLater(running.id, RetryDelay(row.attempts));
+  DispatchLater(running.id, RetryDelay(row));
 }
 
 template<BackendChooser C>
@@ -230,6 +196,7 @@
     return;
   }
   running.attempt->lastToken = world_.Now();
+  row.kvHandle.clear(); // the engine has taken it over
   replies_.SendToken(running.id, row, aEvent.text);
 }
 
@@ -257,8 +224,11 @@
     Handle(AttemptBroken{ aEvent.attempt, "the backend answered another request" });
     return;
   }
-  constexpr int kFirstServerError = 500;
-  constexpr int kTooManyRequests = 429;
+  if (!row.kvHandle.empty() && aEvent.status >= kFirstClientError &&
+      aEvent.status < kFirstServerError && aEvent.status != kTooManyRequests) {
+    RetryWithoutHandle(aEvent.attempt, running, aEvent.status);
+    return;
+  }
   const bool isEngineFailure =
     row.kind == ServiceKind::Model && (aEvent.status >= kFirstServerError ||
                                        aEvent.status == kTooManyRequests || row.headSent);
@@ -283,6 +253,7 @@
   }
   world_.counters.Add(Counter::AttemptsBroken);
   RequestRow& row = *running.request;
+  row.kvHandle.clear(); // it may be the cause
   row.avoid.insert(running.attempt->backend);
   world_.Log(LogLevel::Warning, kPart,
              "attempt " + attempts_.NameOf(aEvent.attempt) + " at " +
@@ -301,6 +272,7 @@
 {
   world_.Emit(CancelAttempt{ aId });
   aRunning.request->avoid.insert(aRunning.attempt->backend);
+  aRunning.request->kvHandle.clear();
   world_.Log(LogLevel::Warning, kPart,
              "attempt " + attempts_.NameOf(aId) + " at " + aRunning.attempt->backend +
                " is replaced: " + std::string(aReason));
@@ -308,6 +280,21 @@
   RetryModel(aRunning.id, *aRunning.request);
 }
 
+template<BackendChooser C>
+void BasicDispatchSystem<C>::RetryWithoutHandle(AttemptId aId,
+                                                const RunningAttempt& aRunning,
+                                                int aStatus)
+{
+  // The engine refused the handle, not the request, which it may still run.
+  RequestRow& row = *aRunning.request;
+  world_.counters.Add(Counter::KvHandlesRefused);
+  attempts_.End(aId, "KV handle refused with status " + std::to_string(aStatus));
+  row.kvHandle.clear();
+  ++row.uncountedAttempts;
+  row.stage = RequestStage::Ready;
+  DispatchLater(aRunning.id, Duration::zero());
+}
+
 template<BackendChooser C>
 void BasicDispatchSystem<C>::RetryModel(RequestId aId, RequestRow& aRow)
 {
@@ -317,13 +304,13 @@
     FinishModel(aId, aRow, "length");
     return;
   }
-  if (aRow.attempts >= Policy().maxAttempts) {
+  if (aRow.attempts - aRow.uncountedAttempts >= Policy().maxAttempts) {
     Fail(aId, aRow, ErrorKind::BackendFailed,
          "the request failed on " + std::to_string(aRow.attempts) + " attempts");
     return;
   }
   aRow.stage = RequestStage::Ready;
-  DispatchLater(aId, RetryDelay(aRow.attempts));
+  DispatchLater(aId, RetryDelay(aRow));
 }
 
 template<BackendChooser C>
@@ -343,68 +330,7 @@
   }
   retryTokens_ -= 1;
   aRow.stage = RequestStage::Ready;
-  DispatchLater(aId, RetryDelay(aRow.attempts));
-}
-
-template<BackendChooser C>
-void BasicDispatchSystem<C>::WatchFirstToken(const RequestRow& aRow)
-{
-  const ServiceSpec* service = FindService(aRow.service);
-  if (aRow.kind == ServiceKind::Model && service) {
-    WatchStall(aRow.attempt, world_.Now() + service->firstTokenTimeout);
-  }
-}
-
-template<BackendChooser C>
-void BasicDispatchSystem<C>::WatchStall(AttemptId aId, TimePoint aDue)
-{
-  world_.timers.SubscribeAt(aDue, [this, aId](TimePoint) { CheckStall(aId); });
-}
-
-template<BackendChooser C>
-void BasicDispatchSystem<C>::CheckStall(AttemptId aId)
-{
-  const RunningAttempt running = attempts_.Find(aId);
-  const ServiceSpec* service =
-    running.request ? FindService(running.request->service) : nullptr;
-  if (!service) {
-    return;
-  }
-  const bool hasToken = running.attempt->lastToken > running.attempt->started;
-  const TimePoint due = running.attempt->lastToken +
-                        (hasToken ? service->tokenStall : service->firstTokenTimeout);
-  if (world_.Now() < due) {
-    WatchStall(aId, due);
-    return;
-  }
-  world_.counters.Add(Counter::AttemptsStalled);
-  ReplaceAttempt(aId, running, "no token in time");
-}
-
-template<BackendChooser C>
-void BasicDispatchSystem<C>::Handle(const ReclaimNotice& aEvent)
-{
-  const Duration left = std::max(Duration::zero(), aEvent.timeLeft - kMoveMargin);
-  const std::string host = aEvent.host;
-  world_.timers.SubscribeAt(world_.Now() + left,
-                            [this, host](TimePoint) { MoveFromHost(host); });
-}
-
-template<BackendChooser C>
-void BasicDispatchSystem<C>::MoveFromHost(const std::string& aHost)
-{
-  std::vector<AttemptId> moving;
-  for (const auto& [id, attempt] : world_.attempts) {
-    const BackendRow* backend = world_.backends.Find(attempt.backend);
-    const RequestRow* request = world_.requests.Find(attempt.request);
-    if (backend && request && backend->spec.host == aHost && backend->leaving &&
-        request->kind == ServiceKind::Model) {
-      moving.push_back(id);
-    }
-  }
-  for (const AttemptId id : moving) {
-    ReplaceAttempt(id, attempts_.Find(id), "the host is reclaimed");
-  }
+  DispatchLater(aId, RetryDelay(aRow));
 }
 
 // ---- Answers ----
@@ -439,20 +365,6 @@
   Fail(aId, *row, ErrorKind::DeadlineExceeded, "the deadline of the route passed");
 }
 
-template<BackendChooser C>
-void BasicDispatchSystem<C>::SendDecision(RequestId aId, const RequestRow& aRow)
-{
-  if (!aRow.decision || aRow.callerGone) {
-    return;
-  }
-  if (const auto* error = std::get_if<Error>(&*aRow.decision)) {
-    world_.counters.Add(Counter::RequestsRefused);
-    replies_.SendError(aId, aRow, *error);
-  } else {
-    replies_.SendWhole(aId, aRow, std::get<StoredAnswer>(*aRow.decision));
-  }
-}
-
 template<BackendChooser C>
 void BasicDispatchSystem<C>::FinishModel(RequestId aId, RequestRow& aRow,
                                          std::string_view aFinishReason)
@@ -517,14 +429,6 @@
 
 // ---- Look-ups ----
 
-template<BackendChooser C>
-const ServiceSpec* BasicDispatchSystem<C>::FindService(const std::string& aName) const
-{
-  const auto found = world_.resources.find({ "service", aName });
-  return found == world_.resources.end() ? nullptr
-                                         : &std::get<ServiceSpec>(found->second.spec);
-}
-
 template<BackendChooser C>
 PolicySpec BasicDispatchSystem<C>::Policy() const
 {
--- a/gooseberrypath/dispatch_system.h
+++ b/gooseberrypath/dispatch_system.h
@@ -17,6 +17,8 @@
 #include "gooseberrypath/attempt_runner.h"
 #include "gooseberrypath/backend_chooser.h"
 #include "gooseberrypath/reply_writer.h"
+#include "gooseberrypath/stall_watch.h"
+#include "gooseberrypath/stream_mover.h"
 #include "gooseberrypath/world.h"
 
 namespace gooseberrypath {
@@ -30,6 +32,8 @@
     : world_(aWorld)
     , attempts_(aWorld)
     , replies_(aWorld)
+    , mover_(aWorld)
+    , stalls_(aWorld)
   {
   }
 
@@ -43,13 +47,13 @@
   void Handle(const AttemptFinished& aEvent);
   void Handle(const AttemptAnswered& aEvent);
   void Handle(const AttemptBroken& aEvent);
-  void Handle(const ReclaimNotice& aEvent);
+  void Handle(const KvExported& aEvent) { mover_.Handle(aEvent); }
+  void Handle(const KvExportFailed& aEvent) { mover_.Handle(aEvent); }
+  void Handle(const ReclaimNotice& aEvent) { mover_.Handle(aEvent); }
 
 private:
   // Dispatch.
   void Dispatch(RequestId aId, RequestRow& aRow);
-  BackendRow* ChooseBackend(const RequestRow& aRow);
-  bool MayBackendReturnSoon(const RequestRow& aRow) const;
   void DispatchLater(RequestId aId, Duration aDelay);
   void HandleNoBackend(RequestId aId, RequestRow& aRow);
 
@@ -58,26 +62,23 @@
                       std::string_view aReason);
   void RetryModel(RequestId aId, RequestRow& aRow);
   void RetryService(RequestId aId, RequestRow& aRow, std::string_view aReason);
-  void WatchFirstToken(const RequestRow& aRow);
-  void WatchStall(AttemptId aId, TimePoint aDue);
-  void CheckStall(AttemptId aId);
-  void MoveFromHost(const std::string& aHost);
+  void RetryWithoutHandle(AttemptId aId, const RunningAttempt& aRunning, int aStatus);
 
   // Answers.
   void HandleDeadline(RequestId aId);
-  void SendDecision(RequestId aId, const RequestRow& aRow);
   void FinishModel(RequestId aId, RequestRow& aRow, std::string_view aFinishReason);
   void FinishService(RequestId aId, RequestRow& aRow, const StoredAnswer& aAnswer);
   void Fail(RequestId aId, RequestRow& aRow, ErrorKind aKind, std::string aMessage);
   void EndClaim(const RequestRow& aRow, ClaimEnd::How aHow, StoredAnswer aAnswer = {});
   void EraseRequest(RequestId aId, std::string_view aResult);
 
-  const ServiceSpec* FindService(const std::string& aName) const;
   PolicySpec Policy() const;
 
   World& world_;
   AttemptRunner attempts_;
   ReplyWriter replies_;
+  StreamMover mover_;
+  StallWatch stalls_;
   Chooser chooser_;
   double retryTokens_ = 0; // retries of idempotent service calls that the budget allows
 };
--- a/gooseberrypath/events.h
+++ b/gooseberrypath/events.h
@@ -75,6 +75,20 @@
   std::string reason;
 };
 
+/// An engine exported the KV cache of an attempt.
+struct KvExported
+{
+  AttemptId attempt;
+  std::string handle; // for a new attempt at any engine
+};
+
+/// The engine refused the export, or did not answer in time.
+struct KvExportFailed
+{
+  AttemptId attempt;
+  std::string reason;
+};
+
 /// An engine's or a service's report of its load.
 struct LoadReport
 {
@@ -221,10 +235,10 @@
 
 using Event =
   std::variant<CallerRequest, CallerGone, AttemptNotSent, AttemptToken, AttemptFinished,
-               AttemptAnswered, AttemptBroken, LoadReport, LogBatch, LogReadFailed,
-               AppendDone, AppendFailed, HostList, ReclaimNotice, GossipReceived,
-               GossipFailed, ClaimAsked, ClaimAnswered, OperatorWrite, OperatorRead,
-               OperatorStatus, OperatorDrain>;
+               AttemptAnswered, AttemptBroken, KvExported, KvExportFailed, LoadReport,
+               LogBatch, LogReadFailed, AppendDone, AppendFailed, HostList, ReclaimNotice,
+               GossipReceived, GossipFailed, ClaimAsked, ClaimAnswered, OperatorWrite,
+               OperatorRead, OperatorStatus, OperatorDrain>;
 
 } // namespace gooseberrypath
 
--- a/gooseberrypath/ports.h
+++ b/gooseberrypath/ports.h
@@ -31,13 +31,13 @@
 concept CallerPort = Executes<P, ReplyWhole> && Executes<P, ReplyStreamHead> &&
   Executes<P, ReplyStreamEvent> && Executes<P, ReplyStreamEnd>;
 
-/// Engines and services: emits Attempt… events and LoadReport. After AttemptNotSent,
-/// AttemptFinished, AttemptAnswered, AttemptBroken or CancelAttempt, an attempt has no
-/// further events.
+/// Engines and services: emits Attempt… events, KvExported, KvExportFailed and
+/// LoadReport. After AttemptNotSent, AttemptFinished, AttemptAnswered, AttemptBroken or
+/// CancelAttempt, an attempt has no further events.
 template<typename P>
 concept BackendPort =
   Executes<P, StartModelAttempt> && Executes<P, StartServiceAttempt> &&
-  Executes<P, CancelAttempt> && Executes<P, WatchLoads>;
+  Executes<P, CancelAttempt> && Executes<P, ExportKv> && Executes<P, WatchLoads>;
 
 /// The platform's log: emits LogBatch, LogReadFailed, AppendDone and AppendFailed.
 /// Follow() reads a stream from an offset, for ever, and emits a LogBatch for each
--- a/gooseberrypath/reply_writer.cc
+++ b/gooseberrypath/reply_writer.cc
@@ -116,6 +116,19 @@
                           .body = aAnswer.body });
 }
 
+void ReplyWriter::SendDecision(RequestId aId, const RequestRow& aRow)
+{
+  if (!aRow.decision || aRow.callerGone) {
+    return;
+  }
+  if (const auto* error = std::get_if<Error>(&*aRow.decision)) {
+    world_.counters.Add(Counter::RequestsRefused);
+    SendError(aId, aRow, *error);
+  } else {
+    SendWhole(aId, aRow, std::get<StoredAnswer>(*aRow.decision));
+  }
+}
+
 void ReplyWriter::SendOutcome(const CallerRequest& aEvent)
 {
   const std::string_view rest = PathOf(aEvent.target).substr(kOutcomePrefix.size());
--- a/gooseberrypath/reply_writer.h
+++ b/gooseberrypath/reply_writer.h
@@ -40,6 +40,9 @@
   /// Sends a whole answer.
   void SendWhole(RequestId aId, const RequestRow& aRow, const StoredAnswer& aAnswer);
 
+  /// Sends the decision of a request that needs no attempt, unless the caller is gone.
+  void SendDecision(RequestId aId, const RequestRow& aRow);
+
   /// Answers GET /v1/outcomes/{service}/{key}. Fails with BadRequest or NotReady.
   void SendOutcome(const CallerRequest& aEvent);
 
--- a/gooseberrypath/testing/backend_http_test.cc
+++ b/gooseberrypath/testing/backend_http_test.cc
@@ -250,3 +250,51 @@
   CHECK(loop.events.empty());
   CHECK(backends.Errors().Count() == 0);
 }
+
+TEST_CASE("BackendHttp exports a KV cache with exactly one result", "[backend]")
+{
+  // Guards against a stream that waits for an export without a result, and against a
+  // handle taken from an error.
+  LoopFixture loop;
+  BackendHttp backends(OptionsOf(loop));
+  ExportKv action{ .attempt = { 5 },
+                   .address = loop.RefusingAddress(),
+                   .name = "d0-1-a5",
+                   .timeout = 300ms };
+  SECTION("refused connection")
+  {
+    backends.Execute(action);
+    CHECK(loop.WaitFor<KvExportFailed>().attempt == AttemptId{ 5 });
+  }
+  SECTION("malformed address")
+  {
+    action.address = "localhost:80";
+    backends.Execute(action);
+    CHECK(loop.WaitFor<KvExportFailed>().attempt == AttemptId{ 5 });
+  }
+  SECTION("answers")
+  {
+    auto listener = loop.Listen();
+    action.address = loop.AddressOf(*listener);
+    const std::string answer =
+      GENERATE("200 OK|{\"kv_handle\":\"kv1-7\"}", "200 OK|{\"kv_handle\":\"\"}",
+               "200 OK|{}", "200 OK|[", "404 Not Found|{\"kv_handle\":\"x\"}", "timeout");
+    INFO(answer);
+    backends.Execute(action);
+    RawPeer engine = loop.Accept(*listener);
+    const std::string request = engine.ReadUntil("\"d0-1-a5\"}");
+    CHECK(request.starts_with("POST /kv/export HTTP/1.1\r\n"));
+    CHECK(request.ends_with("\r\n\r\n{\"request_id\":\"d0-1-a5\"}"));
+    if (const size_t bar = answer.find('|'); bar != std::string::npos) {
+      const std::string body = answer.substr(bar + 1);
+      engine.Write("HTTP/1.1 " + answer.substr(0, bar) + "\r\nContent-Length: " +
+                   std::to_string(body.size()) + "\r\n\r\n" + body);
+    }
+    if (answer.find("kv1-7") != std::string::npos) {
+      CHECK(loop.WaitFor<KvExported>().handle == "kv1-7");
+    } else {
+      CHECK(loop.WaitFor<KvExportFailed>().attempt == AttemptId{ 5 });
+    }
+  }
+  CHECK(loop.events.empty());
+}
--- a/gooseberrypath/testing/dispatch_system_test.cc
+++ b/gooseberrypath/testing/dispatch_system_test.cc
@@ -302,3 +302,71 @@
   WARN("streams: " << kSeeds << " scenarios, ours wrong 0, naive wrong " << naiveWrong);
   CHECK(naiveWrong > 0);
 }
+
+TEST_CASE("A KV handle comes from the daemon only", "[dispatch]")
+{
+  // Guards against a caller that names the cache of another caller's request.
+  const auto chat = ParseChatRequest(
+    R"({"messages":[{"role":"user","content":"x"}],"kv_transfer_params":{"kv_handle":"h"}})");
+  CHECK_FALSE(nlohmann::json::parse(EngineRequestBody(*chat, {}, { .requestId = "r" }))
+                .contains("kv_transfer_params"));
+  const auto body = nlohmann::json::parse(
+    EngineRequestBody(*chat, {}, { .requestId = "r", .kvHandle = "k" }));
+  CHECK(body["kv_transfer_params"]["kv_handle"] == "k");
+}
+
+TEST_CASE("Tokens between export and move are neither lost nor repeated", "[dispatch]")
+{
+  // Guards against a resume from the exported position, and against a handle that is
+  // carried on after an engine refused it or took it over.
+  DispatchFixture f;
+  f.Request("POST", "/v1/chat/completions", {}, std::string(kChat));
+  const auto first = f.Take<StartModelAttempt>().at(0);
+  f.Post(Token(first.attempt, 0));
+  for (auto& [id, backend] : f.world.backends) {
+    if (backend.spec.address == first.address) {
+      backend.leaving = true;
+      f.Post(ReclaimNotice{ .host = backend.spec.host, .timeLeft = 2s });
+      f.Post(ReclaimNotice{ .host = backend.spec.host, .timeLeft = 2s }); // again
+      break;
+    }
+  }
+  CHECK(f.Take<ExportKv>().empty());
+  f.Advance(500ms);
+  const auto exports = f.Take<ExportKv>();
+  REQUIRE(exports.size() == 1);
+  CHECK(exports[0].address == first.address);
+  CHECK(exports[0].name == WireName(first.attempt));
+  CHECK(exports[0].timeout == 1s);
+  f.Post(Token(first.attempt, 1)); // the stream goes on
+  f.Post(KvExported{ first.attempt, "k" });
+  f.Post(Token(first.attempt, 2)); // on its way when the attempt was cancelled
+  f.Post(KvExported{ first.attempt, "late" });
+  const auto second = f.Take<StartModelAttempt>().at(0);
+  auto body = nlohmann::json::parse(second.body);
+  CHECK(body["messages"].back()["content"] == "t0 t1 ");
+  CHECK(body["kv_transfer_params"]["kv_handle"] == "k");
+  SECTION("the handle is refused")
+  {
+    f.Post(AttemptAnswered{ .attempt = second.attempt, .status = 400 });
+    const auto third = f.Take<StartModelAttempt>().at(0);
+    body = nlohmann::json::parse(third.body);
+    CHECK_FALSE(body.contains("kv_transfer_params"));
+    CHECK(f.world.counters.Get(Counter::KvHandlesRefused) == 1);
+    f.Post(Token(third.attempt, 2));
+    f.Post(AttemptFinished{ third.attempt, "stop" });
+  }
+  SECTION("the connection is refused: the handle is kept, and dropped once it was used")
+  {
+    f.Post(AttemptNotSent{ second.attempt, "refused" });
+    const auto third = f.Take<StartModelAttempt>().at(0);
+    CHECK(third.body.find("kv_handle") != std::string::npos);
+    f.Post(Token(third.attempt, 2));
+    f.Post(AttemptBroken{ third.attempt, "reset" });
+    const auto fourth = f.Take<StartModelAttempt>().at(0);
+    CHECK(fourth.body.find("kv_handle") == std::string::npos);
+    f.Post(AttemptFinished{ fourth.attempt, "stop" });
+  }
+  CHECK(ReceivedText(f.Take<ReplyStreamEvent>()) == "t0 t1 t2 ");
+  CHECK(f.Take<ReplyStreamEnd>().size() == 1);
+}
--- a/gooseberrypath/world.h
+++ b/gooseberrypath/world.h
@@ -104,10 +104,13 @@
   // Model requests.
   ChatRequest chat;
   std::vector<std::string> tokens; // received so far
+  std::string kvHandle; // exported KV cache for the next attempt, until its first token
   bool headSent = false;
 
-  AttemptId attempt;           // the running attempt; 0: none
-  uint32_t attempts = 0;       // started so far
+  AttemptId attempt;     // the running attempt; 0: none
+  uint32_t attempts = 0; // started so far
+  uint32_t uncountedAttempts =
+    0;                         // of these, ended by no failure: maxAttempts ignores them
   std::set<std::string> avoid; // backends that failed this request
 };
 
@@ -120,6 +123,8 @@
   TimePoint started;
   TimePoint lastToken;
   uint64_t firstOffset = 0; // tokens received before this attempt
+  bool isExporting = false; // an export of its KV cache was asked for
+  std::string reason;       // why other backends were left out; empty: none were
 };
 
 /// Key of an action: service and idempotency key.
