--- a/gooseberrypath/counters.cc
+++ b/gooseberrypath/counters.cc
@@ -53,6 +53,11 @@
     "Configuration snapshots that differ from the own state at their offset." },
   { SnapshotsInstalled, "snapshots_installed",
     "Configuration snapshots that replaced the own state." },
+  { StreamsMoved, "streams_moved", "Streams moved away from leaving hosts." },
+  { KvExportsAsked, "kv_exports_asked", "KV cache exports asked for." },
+  { KvExportsFailed, "kv_exports_failed", "KV cache exports refused or not in time." },
+  { KvExportsLate, "kv_exports_late", "KV cache exports of streams that had moved." },
+  { KvHandlesRefused, "kv_handles_refused", "KV handles that a new engine refused." },
 };
 
 constexpr bool IsInEnumOrder()
--- a/gooseberrypath/counters.h
+++ b/gooseberrypath/counters.h
@@ -52,6 +52,11 @@
   SnapshotsAppended,
   SnapshotsDiffering, // another state than the own one at that offset
   SnapshotsInstalled,
+  StreamsMoved,
+  KvExportsAsked,
+  KvExportsFailed,
+  KvExportsLate,
+  KvHandlesRefused,
   Count_, // not a counter
 };
 
