Split the operators' client and port into smaller files

The client's commands and options, its transport and its text output, and the port's call parser and mailbox get files of their own. Behaviour is unchanged.

--- a/gooseberrypath/client.cc
+++ b/gooseberrypath/client.cc
@@ -1,19 +1,17 @@
 #include "gooseberrypath/client.h"
+
 #include "gooseberrypath/address.h"
+#include "gooseberrypath/client_command.h"
+#include "gooseberrypath/client_text.h"
 
 #include <algorithm>
 #include <array>
-#include <fstream>
 #include <istream>
-#include <iterator>
 #include <map>
 #include <ostream>
 #include <sstream>
 
 #include <cxxopts.hpp>
-#include <kj/async-io.h>
-#include <kj/compat/http.h>
-#include <kj/encoding.h>
 #include <nlohmann/json.hpp>
 
 namespace gooseberrypath {
@@ -33,132 +31,9 @@
   kNotReachable = 4,
 };
 
-/// One command with its positional arguments and the options that it takes beside those
-/// of all commands.
-struct Command
-{
-  std::string_view name;
-  std::string_view positional;
-  size_t leastArgs;
-  size_t mostArgs;
-  std::vector<std::string_view> options;
-};
-
-const std::array kCommands = {
-  Command{ "apply", "", 0, 0, { "file", "dry-run" } },
-  Command{ "get", "[KIND [NAME]]", 0, 2, {} },
-  Command{ "watch", "[KIND [NAME]]", 0, 2, { "count", "after" } },
-  Command{ "delete", "KIND NAME", 2, 2, { "base" } },
-  Command{ "status", "", 0, 0, {} },
-  Command{ "drain", "", 0, 0, {} },
-};
-
 /// The longest wait of one read of `watch`.
 constexpr milliseconds kWatchWait(20'000);
 
-/// Thrown for wrong usage, with a message for people.
-struct UsageError : std::runtime_error
-{
-  using std::runtime_error::runtime_error;
-};
-
-std::string DumpJson(const json& aValue, int aIndent = -1)
-{
-  return aValue.dump(aIndent, ' ', false, json::error_handler_t::replace);
-}
-
-std::string TextOf(const json& aValue)
-{
-  return aValue.is_string() ? aValue.get<std::string>() : DumpJson(aValue);
-}
-
-/// Returns a field as text, or an empty text.
-std::string FieldOf(const json& aObject, const char* aKey)
-{
-  return aObject.is_object() && aObject.contains(aKey) ? TextOf(aObject[aKey]) : "";
-}
-
-uint64_t NumberOf(const json& aObject, const char* aKey)
-{
-  return aObject.is_object() && aObject.contains(aKey) &&
-             aObject[aKey].is_number_unsigned()
-           ? aObject[aKey].get<uint64_t>()
-           : 0;
-}
-
-std::string EncodeUri(const std::string& aText)
-{
-  return kj::encodeUriComponent(kj::StringPtr(aText.c_str())).cStr();
-}
-
-std::string IdOf(const json& aResource)
-{
-  return FieldOf(aResource, "kind") + "/" + FieldOf(aResource, "name");
-}
-
-void WriteTable(std::ostream& aOut, const std::vector<std::vector<std::string>>& aRows)
-{
-  std::vector<size_t> widths;
-  for (const auto& row : aRows) {
-    widths.resize(std::max(widths.size(), row.size()));
-    for (size_t i = 0; i < row.size(); ++i) {
-      widths[i] = std::max(widths[i], row[i].size());
-    }
-  }
-  for (const auto& row : aRows) {
-    std::string line;
-    for (size_t i = 0; i < row.size(); ++i) {
-      line += row[i];
-      if (i + 1 < row.size()) {
-        line.append(widths[i] - row[i].size() + 2, ' ');
-      }
-    }
-    aOut << line << '\n';
-  }
-}
-
-bool Takes(const Command& aCommand, std::string_view aOption)
-{
-  return std::ranges::find(aCommand.options, aOption) != aCommand.options.end();
-}
-
-/// Returns the options of a command; others are refused by the parser.
-cxxopts::Options MakeOptions(const Command& aCommand)
-{
-  cxxopts::Options options("gooseberrypath " + std::string(aCommand.name));
-  auto add = options.add_options();
-  add("server",
-      "operators' addresses, comma-separated IP:port, tried in order (default: "
-      "GOOSEBERRYPATH_SERVER or 127.0.0.1:8082)",
-      cxxopts::value<std::string>());
-  add("o,output", "json or table", cxxopts::value<std::string>()->default_value("table"));
-  add("timeout-ms", "time to connect, and for the answer (1 to 3600000 ms)",
-      cxxopts::value<uint64_t>()->default_value("10000"));
-  if (Takes(aCommand, "file")) {
-    add("f,file", "file with one resource or an array of them; -: standard input",
-        cxxopts::value<std::string>());
-  }
-  if (Takes(aCommand, "dry-run")) {
-    add("dry-run", "check without writing");
-  }
-  if (Takes(aCommand, "base")) {
-    add("base", "version that the change is based on", cxxopts::value<uint64_t>());
-  }
-  if (Takes(aCommand, "count")) {
-    add("count", "end after this many changes", cxxopts::value<uint64_t>());
-  }
-  if (Takes(aCommand, "after")) {
-    add("after", "print changes after this offset; default: the current one",
-        cxxopts::value<uint64_t>());
-  }
-  add("help", "print this text and exit");
-  options.add_options("positional")("args", "",
-                                    cxxopts::value<std::vector<std::string>>());
-  options.parse_positional("args");
-  options.positional_help(std::string(aCommand.positional));
-  return options;
-}
-
 /// One run of a command.
 class Client
 {
@@ -295,38 +170,9 @@
     return kDone;
   }
 
-  json ReadResources()
-  {
-    if (parsed_.count("file") == 0) {
-      throw UsageError("apply: -f FILE is required");
-    }
-    const auto name = parsed_["file"].as<std::string>();
-    std::ifstream file;
-    if (name != "-") {
-      file.open(name);
-      if (!file) {
-        throw UsageError("file \"" + name + "\" cannot be read");
-      }
-    }
-    std::istream& in = name == "-" ? streams_.in : file;
-    const std::string text((std::istreambuf_iterator<char>(in)), {});
-    json resources = json::parse(text, nullptr, false);
-    if (resources.is_object()) {
-      resources = json::array({ resources });
-    }
-    const bool isValid =
-      resources.is_array() &&
-      std::ranges::all_of(resources, [](const json& aOne) { return aOne.is_object(); });
-    if (!isValid) {
-      throw UsageError("file \"" + name +
-                       "\" is neither a JSON object nor an array of objects");
-    }
-    return resources;
-  }
-
   int Apply()
   {
-    const json resources = ReadResources();
+    const json resources = ReadResources(parsed_, streams_.in);
     const bool isDryRun = parsed_.count("dry-run") > 0;
     json results = json::array();
     std::string applied;
@@ -499,81 +345,11 @@
   uint64_t changes_ = 0;
 };
 
-const Command* FindCommand(std::string_view aName)
-{
-  const auto found = std::ranges::find(kCommands, aName, &Command::name);
-  return found == kCommands.end() ? nullptr : &*found;
-}
-
-/// Refuses a number of arguments that the command does not take.
-void CheckArguments(const Command& aCommand, const cxxopts::ParseResult& aParsed)
-{
-  const size_t count =
-    aParsed.count("args") > 0 ? aParsed["args"].as<std::vector<std::string>>().size() : 0;
-  if (count < aCommand.leastArgs || count > aCommand.mostArgs) {
-    throw UsageError("usage: gooseberrypath " + std::string(aCommand.name) +
-                     " [OPTION...] " + std::string(aCommand.positional));
-  }
-}
-
-kj::Promise<ClientAnswer> Exchange(kj::HttpClient& aClient,
-                                   const kj::HttpHeaderTable& aTable,
-                                   const ClientRequest& aRequest)
-{
-  kj::HttpHeaders headers(aTable);
-  headers.set(kj::HttpHeaderId::HOST, kj::heapString(aRequest.server.c_str()));
-  if (aRequest.isPost) {
-    headers.set(kj::HttpHeaderId::CONTENT_TYPE, "application/json");
-  }
-  auto request = aClient.request(
-    aRequest.isPost ? kj::HttpMethod::POST : kj::HttpMethod::GET, aRequest.target.c_str(),
-    headers, static_cast<uint64_t>(aRequest.body.size()));
-  kj::Promise<void> written = kj::READY_NOW;
-  if (!aRequest.body.empty()) {
-    written = request.body->write(aRequest.body.data(), aRequest.body.size());
-  }
-  written = written.attach(kj::mv(request.body));
-  return written.then([response = kj::mv(request.response)]() mutable {
-    return response.then([](kj::HttpClient::Response&& aResponse) {
-      const auto status = static_cast<int>(aResponse.statusCode);
-      return aResponse.body->readAllText()
-        .attach(kj::mv(aResponse.body))
-        .then([status](kj::String aBody) {
-          return ClientAnswer{ .outcome = Outcome::Answered,
-                               .status = status,
-                               .body = aBody.cStr() };
-        });
-    });
-  });
-}
-
 } // namespace
 
-ClientAnswer SendByHttp(const ClientRequest& aRequest)
-{
-  auto io = kj::setupAsyncIo();
-  kj::Timer& timer = io.provider->getTimer();
-  const kj::Duration timeout = aRequest.timeout.count() * kj::MICROSECONDS;
-  ClientAnswer answer;
-  const auto problem = kj::runCatchingExceptions([&] {
-    auto& network = io.provider->getNetwork();
-    auto address = network.parseAddress(aRequest.server.c_str()).wait(io.waitScope);
-    auto stream = timer.timeoutAfter(timeout, address->connect()).wait(io.waitScope);
-    answer.outcome = Outcome::Unknown;
-    const auto table = kj::HttpHeaderTable::Builder().build();
-    auto client = kj::newHttpClient(*table, *stream);
-    answer =
-      timer.timeoutAfter(timeout, Exchange(*client, *table, aRequest)).wait(io.waitScope);
-  });
-  KJ_IF_MAYBE (exception, problem) {
-    answer.reason = exception->getDescription().cStr();
-  }
-  return answer;
-}
-
 bool IsClientCommand(std::string_view aName)
 {
-  return FindCommand(aName) != nullptr;
+  return FindClientCommand(aName) != nullptr;
 }
 
 int RunClient(std::span<const std::string> aArgs, const EnvironmentLookup& aLookup,
@@ -584,17 +360,18 @@
     argv.push_back(arg.c_str());
   }
   try {
-    const Command* command = aArgs.empty() ? nullptr : FindCommand(aArgs.front());
+    const ClientCommand* command =
+      aArgs.empty() ? nullptr : FindClientCommand(aArgs.front());
     if (command == nullptr) {
       throw UsageError("the command is missing or unknown");
     }
-    cxxopts::Options options = MakeOptions(*command);
+    cxxopts::Options options = MakeClientOptions(*command);
     const auto parsed = options.parse(static_cast<int>(argv.size()), argv.data());
     if (parsed.count("help") > 0) {
       aStreams.out << options.set_width(90).help({ "" }) << '\n';
       return kDone;
     }
-    CheckArguments(*command, parsed);
+    CheckClientArguments(*command, parsed);
     return Client(parsed, aLookup, aTransport, aStreams).Run(command->name);
   } catch (const UsageError& problem) {
     aStreams.errors << problem.what() << '\n';
--- a/gooseberrypath/operator_http.h
+++ b/gooseberrypath/operator_http.h
@@ -66,20 +66,6 @@
   std::unique_ptr<Impl> impl_;
 };
 
-/// A request to the operators' port as far as the handlers need it.
-struct OperatorCall
-{
-  std::string method;
-  std::string path;
-  std::string query; // without "?"
-  std::string body;
-};
-
-/// Parses a call on /v1/… into the event for the core. The longest wait of a read is
-/// aMaxWait. Fails with BadRequest, RouteNotFound or MethodNotAllowed.
-Result<Event> ParseOperatorCall(const OperatorCall& aCall, WriteId aWrite,
-                                Duration aMaxWait);
-
 } // namespace gooseberrypath
 
 #endif // GOOSEBERRYPATH_OPERATOR_HTTP_H_
