--- a/gooseberrypath/serve.cc
+++ b/gooseberrypath/serve.cc
@@ -33,6 +33,11 @@
 constexpr Duration kMaxFlushTime = 5s;
 constexpr Duration kFlushStep = 50ms;
 
+/// Turns of the event loop before it polls for I/O although work is queued. Reads that
+/// find data complete without a poll, so by the loop's default a daemon under full load
+/// would not accept connections, call timers or answer health checks.
+constexpr kj::uint kTurnsPerPoll = 200;
+
 using PortSet =
   Ports<CallerHttp, BackendHttp, LogHttp, PeerRpc, OperatorHttp, Observation, KjClock>;
 
@@ -228,6 +233,7 @@
   kj::UnixEventPort::captureSignal(SIGTERM);
   kj::UnixEventPort::captureSignal(SIGINT);
   kj::AsyncIoContext io = kj::setupAsyncIo();
+  io.waitScope.setBusyPollInterval(kTurnsPerPoll);
   Server(aSettings, io).Run(io);
   return 0;
 }
