--- a/gooseberrypath/actions.h
+++ b/gooseberrypath/actions.h
@@ -115,6 +115,36 @@
   ClaimWord word = ClaimWord::NotHeld;
 };
 
+/// Asks a peer to take a stream over.
+struct HandOverStream
+{
+  QuestionId question;
+  std::string address;
+  StreamState state;
+};
+
+struct AnswerHandOver
+{
+  QuestionId question;
+  HandOverWord word = HandOverWord::Refused;
+};
+
+/// Reads a stream of a peer. The peer answers when it has a token at the offset, when the
+/// stream ended, or after a short wait.
+struct ReadStream
+{
+  QuestionId question;
+  std::string address;
+  std::string stream; // public id of the request
+  uint64_t from = 0;
+};
+
+struct AnswerStreamQuestion
+{
+  QuestionId question;
+  StreamPart part;
+};
+
 // ---- Operators ----
 
 struct OperatorReply
@@ -163,8 +193,9 @@
 using Action =
   std::variant<ReplyWhole, ReplyStreamHead, ReplyStreamEvent, ReplyStreamEnd,
                StartModelAttempt, StartServiceAttempt, CancelAttempt, WatchLoads,
-               AppendRecord, SendGossip, AskClaim, AnswerClaimQuestion, OperatorReply,
-               WriteLog, WriteSpan, ExitProcess>;
+               AppendRecord, SendGossip, AskClaim, AnswerClaimQuestion, HandOverStream,
+               AnswerHandOver, ReadStream, AnswerStreamQuestion, OperatorReply, WriteLog,
+               WriteSpan, ExitProcess>;
 
 } // namespace gooseberrypath
 
--- a/gooseberrypath/attempt_runner.cc
+++ b/gooseberrypath/attempt_runner.cc
@@ -144,4 +144,20 @@
   world_.attempts.Erase(aId);
 }
 
+void EraseRequest(World& aWorld, RequestId aId, std::string_view aResult)
+{
+  if (const RequestRow* row = aWorld.requests.Find(aId)) {
+    aWorld.Emit(WriteSpan{ .trace = row->trace,
+                           .span = row->span,
+                           .parent = row->parent,
+                           .name = "request",
+                           .request = row->publicId,
+                           .attempt = {},
+                           .note = std::string(aResult),
+                           .start = row->arrived,
+                           .end = aWorld.Now() });
+  }
+  aWorld.requests.Erase(aId);
+}
+
 } // namespace gooseberrypath
--- a/gooseberrypath/attempt_runner.h
+++ b/gooseberrypath/attempt_runner.h
@@ -55,6 +55,9 @@
   World& world_;
 };
 
+/// Removes the request and writes its span. Unknown ids are ignored.
+void EraseRequest(World& aWorld, RequestId aId, std::string_view aResult);
+
 } // namespace gooseberrypath
 
 #endif // GOOSEBERRYPATH_ATTEMPT_RUNNER_H_
--- a/gooseberrypath/client.cc
+++ b/gooseberrypath/client.cc
@@ -50,7 +50,7 @@
   Command{ "watch", "[KIND [NAME]]", 0, 2, { "count", "after" } },
   Command{ "delete", "KIND NAME", 2, 2, { "base" } },
   Command{ "status", "", 0, 0, {} },
-  Command{ "drain", "", 0, 0, {} },
+  Command{ "drain", "", 0, 0, { "within-ms" } },
 };
 
 /// The longest wait of one read of `watch`.
@@ -151,6 +151,12 @@
     add("after", "print changes after this offset; default: the current one",
         cxxopts::value<uint64_t>());
   }
+  if (Takes(aCommand, "within-ms")) {
+    add("within-ms",
+        "time after which streams that still run are at a peer (0 to 86400000 ms); "
+        "default: they run to their end",
+        cxxopts::value<uint64_t>());
+  }
   add("help", "print this text and exit");
   options.add_options("positional")("args", "",
                                     cxxopts::value<std::vector<std::string>>());
@@ -486,7 +492,11 @@
     if (servers_.size() != 1) {
       throw UsageError("drain: exactly one --server is required");
     }
-    return PrintObject(Send(true, "/v1/drain", "{}"));
+    json body = json::object();
+    if (parsed_.count("within-ms") > 0) {
+      body["within_ms"] = parsed_["within-ms"].as<uint64_t>();
+    }
+    return PrintObject(Send(true, "/v1/drain", DumpJson(body)));
   }
 
   const cxxopts::ParseResult& parsed_;
--- a/gooseberrypath/config_system.cc
+++ b/gooseberrypath/config_system.cc
@@ -15,6 +15,9 @@
 
 using Json = nlohmann::json;
 
+/// Hand-over begins this long before the time limit of a stop, or at half of it: several
+/// peers may have to be asked.
+constexpr Duration kHandOverTime = std::chrono::seconds(1);
 constexpr std::string_view kPart = "config";
 constexpr size_t kWriteIdDigits = 16;
 // Repetitions of an append are spread out up to this pause, because all daemons share a
@@ -402,6 +405,14 @@
   world_.Emit(OperatorReply{ .write = aStatus.write, .body = Dump(StatusJson(world_)) });
 }
 
+/// The loss of the daemon's own host is a planned stop with a time limit.
+void ConfigSystem::Handle(const ReclaimNotice& aEvent)
+{
+  if (!world_.options.host.empty() && aEvent.host == world_.options.host) {
+    inbox_.emplace_back(OperatorDrain{ .write = {}, .within = aEvent.timeLeft });
+  }
+}
+
 void ConfigSystem::Process(const OperatorDrain& aDrain)
 {
   if (world_.state != DaemonState::Draining) {
@@ -410,6 +421,12 @@
     WakeAt(world_.Now() + world_.options.drainDelay);
     world_.Log(LogLevel::Info, kPart, "the planned stop began");
   }
+  if (aDrain.within) {
+    const TimePoint due =
+      world_.Now() + *aDrain.within - std::min(kHandOverTime, *aDrain.within / 2);
+    world_.handOverAt = std::min(due, world_.handOverAt.value_or(due));
+    WakeAt(*world_.handOverAt);
+  }
   if (aDrain.write.value != 0) {
     world_.Emit(OperatorReply{
       .write = aDrain.write, .status = 202, .body = R"({"state":"draining"})" });
@@ -425,11 +442,13 @@
   if (world_.state != DaemonState::Draining) {
     return;
   }
-  if (world_.Now() >= world_.drainStarted + world_.options.drainDelay) {
+  if (world_.Now() >= world_.drainStarted + world_.options.drainDelay ||
+      world_.IsHandOverDue()) {
     world_.refusesRequests = true;
   }
   // Operators' writes are requests too: their fate is told before the exit.
   if (!world_.refusesRequests || isExitSent_ || !world_.requests.IsEmpty() ||
+      !world_.streamReaders.IsEmpty() || !world_.endedStreams.IsEmpty() ||
       !pending_.empty()) {
     return;
   }
--- a/gooseberrypath/config_system.h
+++ b/gooseberrypath/config_system.h
@@ -40,6 +40,7 @@
   void Handle(const OperatorRead& aEvent) { inbox_.emplace_back(aEvent); }
   void Handle(const OperatorStatus& aEvent) { inbox_.emplace_back(aEvent); }
   void Handle(const OperatorDrain& aEvent) { inbox_.emplace_back(aEvent); }
+  void Handle(const ReclaimNotice& aEvent);
 
 private:
   /// An operator's write that was not seen in the log yet.
--- a/gooseberrypath/core.h
+++ b/gooseberrypath/core.h
@@ -19,7 +19,9 @@
 #include "gooseberrypath/claim_system.h"
 #include "gooseberrypath/config_system.h"
 #include "gooseberrypath/dispatch_system.h"
+#include "gooseberrypath/hand_over_system.h"
 #include "gooseberrypath/membership_system.h"
+#include "gooseberrypath/stream_system.h"
 #include "gooseberrypath/system_concept.h"
 #include "gooseberrypath/world.h"
 
@@ -96,8 +98,8 @@
 };
 
 /// The core of a daemon. The order is the order of the systems in a tick.
-using Core =
-  BasicCore<ConfigSystem, MembershipSystem, BackendSystem, ClaimSystem, DispatchSystem>;
+using Core = BasicCore<ConfigSystem, MembershipSystem, BackendSystem, ClaimSystem,
+                       DispatchSystem, HandOverSystem, StreamSystem>;
 
 } // namespace gooseberrypath
 
--- a/gooseberrypath/counters.cc
+++ b/gooseberrypath/counters.cc
@@ -48,6 +48,11 @@
   { Counter::GossipReceived, "gossip_received", "Gossip messages received." },
   { GossipFailures, "gossip_failures", "Gossip messages that were not delivered." },
   { HostsLeaving, "hosts_leaving", "Hosts that were found to be leaving." },
+  { StreamsKept, "streams_kept", "Model requests that went on without their caller." },
+  { StreamsReattached, "streams_reattached", "Streams that a caller read again." },
+  { StreamsHandedOver, "streams_handed_over", "Streams that a peer took." },
+  { StreamsTakenOver, "streams_taken_over", "Streams taken from a peer." },
+  { StreamsNotTakenOver, "streams_not_taken_over", "Streams of a peer refused." },
 };
 
 constexpr bool IsInEnumOrder()
--- a/gooseberrypath/counters.h
+++ b/gooseberrypath/counters.h
@@ -49,7 +49,12 @@
   GossipReceived,
   GossipFailures,
   HostsLeaving,
-  Count_, // not a counter
+  StreamsKept,         // went on after their caller had gone
+  StreamsReattached,   // read again by a caller
+  StreamsHandedOver,   // taken by a peer
+  StreamsTakenOver,    // taken from a peer
+  StreamsNotTakenOver, // refused to a peer
+  Count_,              // not a counter
 };
 
 /// All counters, starting at 0.
--- a/gooseberrypath/dispatch_system.cc
+++ b/gooseberrypath/dispatch_system.cc
@@ -5,8 +5,9 @@
 #include <utility>
 
 #include "gooseberrypath/backend_system.h"
-#include "gooseberrypath/chat_format.h"
+#include "gooseberrypath/kept_streams.h"
 #include "gooseberrypath/request_intake.h"
+#include "gooseberrypath/stream_system.h"
 
 namespace gooseberrypath {
 
@@ -44,6 +45,9 @@
 template<BackendChooser C>
 void BasicDispatchSystem<C>::Handle(const CallerRequest& aEvent)
 {
+  if (IsStreamQuery(aEvent)) {
+    return; // StreamSystem answers.
+  }
   if (IsOutcomeQuery(aEvent)) {
     replies_.SendOutcome(aEvent);
     return;
@@ -76,6 +80,9 @@
     return;
   }
   world_.counters.Add(Counter::CallersGone);
+  if (row->chat.streams && KeepRunning(world_, aEvent.request, *row)) {
+    return; // The caller may attach again.
+  }
   row->callerGone = true;
   if (row->stage == RequestStage::AwaitingClaim) {
     return; // ClaimSystem gives the claim up and decides.
@@ -202,7 +209,7 @@
   attempts_.End(aEvent.attempt, "not sent: " + aEvent.reason);
   row.stage = RequestStage::Ready;
   // Nothing was sent, so any request may be dispatched again.
-  if (row.callerGone) {
+  if (row.callerGone && row.kind != ServiceKind::Model) {
     EndClaim(row, ClaimEnd::How::Abandoned);
     EraseRequest(running.id, "caller gone");
     return;
@@ -457,7 +464,10 @@
 void BasicDispatchSystem<C>::FinishModel(RequestId aId, RequestRow& aRow,
                                          std::string_view aFinishReason)
 {
-  replies_.SendModelEnd(aId, aRow, aFinishReason);
+  if (!aRow.callerGone) {
+    replies_.SendModelEnd(aId, aRow, aFinishReason);
+  }
+  KeepEnded(world_, aRow, { .finishReason = std::string(aFinishReason) });
   EraseRequest(aId, "answered");
 }
 
@@ -480,8 +490,9 @@
     if (InfoOf(aKind).run == RunState::NotRun) {
       world_.counters.Add(Counter::RequestsRefused);
     }
-    replies_.SendError(aId, aRow, { aKind, std::move(aMessage) });
+    replies_.SendError(aId, aRow, { aKind, aMessage });
   }
+  KeepEnded(world_, aRow, { .error = Error{ aKind, std::move(aMessage) } });
   EraseRequest(aId, InfoOf(aKind).name);
 }
 
@@ -501,18 +512,7 @@
 template<BackendChooser C>
 void BasicDispatchSystem<C>::EraseRequest(RequestId aId, std::string_view aResult)
 {
-  if (const RequestRow* row = world_.requests.Find(aId)) {
-    world_.Emit(WriteSpan{ .trace = row->trace,
-                           .span = row->span,
-                           .parent = row->parent,
-                           .name = "request",
-                           .request = row->publicId,
-                           .attempt = {},
-                           .note = std::string(aResult),
-                           .start = row->arrived,
-                           .end = world_.Now() });
-  }
-  world_.requests.Erase(aId);
+  gooseberrypath::EraseRequest(world_, aId, aResult);
 }
 
 // ---- Look-ups ----
--- a/gooseberrypath/events.h
+++ b/gooseberrypath/events.h
@@ -183,6 +183,35 @@
   ClaimWord word = ClaimWord::Unreachable;
 };
 
+/// A peer hands a stream over.
+struct HandOverAsked
+{
+  QuestionId question;
+  StreamState state;
+};
+
+/// The answer to a HandOverStream action.
+struct HandOverAnswered
+{
+  QuestionId question;
+  HandOverWord word = HandOverWord::Unreachable;
+};
+
+/// A peer reads a stream from an offset on.
+struct StreamAsked
+{
+  QuestionId question;
+  std::string stream; // public id of the request
+  uint64_t from = 0;
+};
+
+/// The answer to a ReadStream action.
+struct StreamAnswered
+{
+  QuestionId question;
+  StreamPart part;
+};
+
 // ---- Operators ----
 
 /// An operator creates, replaces or deletes a resource.
@@ -216,15 +245,17 @@
 /// Starts a planned stop.
 struct OperatorDrain
 {
-  WriteId write; // 0 when a signal asked for it
+  WriteId write;                  // 0 when a signal or a notice asked for it
+  std::optional<Duration> within; // streams that still run are handed over by then
 };
 
 using Event =
   std::variant<CallerRequest, CallerGone, AttemptNotSent, AttemptToken, AttemptFinished,
                AttemptAnswered, AttemptBroken, LoadReport, LogBatch, LogReadFailed,
                AppendDone, AppendFailed, HostList, ReclaimNotice, GossipReceived,
-               GossipFailed, ClaimAsked, ClaimAnswered, OperatorWrite, OperatorRead,
-               OperatorStatus, OperatorDrain>;
+               GossipFailed, ClaimAsked, ClaimAnswered, HandOverAsked, HandOverAnswered,
+               StreamAsked, StreamAnswered, OperatorWrite, OperatorRead, OperatorStatus,
+               OperatorDrain>;
 
 } // namespace gooseberrypath
 
--- a/gooseberrypath/messages.h
+++ b/gooseberrypath/messages.h
@@ -4,9 +4,11 @@
 #define GOOSEBERRYPATH_MESSAGES_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "gooseberrypath/errors.h"
 #include "gooseberrypath/types.h"
 
 namespace gooseberrypath {
@@ -61,6 +63,54 @@
   Unreachable, // the daemon could not be asked
 };
 
+/// How a model request ended.
+struct StreamEnd
+{
+  std::string finishReason; // of a whole answer
+  std::optional<Error> error;
+};
+
+/// A model request that its daemon hands over, with all that was received for it.
+struct StreamState
+{
+  std::string id; // public id of the request
+  std::string service;
+  std::string team;
+  std::string chat; // JSON body of the caller; empty if it ended
+  std::string model;
+  std::string trace;
+  std::string span;           // of the request at the daemon that hands it over
+  int64_t createdSeconds = 0; // since 1970
+  Duration timeLeft{};        // to the deadline
+  std::vector<std::string> tokens;
+  std::optional<StreamEnd> end; // none: running
+};
+
+/// A peer's answer to a hand-over.
+enum class HandOverWord : uint8_t
+{
+  Accepted, // the peer has the stream
+  Refused,  // the peer does not have it
+  Unreachable,
+};
+
+/// A peer's answer to a read of a stream.
+struct StreamPart
+{
+  enum class State : uint8_t
+  {
+    Found,
+    NotFound,
+    Unreachable,
+  };
+  State state = State::Unreachable;
+  std::string model;
+  int64_t createdSeconds = 0;      // since 1970
+  uint64_t total = 0;              // tokens that the peer has
+  std::vector<std::string> tokens; // from the offset that was asked for
+  std::optional<StreamEnd> end;    // none: running
+};
+
 } // namespace gooseberrypath
 
 #endif // GOOSEBERRYPATH_MESSAGES_H_
--- a/gooseberrypath/peer.capnp
+++ b/gooseberrypath/peer.capnp
@@ -40,7 +40,39 @@
   notHeld @2;
 }
 
+# How a model request ended. An empty errorKind: with a whole answer.
+struct StreamEnd {
+  finishReason @0 :Text;
+  errorKind @1 :Text;
+  errorMessage @2 :Text;
+}
+
+struct StreamState {
+  id @0 :Text;
+  service @1 :Text;
+  team @2 :Text;
+  chat @3 :Text;
+  model @4 :Text;
+  trace @5 :Text;
+  span @6 :Text;
+  createdSeconds @7 :Int64;
+  timeLeftUs @8 :Int64;
+  tokens @9 :List(Text);
+  end @10 :StreamEnd; # null: running
+}
+
+struct StreamPart {
+  isFound @0 :Bool;
+  model @1 :Text;
+  createdSeconds @2 :Int64;
+  total @3 :UInt64;
+  tokens @4 :List(Text);
+  end @5 :StreamEnd; # null: running
+}
+
 interface Peer {
   gossip @0 (message :GossipMessage) -> ();
   askClaim @1 (claim :Text) -> (word :ClaimWord);
+  handOver @2 (state :StreamState) -> (accepted :Bool);
+  readStream @3 (stream :Text, from :UInt64) -> (part :StreamPart);
 }
--- a/gooseberrypath/peer.capnp.c++
+++ b/gooseberrypath/peer.capnp.c++
@@ -408,7 +408,411 @@
 };
 #endif  // !CAPNP_LITE
 CAPNP_DEFINE_ENUM(ClaimWord_fcc91b88548d3348, fcc91b88548d3348);
-static const ::capnp::_::AlignedData<38> b_97ddcca80a9c4d3b = {
+static const ::capnp::_::AlignedData<65> b_bc442ffa25697b64 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    100, 123, 105,  37, 250,  47,  68, 188,
+     11,   0,   0,   0,   1,   0,   0,   0,
+     66, 154,  62,  11, 246, 165, 199, 209,
+      3,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 170,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 175,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  83, 116, 114, 101,  97,
+    109,  69, 110, 100,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0, 106,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     68,   0,   0,   0,   3,   0,   1,   0,
+     80,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     77,   0,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     76,   0,   0,   0,   3,   0,   1,   0,
+     88,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     85,   0,   0,   0, 106,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     84,   0,   0,   0,   3,   0,   1,   0,
+     96,   0,   0,   0,   2,   0,   1,   0,
+    102, 105, 110, 105, 115, 104,  82, 101,
+     97, 115, 111, 110,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    101, 114, 114, 111, 114,  75, 105, 110,
+    100,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    101, 114, 114, 111, 114,  77, 101, 115,
+    115,  97, 103, 101,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_bc442ffa25697b64 = b_bc442ffa25697b64.words;
+#if !CAPNP_LITE
+static const uint16_t m_bc442ffa25697b64[] = {1, 2, 0};
+static const uint16_t i_bc442ffa25697b64[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_bc442ffa25697b64 = {
+  0xbc442ffa25697b64, b_bc442ffa25697b64.words, 65, nullptr, m_bc442ffa25697b64,
+  0, 3, i_bc442ffa25697b64, nullptr, nullptr, { &s_bc442ffa25697b64, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<188> b_e8560627019e7494 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    148, 116, 158,   1,  39,   6,  86, 232,
+     11,   0,   0,   0,   1,   0,   2,   0,
+     66, 154,  62,  11, 246, 165, 199, 209,
+      9,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 186,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 111,   2,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  83, 116, 114, 101,  97,
+    109,  83, 116,  97, 116, 101,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     44,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     37,   1,   0,   0,  26,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     32,   1,   0,   0,   3,   0,   1,   0,
+     44,   1,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   1,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   1,   0,   0,   3,   0,   1,   0,
+     48,   1,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   1,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   1,   0,   0,   3,   0,   1,   0,
+     52,   1,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   3,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     49,   1,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     44,   1,   0,   0,   3,   0,   1,   0,
+     56,   1,   0,   0,   2,   0,   1,   0,
+      4,   0,   0,   0,   4,   0,   0,   0,
+      0,   0,   1,   0,   4,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     53,   1,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     48,   1,   0,   0,   3,   0,   1,   0,
+     60,   1,   0,   0,   2,   0,   1,   0,
+      5,   0,   0,   0,   5,   0,   0,   0,
+      0,   0,   1,   0,   5,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     57,   1,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     52,   1,   0,   0,   3,   0,   1,   0,
+     64,   1,   0,   0,   2,   0,   1,   0,
+      6,   0,   0,   0,   6,   0,   0,   0,
+      0,   0,   1,   0,   6,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     61,   1,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     56,   1,   0,   0,   3,   0,   1,   0,
+     68,   1,   0,   0,   2,   0,   1,   0,
+      7,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     65,   1,   0,   0, 122,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     64,   1,   0,   0,   3,   0,   1,   0,
+     76,   1,   0,   0,   2,   0,   1,   0,
+      8,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   8,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73,   1,   0,   0,  90,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     72,   1,   0,   0,   3,   0,   1,   0,
+     84,   1,   0,   0,   2,   0,   1,   0,
+      9,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   1,   0,   9,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     81,   1,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     76,   1,   0,   0,   3,   0,   1,   0,
+    104,   1,   0,   0,   2,   0,   1,   0,
+     10,   0,   0,   0,   8,   0,   0,   0,
+      0,   0,   1,   0,  10,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    101,   1,   0,   0,  34,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     96,   1,   0,   0,   3,   0,   1,   0,
+    108,   1,   0,   0,   2,   0,   1,   0,
+    105, 100,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 101, 114, 118, 105,  99, 101,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    116, 101,  97, 109,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 104,  97, 116,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    109, 111, 100, 101, 108,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    116, 114,  97,  99, 101,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 112,  97, 110,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 114, 101,  97, 116, 101, 100,  83,
+    101,  99, 111, 110, 100, 115,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    116, 105, 109, 101,  76, 101, 102, 116,
+     85, 115,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    116, 111, 107, 101, 110, 115,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    101, 110, 100,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    100, 123, 105,  37, 250,  47,  68, 188,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_e8560627019e7494 = b_e8560627019e7494.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_e8560627019e7494[] = {
+  &s_bc442ffa25697b64,
+};
+static const uint16_t m_e8560627019e7494[] = {3, 7, 10, 0, 4, 1, 6, 2, 8, 9, 5};
+static const uint16_t i_e8560627019e7494[] = {0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10};
+const ::capnp::_::RawSchema s_e8560627019e7494 = {
+  0xe8560627019e7494, b_e8560627019e7494.words, 188, d_e8560627019e7494, m_e8560627019e7494,
+  1, 11, i_e8560627019e7494, nullptr, nullptr, { &s_e8560627019e7494, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<112> b_d1c1b7fbc4f727d6 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    214,  39, 247, 196, 251, 183, 193, 209,
+     11,   0,   0,   0,   1,   0,   3,   0,
+     66, 154,  62,  11, 246, 165, 199, 209,
+      3,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 178,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0,  87,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  83, 116, 114, 101,  97,
+    109,  80,  97, 114, 116,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     24,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    153,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    148,   0,   0,   0,   3,   0,   1,   0,
+    160,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    157,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    152,   0,   0,   0,   3,   0,   1,   0,
+    164,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    161,   0,   0,   0, 122,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    160,   0,   0,   0,   3,   0,   1,   0,
+    172,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    169,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    164,   0,   0,   0,   3,   0,   1,   0,
+    176,   0,   0,   0,   2,   0,   1,   0,
+      4,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   4,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    173,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    168,   0,   0,   0,   3,   0,   1,   0,
+    196,   0,   0,   0,   2,   0,   1,   0,
+      5,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   5,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    193,   0,   0,   0,  34,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    188,   0,   0,   0,   3,   0,   1,   0,
+    200,   0,   0,   0,   2,   0,   1,   0,
+    105, 115,  70, 111, 117, 110, 100,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    109, 111, 100, 101, 108,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 114, 101,  97, 116, 101, 100,  83,
+    101,  99, 111, 110, 100, 115,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    116, 111, 116,  97, 108,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    116, 111, 107, 101, 110, 115,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    101, 110, 100,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    100, 123, 105,  37, 250,  47,  68, 188,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_d1c1b7fbc4f727d6 = b_d1c1b7fbc4f727d6.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_d1c1b7fbc4f727d6[] = {
+  &s_bc442ffa25697b64,
+};
+static const uint16_t m_d1c1b7fbc4f727d6[] = {2, 5, 0, 1, 4, 3};
+static const uint16_t i_d1c1b7fbc4f727d6[] = {0, 1, 2, 3, 4, 5};
+const ::capnp::_::RawSchema s_d1c1b7fbc4f727d6 = {
+  0xd1c1b7fbc4f727d6, b_d1c1b7fbc4f727d6.words, 112, d_d1c1b7fbc4f727d6, m_d1c1b7fbc4f727d6,
+  1, 6, i_d1c1b7fbc4f727d6, nullptr, nullptr, { &s_d1c1b7fbc4f727d6, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<60> b_97ddcca80a9c4d3b = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      59,  77, 156,  10, 168, 204, 221, 151,
      11,   0,   0,   0,   3,   0,   0,   0,
@@ -418,48 +822,74 @@
      21,   0,   0,   0, 130,   0,   0,   0,
      25,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 135,   0,   0,   0,
-    105,   0,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0,   7,   1,   0,   0,
+    193,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  80, 101, 101, 114,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-      8,   0,   0,   0,   3,   0,   5,   0,
+     16,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     231,  92, 170,  26,  71, 191,  89, 154,
       6, 127,  41,  73, 212,  51, 215, 187,
-     49,   0,   0,   0,  58,   0,   0,   0,
+    113,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     37,   0,   0,   0,   7,   0,   0,   0,
+    101,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
      30,  60, 173,  62, 105,  50,  94, 225,
      30,   6,  61, 230, 215,  89, 140, 154,
-     25,   0,   0,   0,  74,   0,   0,   0,
+     89,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     17,   0,   0,   0,   7,   0,   0,   0,
+     81,   0,   0,   0,   7,   0,   0,   0,
+      2,   0,   0,   0,   0,   0,   0,   0,
+      2,  95, 176, 147, 209, 112, 131, 241,
+     93, 109,  77,  44, 122, 150,  32, 166,
+     69,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     61,   0,   0,   0,   7,   0,   0,   0,
+      3,   0,   0,   0,   0,   0,   0,   0,
+    249, 253, 129,  28, 172, 251,  56, 143,
+    241, 182,  82,  54, 101, 176, 126, 202,
+     49,   0,   0,   0,  90,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,   7,   0,   0,   0,
     103, 111, 115, 115, 105, 112,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
      97, 115, 107,  67, 108,  97, 105, 109,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    104,  97, 110, 100,  79, 118, 101, 114,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
+    114, 101,  97, 100,  83, 116, 114, 101,
+     97, 109,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_97ddcca80a9c4d3b = b_97ddcca80a9c4d3b.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_97ddcca80a9c4d3b[] = {
+  &s_8f38fbac1c81fdf9,
   &s_9a59bf471aaa5ce7,
   &s_9a8c59d7e63d061e,
+  &s_a620967a2c4d6d5d,
   &s_bbd733d449297f06,
+  &s_ca7eb0653652b6f1,
   &s_e15e32693ead3c1e,
+  &s_f18370d193b05f02,
 };
-static const uint16_t m_97ddcca80a9c4d3b[] = {1, 0};
+static const uint16_t m_97ddcca80a9c4d3b[] = {1, 0, 2, 3};
 const ::capnp::_::RawSchema s_97ddcca80a9c4d3b = {
-  0x97ddcca80a9c4d3b, b_97ddcca80a9c4d3b.words, 38, d_97ddcca80a9c4d3b, m_97ddcca80a9c4d3b,
-  4, 2, nullptr, nullptr, nullptr, { &s_97ddcca80a9c4d3b, nullptr, nullptr, 0, 0, nullptr }
+  0x97ddcca80a9c4d3b, b_97ddcca80a9c4d3b.words, 60, d_97ddcca80a9c4d3b, m_97ddcca80a9c4d3b,
+  8, 4, nullptr, nullptr, nullptr, { &s_97ddcca80a9c4d3b, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<32> b_9a59bf471aaa5ce7 = {
@@ -623,6 +1053,203 @@
   1, 1, i_9a8c59d7e63d061e, nullptr, nullptr, { &s_9a8c59d7e63d061e, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<32> b_f18370d193b05f02 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+      2,  95, 176, 147, 209, 112, 131, 241,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,   2,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    104,  97, 110, 100,  79, 118, 101, 114,
+     36,  80,  97, 114,  97, 109, 115,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    115, 116,  97, 116, 101,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    148, 116, 158,   1,  39,   6,  86, 232,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_f18370d193b05f02 = b_f18370d193b05f02.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_f18370d193b05f02[] = {
+  &s_e8560627019e7494,
+};
+static const uint16_t m_f18370d193b05f02[] = {0};
+static const uint16_t i_f18370d193b05f02[] = {0};
+const ::capnp::_::RawSchema s_f18370d193b05f02 = {
+  0xf18370d193b05f02, b_f18370d193b05f02.words, 32, d_f18370d193b05f02, m_f18370d193b05f02,
+  1, 1, i_f18370d193b05f02, nullptr, nullptr, { &s_f18370d193b05f02, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<34> b_a620967a2c4d6d5d = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     93, 109,  77,  44, 122, 150,  32, 166,
+     16,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  10,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    104,  97, 110, 100,  79, 118, 101, 114,
+     36,  82, 101, 115, 117, 108, 116, 115,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   3,   0,   1,   0,
+     24,   0,   0,   0,   2,   0,   1,   0,
+     97,  99,  99, 101, 112, 116, 101, 100,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_a620967a2c4d6d5d = b_a620967a2c4d6d5d.words;
+#if !CAPNP_LITE
+static const uint16_t m_a620967a2c4d6d5d[] = {0};
+static const uint16_t i_a620967a2c4d6d5d[] = {0};
+const ::capnp::_::RawSchema s_a620967a2c4d6d5d = {
+  0xa620967a2c4d6d5d, b_a620967a2c4d6d5d.words, 34, nullptr, m_a620967a2c4d6d5d,
+  0, 1, i_a620967a2c4d6d5d, nullptr, nullptr, { &s_a620967a2c4d6d5d, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<48> b_8f38fbac1c81fdf9 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    249, 253, 129,  28, 172, 251,  56, 143,
+     16,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  18,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    114, 101,  97, 100,  83, 116, 114, 101,
+     97, 109,  36,  80,  97, 114,  97, 109,
+    115,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+    115, 116, 114, 101,  97, 109,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    102, 114, 111, 109,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_8f38fbac1c81fdf9 = b_8f38fbac1c81fdf9.words;
+#if !CAPNP_LITE
+static const uint16_t m_8f38fbac1c81fdf9[] = {1, 0};
+static const uint16_t i_8f38fbac1c81fdf9[] = {0, 1};
+const ::capnp::_::RawSchema s_8f38fbac1c81fdf9 = {
+  0x8f38fbac1c81fdf9, b_8f38fbac1c81fdf9.words, 48, nullptr, m_8f38fbac1c81fdf9,
+  0, 2, i_8f38fbac1c81fdf9, nullptr, nullptr, { &s_8f38fbac1c81fdf9, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<33> b_ca7eb0653652b6f1 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    241, 182,  82,  54, 101, 176, 126, 202,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  26,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    114, 101,  97, 100,  83, 116, 114, 101,
+     97, 109,  36,  82, 101, 115, 117, 108,
+    116, 115,   0,   0,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    112,  97, 114, 116,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    214,  39, 247, 196, 251, 183, 193, 209,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_ca7eb0653652b6f1 = b_ca7eb0653652b6f1.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_ca7eb0653652b6f1[] = {
+  &s_d1c1b7fbc4f727d6,
+};
+static const uint16_t m_ca7eb0653652b6f1[] = {0};
+static const uint16_t i_ca7eb0653652b6f1[] = {0};
+const ::capnp::_::RawSchema s_ca7eb0653652b6f1 = {
+  0xca7eb0653652b6f1, b_ca7eb0653652b6f1.words, 33, d_ca7eb0653652b6f1, m_ca7eb0653652b6f1,
+  1, 1, i_ca7eb0653652b6f1, nullptr, nullptr, { &s_ca7eb0653652b6f1, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -655,6 +1282,30 @@
 constexpr ::capnp::_::RawSchema const* GossipMessage::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// StreamEnd
+constexpr uint16_t StreamEnd::_capnpPrivate::dataWordSize;
+constexpr uint16_t StreamEnd::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind StreamEnd::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* StreamEnd::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// StreamState
+constexpr uint16_t StreamState::_capnpPrivate::dataWordSize;
+constexpr uint16_t StreamState::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind StreamState::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* StreamState::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// StreamPart
+constexpr uint16_t StreamPart::_capnpPrivate::dataWordSize;
+constexpr uint16_t StreamPart::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind StreamPart::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* StreamPart::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 ::capnp::Request< ::gooseberrypath::wire::Peer::GossipParams,  ::gooseberrypath::wire::Peer::GossipResults>
 Peer::Client::gossipRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
@@ -676,6 +1327,26 @@
       "peer.capnp:Peer", "askClaim",
       0x97ddcca80a9c4d3bull, 1);
 }
+::capnp::Request< ::gooseberrypath::wire::Peer::HandOverParams,  ::gooseberrypath::wire::Peer::HandOverResults>
+Peer::Client::handOverRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::gooseberrypath::wire::Peer::HandOverParams,  ::gooseberrypath::wire::Peer::HandOverResults>(
+      0x97ddcca80a9c4d3bull, 2, sizeHint);
+}
+::kj::Promise<void> Peer::Server::handOver(HandOverContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "peer.capnp:Peer", "handOver",
+      0x97ddcca80a9c4d3bull, 2);
+}
+::capnp::Request< ::gooseberrypath::wire::Peer::ReadStreamParams,  ::gooseberrypath::wire::Peer::ReadStreamResults>
+Peer::Client::readStreamRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::gooseberrypath::wire::Peer::ReadStreamParams,  ::gooseberrypath::wire::Peer::ReadStreamResults>(
+      0x97ddcca80a9c4d3bull, 3, sizeHint);
+}
+::kj::Promise<void> Peer::Server::readStream(ReadStreamContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "peer.capnp:Peer", "readStream",
+      0x97ddcca80a9c4d3bull, 3);
+}
 ::capnp::Capability::Server::DispatchCallResult Peer::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -702,6 +1373,18 @@
              ::gooseberrypath::wire::Peer::AskClaimParams,  ::gooseberrypath::wire::Peer::AskClaimResults>(context)),
         false
       };
+    case 2:
+      return {
+        handOver(::capnp::Capability::Server::internalGetTypedContext<
+             ::gooseberrypath::wire::Peer::HandOverParams,  ::gooseberrypath::wire::Peer::HandOverResults>(context)),
+        false
+      };
+    case 3:
+      return {
+        readStream(::capnp::Capability::Server::internalGetTypedContext<
+             ::gooseberrypath::wire::Peer::ReadStreamParams,  ::gooseberrypath::wire::Peer::ReadStreamResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -749,6 +1432,38 @@
 constexpr ::capnp::_::RawSchema const* Peer::AskClaimResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Peer::HandOverParams
+constexpr uint16_t Peer::HandOverParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::HandOverParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::HandOverParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::HandOverParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::HandOverResults
+constexpr uint16_t Peer::HandOverResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::HandOverResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::HandOverResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::HandOverResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::ReadStreamParams
+constexpr uint16_t Peer::ReadStreamParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::ReadStreamParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::ReadStreamParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::ReadStreamParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::ReadStreamResults
+constexpr uint16_t Peer::ReadStreamResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::ReadStreamResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::ReadStreamResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::ReadStreamResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/gooseberrypath/peer.capnp.h
+++ b/gooseberrypath/peer.capnp.h
@@ -36,11 +36,18 @@
   NOT_HELD,
 };
 CAPNP_DECLARE_ENUM(ClaimWord, fcc91b88548d3348);
+CAPNP_DECLARE_SCHEMA(bc442ffa25697b64);
+CAPNP_DECLARE_SCHEMA(e8560627019e7494);
+CAPNP_DECLARE_SCHEMA(d1c1b7fbc4f727d6);
 CAPNP_DECLARE_SCHEMA(97ddcca80a9c4d3b);
 CAPNP_DECLARE_SCHEMA(9a59bf471aaa5ce7);
 CAPNP_DECLARE_SCHEMA(bbd733d449297f06);
 CAPNP_DECLARE_SCHEMA(e15e32693ead3c1e);
 CAPNP_DECLARE_SCHEMA(9a8c59d7e63d061e);
+CAPNP_DECLARE_SCHEMA(f18370d193b05f02);
+CAPNP_DECLARE_SCHEMA(a620967a2c4d6d5d);
+CAPNP_DECLARE_SCHEMA(8f38fbac1c81fdf9);
+CAPNP_DECLARE_SCHEMA(ca7eb0653652b6f1);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -97,6 +104,51 @@
 
 typedef ::capnp::schemas::ClaimWord_fcc91b88548d3348 ClaimWord;
 
+struct StreamEnd {
+  StreamEnd() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bc442ffa25697b64, 0, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StreamState {
+  StreamState() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e8560627019e7494, 2, 9)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StreamPart {
+  StreamPart() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d1c1b7fbc4f727d6, 3, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Peer {
   Peer() = delete;
 
@@ -109,6 +161,10 @@
   struct GossipResults;
   struct AskClaimParams;
   struct AskClaimResults;
+  struct HandOverParams;
+  struct HandOverResults;
+  struct ReadStreamParams;
+  struct ReadStreamResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -178,6 +234,66 @@
   };
 };
 
+struct Peer::HandOverParams {
+  HandOverParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f18370d193b05f02, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::HandOverResults {
+  HandOverResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a620967a2c4d6d5d, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::ReadStreamParams {
+  ReadStreamParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8f38fbac1c81fdf9, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::ReadStreamResults {
+  ReadStreamResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ca7eb0653652b6f1, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class MemberDigest::Reader {
@@ -498,68 +614,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class Peer::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef Peer Calls;
-  typedef Peer Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::gooseberrypath::wire::Peer::GossipParams,  ::gooseberrypath::wire::Peer::GossipResults> gossipRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::gooseberrypath::wire::Peer::AskClaimParams,  ::gooseberrypath::wire::Peer::AskClaimResults> askClaimRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class Peer::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef Peer Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::gooseberrypath::wire::Peer::GossipParams GossipParams;
-  typedef  ::gooseberrypath::wire::Peer::GossipResults GossipResults;
-  typedef ::capnp::CallContext<GossipParams, GossipResults> GossipContext;
-  virtual ::kj::Promise<void> gossip(GossipContext context);
-  typedef  ::gooseberrypath::wire::Peer::AskClaimParams AskClaimParams;
-  typedef  ::gooseberrypath::wire::Peer::AskClaimResults AskClaimResults;
-  typedef ::capnp::CallContext<AskClaimParams, AskClaimResults> AskClaimContext;
-  virtual ::kj::Promise<void> askClaim(AskClaimContext context);
-
-  inline  ::gooseberrypath::wire::Peer::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::gooseberrypath::wire::Peer>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class Peer::GossipParams::Reader {
+class StreamEnd::Reader {
 public:
-  typedef GossipParams Reads;
+  typedef StreamEnd Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -574,8 +631,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasMessage() const;
-  inline  ::gooseberrypath::wire::GossipMessage::Reader getMessage() const;
+  inline bool hasFinishReason() const;
+  inline  ::capnp::Text::Reader getFinishReason() const;
+
+  inline bool hasErrorKind() const;
+  inline  ::capnp::Text::Reader getErrorKind() const;
+
+  inline bool hasErrorMessage() const;
+  inline  ::capnp::Text::Reader getErrorMessage() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -589,9 +652,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::GossipParams::Builder {
+class StreamEnd::Builder {
 public:
-  typedef GossipParams Builds;
+  typedef StreamEnd Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -605,12 +668,26 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasMessage();
-  inline  ::gooseberrypath::wire::GossipMessage::Builder getMessage();
-  inline void setMessage( ::gooseberrypath::wire::GossipMessage::Reader value);
-  inline  ::gooseberrypath::wire::GossipMessage::Builder initMessage();
-  inline void adoptMessage(::capnp::Orphan< ::gooseberrypath::wire::GossipMessage>&& value);
-  inline ::capnp::Orphan< ::gooseberrypath::wire::GossipMessage> disownMessage();
+  inline bool hasFinishReason();
+  inline  ::capnp::Text::Builder getFinishReason();
+  inline void setFinishReason( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFinishReason(unsigned int size);
+  inline void adoptFinishReason(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFinishReason();
+
+  inline bool hasErrorKind();
+  inline  ::capnp::Text::Builder getErrorKind();
+  inline void setErrorKind( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initErrorKind(unsigned int size);
+  inline void adoptErrorKind(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownErrorKind();
+
+  inline bool hasErrorMessage();
+  inline  ::capnp::Text::Builder getErrorMessage();
+  inline void setErrorMessage( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initErrorMessage(unsigned int size);
+  inline void adoptErrorMessage(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownErrorMessage();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -622,15 +699,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::GossipParams::Pipeline {
+class StreamEnd::Pipeline {
 public:
-  typedef GossipParams Pipelines;
+  typedef StreamEnd Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::gooseberrypath::wire::GossipMessage::Pipeline getMessage();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -639,9 +715,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::GossipResults::Reader {
+class StreamState::Reader {
 public:
-  typedef GossipResults Reads;
+  typedef StreamState Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -656,79 +732,36 @@
   }
 #endif  // !CAPNP_LITE
 
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Peer::GossipResults::Builder {
-public:
-  typedef GossipResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
 
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
+  inline bool hasTeam() const;
+  inline  ::capnp::Text::Reader getTeam() const;
 
-#if !CAPNP_LITE
-class Peer::GossipResults::Pipeline {
-public:
-  typedef GossipResults Pipelines;
+  inline bool hasChat() const;
+  inline  ::capnp::Text::Reader getChat() const;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+  inline bool hasModel() const;
+  inline  ::capnp::Text::Reader getModel() const;
 
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
+  inline bool hasTrace() const;
+  inline  ::capnp::Text::Reader getTrace() const;
 
-class Peer::AskClaimParams::Reader {
-public:
-  typedef AskClaimParams Reads;
+  inline bool hasSpan() const;
+  inline  ::capnp::Text::Reader getSpan() const;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline  ::int64_t getCreatedSeconds() const;
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline  ::int64_t getTimeLeftUs() const;
 
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+  inline bool hasTokens() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getTokens() const;
 
-  inline bool hasClaim() const;
-  inline  ::capnp::Text::Reader getClaim() const;
+  inline bool hasEnd() const;
+  inline  ::gooseberrypath::wire::StreamEnd::Reader getEnd() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -742,9 +775,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::AskClaimParams::Builder {
+class StreamState::Builder {
 public:
-  typedef AskClaimParams Builds;
+  typedef StreamState Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -758,12 +791,75 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasClaim();
-  inline  ::capnp::Text::Builder getClaim();
-  inline void setClaim( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initClaim(unsigned int size);
-  inline void adoptClaim(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownClaim();
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasTeam();
+  inline  ::capnp::Text::Builder getTeam();
+  inline void setTeam( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTeam(unsigned int size);
+  inline void adoptTeam(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTeam();
+
+  inline bool hasChat();
+  inline  ::capnp::Text::Builder getChat();
+  inline void setChat( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initChat(unsigned int size);
+  inline void adoptChat(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownChat();
+
+  inline bool hasModel();
+  inline  ::capnp::Text::Builder getModel();
+  inline void setModel( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initModel(unsigned int size);
+  inline void adoptModel(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownModel();
+
+  inline bool hasTrace();
+  inline  ::capnp::Text::Builder getTrace();
+  inline void setTrace( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTrace(unsigned int size);
+  inline void adoptTrace(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTrace();
+
+  inline bool hasSpan();
+  inline  ::capnp::Text::Builder getSpan();
+  inline void setSpan( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSpan(unsigned int size);
+  inline void adoptSpan(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSpan();
+
+  inline  ::int64_t getCreatedSeconds();
+  inline void setCreatedSeconds( ::int64_t value);
+
+  inline  ::int64_t getTimeLeftUs();
+  inline void setTimeLeftUs( ::int64_t value);
+
+  inline bool hasTokens();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getTokens();
+  inline void setTokens( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setTokens(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initTokens(unsigned int size);
+  inline void adoptTokens(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownTokens();
+
+  inline bool hasEnd();
+  inline  ::gooseberrypath::wire::StreamEnd::Builder getEnd();
+  inline void setEnd( ::gooseberrypath::wire::StreamEnd::Reader value);
+  inline  ::gooseberrypath::wire::StreamEnd::Builder initEnd();
+  inline void adoptEnd(::capnp::Orphan< ::gooseberrypath::wire::StreamEnd>&& value);
+  inline ::capnp::Orphan< ::gooseberrypath::wire::StreamEnd> disownEnd();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -775,14 +871,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::AskClaimParams::Pipeline {
+class StreamState::Pipeline {
 public:
-  typedef AskClaimParams Pipelines;
+  typedef StreamState Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::gooseberrypath::wire::StreamEnd::Pipeline getEnd();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -791,9 +888,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::AskClaimResults::Reader {
+class StreamPart::Reader {
 public:
-  typedef AskClaimResults Reads;
+  typedef StreamPart Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -808,7 +905,20 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::gooseberrypath::wire::ClaimWord getWord() const;
+  inline bool getIsFound() const;
+
+  inline bool hasModel() const;
+  inline  ::capnp::Text::Reader getModel() const;
+
+  inline  ::int64_t getCreatedSeconds() const;
+
+  inline  ::uint64_t getTotal() const;
+
+  inline bool hasTokens() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getTokens() const;
+
+  inline bool hasEnd() const;
+  inline  ::gooseberrypath::wire::StreamEnd::Reader getEnd() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -822,9 +932,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::AskClaimResults::Builder {
+class StreamPart::Builder {
 public:
-  typedef AskClaimResults Builds;
+  typedef StreamPart Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -838,8 +948,36 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::gooseberrypath::wire::ClaimWord getWord();
-  inline void setWord( ::gooseberrypath::wire::ClaimWord value);
+  inline bool getIsFound();
+  inline void setIsFound(bool value);
+
+  inline bool hasModel();
+  inline  ::capnp::Text::Builder getModel();
+  inline void setModel( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initModel(unsigned int size);
+  inline void adoptModel(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownModel();
+
+  inline  ::int64_t getCreatedSeconds();
+  inline void setCreatedSeconds( ::int64_t value);
+
+  inline  ::uint64_t getTotal();
+  inline void setTotal( ::uint64_t value);
+
+  inline bool hasTokens();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getTokens();
+  inline void setTokens( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setTokens(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initTokens(unsigned int size);
+  inline void adoptTokens(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownTokens();
+
+  inline bool hasEnd();
+  inline  ::gooseberrypath::wire::StreamEnd::Builder getEnd();
+  inline void setEnd( ::gooseberrypath::wire::StreamEnd::Reader value);
+  inline  ::gooseberrypath::wire::StreamEnd::Builder initEnd();
+  inline void adoptEnd(::capnp::Orphan< ::gooseberrypath::wire::StreamEnd>&& value);
+  inline ::capnp::Orphan< ::gooseberrypath::wire::StreamEnd> disownEnd();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -851,14 +989,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::AskClaimResults::Pipeline {
+class StreamPart::Pipeline {
 public:
-  typedef AskClaimResults Pipelines;
+  typedef StreamPart Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::gooseberrypath::wire::StreamEnd::Pipeline getEnd();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -867,341 +1006,1646 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+#if !CAPNP_LITE
+class Peer::Client
+    : public virtual ::capnp::Capability::Client {
+public:
+  typedef Peer Calls;
+  typedef Peer Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::gooseberrypath::wire::Peer::GossipParams,  ::gooseberrypath::wire::Peer::GossipResults> gossipRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::gooseberrypath::wire::Peer::AskClaimParams,  ::gooseberrypath::wire::Peer::AskClaimResults> askClaimRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::gooseberrypath::wire::Peer::HandOverParams,  ::gooseberrypath::wire::Peer::HandOverResults> handOverRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::gooseberrypath::wire::Peer::ReadStreamParams,  ::gooseberrypath::wire::Peer::ReadStreamResults> readStreamRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class Peer::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef Peer Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::gooseberrypath::wire::Peer::GossipParams GossipParams;
+  typedef  ::gooseberrypath::wire::Peer::GossipResults GossipResults;
+  typedef ::capnp::CallContext<GossipParams, GossipResults> GossipContext;
+  virtual ::kj::Promise<void> gossip(GossipContext context);
+  typedef  ::gooseberrypath::wire::Peer::AskClaimParams AskClaimParams;
+  typedef  ::gooseberrypath::wire::Peer::AskClaimResults AskClaimResults;
+  typedef ::capnp::CallContext<AskClaimParams, AskClaimResults> AskClaimContext;
+  virtual ::kj::Promise<void> askClaim(AskClaimContext context);
+  typedef  ::gooseberrypath::wire::Peer::HandOverParams HandOverParams;
+  typedef  ::gooseberrypath::wire::Peer::HandOverResults HandOverResults;
+  typedef ::capnp::CallContext<HandOverParams, HandOverResults> HandOverContext;
+  virtual ::kj::Promise<void> handOver(HandOverContext context);
+  typedef  ::gooseberrypath::wire::Peer::ReadStreamParams ReadStreamParams;
+  typedef  ::gooseberrypath::wire::Peer::ReadStreamResults ReadStreamResults;
+  typedef ::capnp::CallContext<ReadStreamParams, ReadStreamResults> ReadStreamContext;
+  virtual ::kj::Promise<void> readStream(ReadStreamContext context);
+
+  inline  ::gooseberrypath::wire::Peer::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::gooseberrypath::wire::Peer>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class Peer::GossipParams::Reader {
+public:
+  typedef GossipParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasMessage() const;
+  inline  ::gooseberrypath::wire::GossipMessage::Reader getMessage() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::GossipParams::Builder {
+public:
+  typedef GossipParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasMessage();
+  inline  ::gooseberrypath::wire::GossipMessage::Builder getMessage();
+  inline void setMessage( ::gooseberrypath::wire::GossipMessage::Reader value);
+  inline  ::gooseberrypath::wire::GossipMessage::Builder initMessage();
+  inline void adoptMessage(::capnp::Orphan< ::gooseberrypath::wire::GossipMessage>&& value);
+  inline ::capnp::Orphan< ::gooseberrypath::wire::GossipMessage> disownMessage();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::GossipParams::Pipeline {
+public:
+  typedef GossipParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::gooseberrypath::wire::GossipMessage::Pipeline getMessage();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::GossipResults::Reader {
+public:
+  typedef GossipResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::GossipResults::Builder {
+public:
+  typedef GossipResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::GossipResults::Pipeline {
+public:
+  typedef GossipResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::AskClaimParams::Reader {
+public:
+  typedef AskClaimParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasClaim() const;
+  inline  ::capnp::Text::Reader getClaim() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::AskClaimParams::Builder {
+public:
+  typedef AskClaimParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasClaim();
+  inline  ::capnp::Text::Builder getClaim();
+  inline void setClaim( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initClaim(unsigned int size);
+  inline void adoptClaim(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownClaim();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::AskClaimParams::Pipeline {
+public:
+  typedef AskClaimParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::AskClaimResults::Reader {
+public:
+  typedef AskClaimResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::gooseberrypath::wire::ClaimWord getWord() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::AskClaimResults::Builder {
+public:
+  typedef AskClaimResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::gooseberrypath::wire::ClaimWord getWord();
+  inline void setWord( ::gooseberrypath::wire::ClaimWord value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::AskClaimResults::Pipeline {
+public:
+  typedef AskClaimResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::HandOverParams::Reader {
+public:
+  typedef HandOverParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasState() const;
+  inline  ::gooseberrypath::wire::StreamState::Reader getState() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::HandOverParams::Builder {
+public:
+  typedef HandOverParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasState();
+  inline  ::gooseberrypath::wire::StreamState::Builder getState();
+  inline void setState( ::gooseberrypath::wire::StreamState::Reader value);
+  inline  ::gooseberrypath::wire::StreamState::Builder initState();
+  inline void adoptState(::capnp::Orphan< ::gooseberrypath::wire::StreamState>&& value);
+  inline ::capnp::Orphan< ::gooseberrypath::wire::StreamState> disownState();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::HandOverParams::Pipeline {
+public:
+  typedef HandOverParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::gooseberrypath::wire::StreamState::Pipeline getState();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::HandOverResults::Reader {
+public:
+  typedef HandOverResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getAccepted() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::HandOverResults::Builder {
+public:
+  typedef HandOverResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getAccepted();
+  inline void setAccepted(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::HandOverResults::Pipeline {
+public:
+  typedef HandOverResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::ReadStreamParams::Reader {
+public:
+  typedef ReadStreamParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasStream() const;
+  inline  ::capnp::Text::Reader getStream() const;
+
+  inline  ::uint64_t getFrom() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::ReadStreamParams::Builder {
+public:
+  typedef ReadStreamParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasStream();
+  inline  ::capnp::Text::Builder getStream();
+  inline void setStream( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initStream(unsigned int size);
+  inline void adoptStream(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownStream();
+
+  inline  ::uint64_t getFrom();
+  inline void setFrom( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::ReadStreamParams::Pipeline {
+public:
+  typedef ReadStreamParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::ReadStreamResults::Reader {
+public:
+  typedef ReadStreamResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPart() const;
+  inline  ::gooseberrypath::wire::StreamPart::Reader getPart() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::ReadStreamResults::Builder {
+public:
+  typedef ReadStreamResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPart();
+  inline  ::gooseberrypath::wire::StreamPart::Builder getPart();
+  inline void setPart( ::gooseberrypath::wire::StreamPart::Reader value);
+  inline  ::gooseberrypath::wire::StreamPart::Builder initPart();
+  inline void adoptPart(::capnp::Orphan< ::gooseberrypath::wire::StreamPart>&& value);
+  inline ::capnp::Orphan< ::gooseberrypath::wire::StreamPart> disownPart();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::ReadStreamResults::Pipeline {
+public:
+  typedef ReadStreamResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::gooseberrypath::wire::StreamPart::Pipeline getPart();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
 
 inline bool MemberDigest::Reader::hasDaemon() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool MemberDigest::Builder::hasDaemon() {
+inline bool MemberDigest::Builder::hasDaemon() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader MemberDigest::Reader::getDaemon() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder MemberDigest::Builder::getDaemon() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void MemberDigest::Builder::setDaemon( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder MemberDigest::Builder::initDaemon(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void MemberDigest::Builder::adoptDaemon(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> MemberDigest::Builder::disownDaemon() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t MemberDigest::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MemberDigest::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void MemberDigest::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t MemberDigest::Reader::getHeartbeat() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MemberDigest::Builder::getHeartbeat() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void MemberDigest::Builder::setHeartbeat( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool MemberDigest::Reader::hasPeerAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool MemberDigest::Builder::hasPeerAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader MemberDigest::Reader::getPeerAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder MemberDigest::Builder::getPeerAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void MemberDigest::Builder::setPeerAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder MemberDigest::Builder::initPeerAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void MemberDigest::Builder::adoptPeerAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> MemberDigest::Builder::disownPeerAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool MemberDigest::Reader::hasZone() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool MemberDigest::Builder::hasZone() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader MemberDigest::Reader::getZone() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder MemberDigest::Builder::getZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void MemberDigest::Builder::setZone( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder MemberDigest::Builder::initZone(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void MemberDigest::Builder::adoptZone(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> MemberDigest::Builder::disownZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t MemberDigest::Reader::getAppliedConfig() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MemberDigest::Builder::getAppliedConfig() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void MemberDigest::Builder::setAppliedConfig( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::gooseberrypath::wire::MemberDigest::State MemberDigest::Reader::getState() const {
+  return _reader.getDataField< ::gooseberrypath::wire::MemberDigest::State>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+
+inline  ::gooseberrypath::wire::MemberDigest::State MemberDigest::Builder::getState() {
+  return _builder.getDataField< ::gooseberrypath::wire::MemberDigest::State>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+inline void MemberDigest::Builder::setState( ::gooseberrypath::wire::MemberDigest::State value) {
+  _builder.setDataField< ::gooseberrypath::wire::MemberDigest::State>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HostNews::Reader::hasHost() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool HostNews::Builder::hasHost() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader HostNews::Reader::getHost() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder HostNews::Builder::getHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void HostNews::Builder::setHost( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder HostNews::Builder::initHost(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void HostNews::Builder::adoptHost(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> HostNews::Builder::disownHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t HostNews::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HostNews::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void HostNews::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HostNews::Reader::getLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool HostNews::Builder::getLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void HostNews::Builder::setLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GossipMessage::Reader::hasFromAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool GossipMessage::Builder::hasFromAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader GossipMessage::Reader::getFromAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder GossipMessage::Builder::getFromAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GossipMessage::Builder::setFromAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder GossipMessage::Builder::initFromAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void GossipMessage::Builder::adoptFromAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> GossipMessage::Builder::disownFromAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool GossipMessage::Reader::getWantsReply() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool GossipMessage::Builder::getWantsReply() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void GossipMessage::Builder::setWantsReply(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GossipMessage::Reader::hasMembers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool GossipMessage::Builder::hasMembers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::gooseberrypath::wire::MemberDigest,  ::capnp::Kind::STRUCT>::Reader GossipMessage::Reader::getMembers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::wire::MemberDigest,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::gooseberrypath::wire::MemberDigest,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::getMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::wire::MemberDigest,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void GossipMessage::Builder::setMembers( ::capnp::List< ::gooseberrypath::wire::MemberDigest,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::wire::MemberDigest,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::gooseberrypath::wire::MemberDigest,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::initMembers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::wire::MemberDigest,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void GossipMessage::Builder::adoptMembers(
+    ::capnp::Orphan< ::capnp::List< ::gooseberrypath::wire::MemberDigest,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::wire::MemberDigest,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::gooseberrypath::wire::MemberDigest,  ::capnp::Kind::STRUCT>> GossipMessage::Builder::disownMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::wire::MemberDigest,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool GossipMessage::Reader::hasHosts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool GossipMessage::Builder::hasHosts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::gooseberrypath::wire::HostNews,  ::capnp::Kind::STRUCT>::Reader GossipMessage::Reader::getHosts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::wire::HostNews,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::gooseberrypath::wire::HostNews,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::getHosts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::wire::HostNews,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void GossipMessage::Builder::setHosts( ::capnp::List< ::gooseberrypath::wire::HostNews,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::wire::HostNews,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::gooseberrypath::wire::HostNews,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::initHosts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::wire::HostNews,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void GossipMessage::Builder::adoptHosts(
+    ::capnp::Orphan< ::capnp::List< ::gooseberrypath::wire::HostNews,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::wire::HostNews,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::gooseberrypath::wire::HostNews,  ::capnp::Kind::STRUCT>> GossipMessage::Builder::disownHosts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::wire::HostNews,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool StreamEnd::Reader::hasFinishReason() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamEnd::Builder::hasFinishReason() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader MemberDigest::Reader::getDaemon() const {
+inline  ::capnp::Text::Reader StreamEnd::Reader::getFinishReason() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder MemberDigest::Builder::getDaemon() {
+inline  ::capnp::Text::Builder StreamEnd::Builder::getFinishReason() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void MemberDigest::Builder::setDaemon( ::capnp::Text::Reader value) {
+inline void StreamEnd::Builder::setFinishReason( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder MemberDigest::Builder::initDaemon(unsigned int size) {
+inline  ::capnp::Text::Builder StreamEnd::Builder::initFinishReason(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void MemberDigest::Builder::adoptDaemon(
+inline void StreamEnd::Builder::adoptFinishReason(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> MemberDigest::Builder::disownDaemon() {
+inline ::capnp::Orphan< ::capnp::Text> StreamEnd::Builder::disownFinishReason() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t MemberDigest::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool StreamEnd::Reader::hasErrorKind() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t MemberDigest::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool StreamEnd::Builder::hasErrorKind() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void MemberDigest::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Reader StreamEnd::Reader::getErrorKind() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StreamEnd::Builder::getErrorKind() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void StreamEnd::Builder::setErrorKind( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StreamEnd::Builder::initErrorKind(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void StreamEnd::Builder::adoptErrorKind(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StreamEnd::Builder::disownErrorKind() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t MemberDigest::Reader::getHeartbeat() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool StreamEnd::Reader::hasErrorMessage() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamEnd::Builder::hasErrorMessage() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StreamEnd::Reader::getErrorMessage() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StreamEnd::Builder::getErrorMessage() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void StreamEnd::Builder::setErrorMessage( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StreamEnd::Builder::initErrorMessage(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void StreamEnd::Builder::adoptErrorMessage(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StreamEnd::Builder::disownErrorMessage() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t MemberDigest::Builder::getHeartbeat() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool StreamState::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void MemberDigest::Builder::setHeartbeat( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline bool StreamState::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StreamState::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StreamState::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StreamState::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StreamState::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StreamState::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StreamState::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool MemberDigest::Reader::hasPeerAddress() const {
+inline bool StreamState::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool MemberDigest::Builder::hasPeerAddress() {
+inline bool StreamState::Builder::hasService() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader MemberDigest::Reader::getPeerAddress() const {
+inline  ::capnp::Text::Reader StreamState::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder MemberDigest::Builder::getPeerAddress() {
+inline  ::capnp::Text::Builder StreamState::Builder::getService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void MemberDigest::Builder::setPeerAddress( ::capnp::Text::Reader value) {
+inline void StreamState::Builder::setService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder MemberDigest::Builder::initPeerAddress(unsigned int size) {
+inline  ::capnp::Text::Builder StreamState::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void MemberDigest::Builder::adoptPeerAddress(
+inline void StreamState::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StreamState::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool StreamState::Reader::hasTeam() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamState::Builder::hasTeam() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StreamState::Reader::getTeam() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StreamState::Builder::getTeam() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void StreamState::Builder::setTeam( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StreamState::Builder::initTeam(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void StreamState::Builder::adoptTeam(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StreamState::Builder::disownTeam() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool StreamState::Reader::hasChat() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamState::Builder::hasChat() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StreamState::Reader::getChat() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StreamState::Builder::getChat() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void StreamState::Builder::setChat( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StreamState::Builder::initChat(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void StreamState::Builder::adoptChat(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StreamState::Builder::disownChat() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool StreamState::Reader::hasModel() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamState::Builder::hasModel() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StreamState::Reader::getModel() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StreamState::Builder::getModel() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void StreamState::Builder::setModel( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StreamState::Builder::initModel(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void StreamState::Builder::adoptModel(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StreamState::Builder::disownModel() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool StreamState::Reader::hasTrace() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamState::Builder::hasTrace() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StreamState::Reader::getTrace() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StreamState::Builder::getTrace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void StreamState::Builder::setTrace( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StreamState::Builder::initTrace(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void StreamState::Builder::adoptTrace(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> MemberDigest::Builder::disownPeerAddress() {
+inline ::capnp::Orphan< ::capnp::Text> StreamState::Builder::disownTrace() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline bool MemberDigest::Reader::hasZone() const {
+inline bool StreamState::Reader::hasSpan() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline bool MemberDigest::Builder::hasZone() {
+inline bool StreamState::Builder::hasSpan() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader MemberDigest::Reader::getZone() const {
+inline  ::capnp::Text::Reader StreamState::Reader::getSpan() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder MemberDigest::Builder::getZone() {
+inline  ::capnp::Text::Builder StreamState::Builder::getSpan() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline void MemberDigest::Builder::setZone( ::capnp::Text::Reader value) {
+inline void StreamState::Builder::setSpan( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder MemberDigest::Builder::initZone(unsigned int size) {
+inline  ::capnp::Text::Builder StreamState::Builder::initSpan(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
 }
-inline void MemberDigest::Builder::adoptZone(
+inline void StreamState::Builder::adoptSpan(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> MemberDigest::Builder::disownZone() {
+inline ::capnp::Orphan< ::capnp::Text> StreamState::Builder::disownSpan() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t MemberDigest::Reader::getAppliedConfig() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::int64_t StreamState::Reader::getCreatedSeconds() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t MemberDigest::Builder::getAppliedConfig() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::int64_t StreamState::Builder::getCreatedSeconds() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void MemberDigest::Builder::setAppliedConfig( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void StreamState::Builder::setCreatedSeconds( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::gooseberrypath::wire::MemberDigest::State MemberDigest::Reader::getState() const {
-  return _reader.getDataField< ::gooseberrypath::wire::MemberDigest::State>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+inline  ::int64_t StreamState::Reader::getTimeLeftUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::gooseberrypath::wire::MemberDigest::State MemberDigest::Builder::getState() {
-  return _builder.getDataField< ::gooseberrypath::wire::MemberDigest::State>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+inline  ::int64_t StreamState::Builder::getTimeLeftUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void MemberDigest::Builder::setState( ::gooseberrypath::wire::MemberDigest::State value) {
-  _builder.setDataField< ::gooseberrypath::wire::MemberDigest::State>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+inline void StreamState::Builder::setTimeLeftUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool HostNews::Reader::hasHost() const {
+inline bool StreamState::Reader::hasTokens() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline bool HostNews::Builder::hasHost() {
+inline bool StreamState::Builder::hasTokens() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader HostNews::Reader::getHost() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader StreamState::Reader::getTokens() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder HostNews::Builder::getHost() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder StreamState::Builder::getTokens() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline void HostNews::Builder::setHost( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void StreamState::Builder::setTokens( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder HostNews::Builder::initHost(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline void StreamState::Builder::setTokens(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
 }
-inline void HostNews::Builder::adoptHost(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder StreamState::Builder::initTokens(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
 }
-inline ::capnp::Orphan< ::capnp::Text> HostNews::Builder::disownHost() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void StreamState::Builder::adoptTokens(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
 }
-
-inline  ::uint64_t HostNews::Reader::getSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> StreamState::Builder::disownTokens() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t HostNews::Builder::getSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool StreamState::Reader::hasEnd() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
 }
-inline void HostNews::Builder::setSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline bool StreamState::Builder::hasEnd() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::gooseberrypath::wire::StreamEnd::Reader StreamState::Reader::getEnd() const {
+  return ::capnp::_::PointerHelpers< ::gooseberrypath::wire::StreamEnd>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::gooseberrypath::wire::StreamEnd::Builder StreamState::Builder::getEnd() {
+  return ::capnp::_::PointerHelpers< ::gooseberrypath::wire::StreamEnd>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::gooseberrypath::wire::StreamEnd::Pipeline StreamState::Pipeline::getEnd() {
+  return  ::gooseberrypath::wire::StreamEnd::Pipeline(_typeless.getPointerField(8));
+}
+#endif  // !CAPNP_LITE
+inline void StreamState::Builder::setEnd( ::gooseberrypath::wire::StreamEnd::Reader value) {
+  ::capnp::_::PointerHelpers< ::gooseberrypath::wire::StreamEnd>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::gooseberrypath::wire::StreamEnd::Builder StreamState::Builder::initEnd() {
+  return ::capnp::_::PointerHelpers< ::gooseberrypath::wire::StreamEnd>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void StreamState::Builder::adoptEnd(
+    ::capnp::Orphan< ::gooseberrypath::wire::StreamEnd>&& value) {
+  ::capnp::_::PointerHelpers< ::gooseberrypath::wire::StreamEnd>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::gooseberrypath::wire::StreamEnd> StreamState::Builder::disownEnd() {
+  return ::capnp::_::PointerHelpers< ::gooseberrypath::wire::StreamEnd>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
-inline bool HostNews::Reader::getLeaving() const {
+inline bool StreamPart::Reader::getIsFound() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool HostNews::Builder::getLeaving() {
+inline bool StreamPart::Builder::getIsFound() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void HostNews::Builder::setLeaving(bool value) {
+inline void StreamPart::Builder::setIsFound(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool GossipMessage::Reader::hasFromAddress() const {
+inline bool StreamPart::Reader::hasModel() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool GossipMessage::Builder::hasFromAddress() {
+inline bool StreamPart::Builder::hasModel() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader GossipMessage::Reader::getFromAddress() const {
+inline  ::capnp::Text::Reader StreamPart::Reader::getModel() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder GossipMessage::Builder::getFromAddress() {
+inline  ::capnp::Text::Builder StreamPart::Builder::getModel() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void GossipMessage::Builder::setFromAddress( ::capnp::Text::Reader value) {
+inline void StreamPart::Builder::setModel( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder GossipMessage::Builder::initFromAddress(unsigned int size) {
+inline  ::capnp::Text::Builder StreamPart::Builder::initModel(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void GossipMessage::Builder::adoptFromAddress(
+inline void StreamPart::Builder::adoptModel(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> GossipMessage::Builder::disownFromAddress() {
+inline ::capnp::Orphan< ::capnp::Text> StreamPart::Builder::disownModel() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool GossipMessage::Reader::getWantsReply() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::int64_t StreamPart::Reader::getCreatedSeconds() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline bool GossipMessage::Builder::getWantsReply() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::int64_t StreamPart::Builder::getCreatedSeconds() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void GossipMessage::Builder::setWantsReply(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void StreamPart::Builder::setCreatedSeconds( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool GossipMessage::Reader::hasMembers() const {
+inline  ::uint64_t StreamPart::Reader::getTotal() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StreamPart::Builder::getTotal() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void StreamPart::Builder::setTotal( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StreamPart::Reader::hasTokens() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool GossipMessage::Builder::hasMembers() {
+inline bool StreamPart::Builder::hasTokens() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::gooseberrypath::wire::MemberDigest,  ::capnp::Kind::STRUCT>::Reader GossipMessage::Reader::getMembers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::wire::MemberDigest,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader StreamPart::Reader::getTokens() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::gooseberrypath::wire::MemberDigest,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::getMembers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::wire::MemberDigest,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder StreamPart::Builder::getTokens() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void GossipMessage::Builder::setMembers( ::capnp::List< ::gooseberrypath::wire::MemberDigest,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::wire::MemberDigest,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void StreamPart::Builder::setTokens( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::gooseberrypath::wire::MemberDigest,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::initMembers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::wire::MemberDigest,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline void StreamPart::Builder::setTokens(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder StreamPart::Builder::initTokens(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void GossipMessage::Builder::adoptMembers(
-    ::capnp::Orphan< ::capnp::List< ::gooseberrypath::wire::MemberDigest,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::wire::MemberDigest,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void StreamPart::Builder::adoptTokens(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::gooseberrypath::wire::MemberDigest,  ::capnp::Kind::STRUCT>> GossipMessage::Builder::disownMembers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::wire::MemberDigest,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> StreamPart::Builder::disownTokens() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool GossipMessage::Reader::hasHosts() const {
+inline bool StreamPart::Reader::hasEnd() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool GossipMessage::Builder::hasHosts() {
+inline bool StreamPart::Builder::hasEnd() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::gooseberrypath::wire::HostNews,  ::capnp::Kind::STRUCT>::Reader GossipMessage::Reader::getHosts() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::wire::HostNews,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::gooseberrypath::wire::StreamEnd::Reader StreamPart::Reader::getEnd() const {
+  return ::capnp::_::PointerHelpers< ::gooseberrypath::wire::StreamEnd>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::gooseberrypath::wire::HostNews,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::getHosts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::wire::HostNews,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::gooseberrypath::wire::StreamEnd::Builder StreamPart::Builder::getEnd() {
+  return ::capnp::_::PointerHelpers< ::gooseberrypath::wire::StreamEnd>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void GossipMessage::Builder::setHosts( ::capnp::List< ::gooseberrypath::wire::HostNews,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::wire::HostNews,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::gooseberrypath::wire::StreamEnd::Pipeline StreamPart::Pipeline::getEnd() {
+  return  ::gooseberrypath::wire::StreamEnd::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void StreamPart::Builder::setEnd( ::gooseberrypath::wire::StreamEnd::Reader value) {
+  ::capnp::_::PointerHelpers< ::gooseberrypath::wire::StreamEnd>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::gooseberrypath::wire::HostNews,  ::capnp::Kind::STRUCT>::Builder GossipMessage::Builder::initHosts(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::wire::HostNews,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::gooseberrypath::wire::StreamEnd::Builder StreamPart::Builder::initEnd() {
+  return ::capnp::_::PointerHelpers< ::gooseberrypath::wire::StreamEnd>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void GossipMessage::Builder::adoptHosts(
-    ::capnp::Orphan< ::capnp::List< ::gooseberrypath::wire::HostNews,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::wire::HostNews,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void StreamPart::Builder::adoptEnd(
+    ::capnp::Orphan< ::gooseberrypath::wire::StreamEnd>&& value) {
+  ::capnp::_::PointerHelpers< ::gooseberrypath::wire::StreamEnd>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::gooseberrypath::wire::HostNews,  ::capnp::Kind::STRUCT>> GossipMessage::Builder::disownHosts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::wire::HostNews,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::gooseberrypath::wire::StreamEnd> StreamPart::Builder::disownEnd() {
+  return ::capnp::_::PointerHelpers< ::gooseberrypath::wire::StreamEnd>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
@@ -1316,6 +2760,146 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Peer::HandOverParams::Reader::hasState() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::HandOverParams::Builder::hasState() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::gooseberrypath::wire::StreamState::Reader Peer::HandOverParams::Reader::getState() const {
+  return ::capnp::_::PointerHelpers< ::gooseberrypath::wire::StreamState>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::gooseberrypath::wire::StreamState::Builder Peer::HandOverParams::Builder::getState() {
+  return ::capnp::_::PointerHelpers< ::gooseberrypath::wire::StreamState>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::gooseberrypath::wire::StreamState::Pipeline Peer::HandOverParams::Pipeline::getState() {
+  return  ::gooseberrypath::wire::StreamState::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::HandOverParams::Builder::setState( ::gooseberrypath::wire::StreamState::Reader value) {
+  ::capnp::_::PointerHelpers< ::gooseberrypath::wire::StreamState>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::gooseberrypath::wire::StreamState::Builder Peer::HandOverParams::Builder::initState() {
+  return ::capnp::_::PointerHelpers< ::gooseberrypath::wire::StreamState>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::HandOverParams::Builder::adoptState(
+    ::capnp::Orphan< ::gooseberrypath::wire::StreamState>&& value) {
+  ::capnp::_::PointerHelpers< ::gooseberrypath::wire::StreamState>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::gooseberrypath::wire::StreamState> Peer::HandOverParams::Builder::disownState() {
+  return ::capnp::_::PointerHelpers< ::gooseberrypath::wire::StreamState>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::HandOverResults::Reader::getAccepted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Peer::HandOverResults::Builder::getAccepted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::HandOverResults::Builder::setAccepted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Peer::ReadStreamParams::Reader::hasStream() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::ReadStreamParams::Builder::hasStream() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Peer::ReadStreamParams::Reader::getStream() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Peer::ReadStreamParams::Builder::getStream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::ReadStreamParams::Builder::setStream( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Peer::ReadStreamParams::Builder::initStream(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::ReadStreamParams::Builder::adoptStream(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Peer::ReadStreamParams::Builder::disownStream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Peer::ReadStreamParams::Reader::getFrom() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::ReadStreamParams::Builder::getFrom() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::ReadStreamParams::Builder::setFrom( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Peer::ReadStreamResults::Reader::hasPart() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::ReadStreamResults::Builder::hasPart() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::gooseberrypath::wire::StreamPart::Reader Peer::ReadStreamResults::Reader::getPart() const {
+  return ::capnp::_::PointerHelpers< ::gooseberrypath::wire::StreamPart>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::gooseberrypath::wire::StreamPart::Builder Peer::ReadStreamResults::Builder::getPart() {
+  return ::capnp::_::PointerHelpers< ::gooseberrypath::wire::StreamPart>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::gooseberrypath::wire::StreamPart::Pipeline Peer::ReadStreamResults::Pipeline::getPart() {
+  return  ::gooseberrypath::wire::StreamPart::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::ReadStreamResults::Builder::setPart( ::gooseberrypath::wire::StreamPart::Reader value) {
+  ::capnp::_::PointerHelpers< ::gooseberrypath::wire::StreamPart>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::gooseberrypath::wire::StreamPart::Builder Peer::ReadStreamResults::Builder::initPart() {
+  return ::capnp::_::PointerHelpers< ::gooseberrypath::wire::StreamPart>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::ReadStreamResults::Builder::adoptPart(
+    ::capnp::Orphan< ::gooseberrypath::wire::StreamPart>&& value) {
+  ::capnp::_::PointerHelpers< ::gooseberrypath::wire::StreamPart>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::gooseberrypath::wire::StreamPart> Peer::ReadStreamResults::Builder::disownPart() {
+  return ::capnp::_::PointerHelpers< ::gooseberrypath::wire::StreamPart>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/gooseberrypath/peer_rpc.cc
+++ b/gooseberrypath/peer_rpc.cc
@@ -9,6 +9,7 @@
 #include <kj/refcount.h>
 
 #include "gooseberrypath/http_io.h"
+#include "gooseberrypath/peer_wire.h"
 
 namespace gooseberrypath {
 
@@ -22,89 +23,18 @@
   return options;
 }
 
-std::string ToText(capnp::Text::Reader aText)
-{
-  return { aText.begin(), aText.size() };
-}
-
-DaemonState FromWire(wire::MemberDigest::State aState)
-{
-  switch (aState) {
-    case wire::MemberDigest::State::SERVING:
-      return DaemonState::Serving;
-    case wire::MemberDigest::State::DRAINING:
-      return DaemonState::Draining;
-    case wire::MemberDigest::State::STARTING:
-      break;
-  }
-  return DaemonState::Starting; // also for a state of a newer version
-}
-
-GossipMessage FromWire(wire::GossipMessage::Reader aMessage)
-{
-  GossipMessage message{ .fromAddress = ToText(aMessage.getFromAddress()),
-                         .wantsReply = aMessage.getWantsReply(),
-                         .members = {},
-                         .hosts = {} };
-  for (const auto member : aMessage.getMembers()) {
-    message.members.push_back(
-      MemberDigest{ .daemon = ToText(member.getDaemon()),
-                    .incarnation = member.getIncarnation(),
-                    .heartbeat = member.getHeartbeat(),
-                    .peerAddress = ToText(member.getPeerAddress()),
-                    .zone = ToText(member.getZone()),
-                    .appliedConfig = member.getAppliedConfig(),
-                    .state = FromWire(member.getState()) });
-  }
-  for (const auto host : aMessage.getHosts()) {
-    message.hosts.push_back(HostNews{ .host = ToText(host.getHost()),
-                                      .sequence = host.getSequence(),
-                                      .leaving = host.getLeaving() });
-  }
-  return message;
-}
-
-void ToWire(const GossipMessage& aMessage, wire::GossipMessage::Builder aInto)
-{
-  aInto.setFromAddress(View(aMessage.fromAddress));
-  aInto.setWantsReply(aMessage.wantsReply);
-  auto members = aInto.initMembers(static_cast<kj::uint>(aMessage.members.size()));
-  for (kj::uint i = 0; i < members.size(); ++i) {
-    const MemberDigest& from = aMessage.members[i];
-    auto into = members[i];
-    into.setDaemon(View(from.daemon));
-    into.setIncarnation(from.incarnation);
-    into.setHeartbeat(from.heartbeat);
-    into.setPeerAddress(View(from.peerAddress));
-    into.setZone(View(from.zone));
-    into.setAppliedConfig(from.appliedConfig);
-    into.setState(from.state == DaemonState::Serving ? wire::MemberDigest::State::SERVING
-                  : from.state == DaemonState::Draining
-                    ? wire::MemberDigest::State::DRAINING
-                    : wire::MemberDigest::State::STARTING);
-  }
-  auto hosts = aInto.initHosts(static_cast<kj::uint>(aMessage.hosts.size()));
-  for (kj::uint i = 0; i < hosts.size(); ++i) {
-    hosts[i].setHost(View(aMessage.hosts[i].host));
-    hosts[i].setSequence(aMessage.hosts[i].sequence);
-    hosts[i].setLeaving(aMessage.hosts[i].leaving);
-  }
-}
+} // namespace
 
-ClaimWord FromWire(wire::ClaimWord aWord)
+/// Calls of peers that wait for the core. It is counted, because a call of the RPC system
+/// may end after the port.
+struct PeerRpc::Questions : public kj::Refcounted
 {
-  switch (aWord) {
-    case wire::ClaimWord::RUNNING:
-      return ClaimWord::Running;
-    case wire::ClaimWord::GAVE_UP:
-      return ClaimWord::GaveUp;
-    case wire::ClaimWord::NOT_HELD:
-      return ClaimWord::NotHeld;
-  }
-  return ClaimWord::Unreachable; // a word of a newer version says nothing to this one
-}
+  OpenQuestions<ClaimWord> claims;
+  OpenQuestions<HandOverWord> handOvers;
+  OpenQuestions<StreamPart> reads;
 
-} // namespace
+  size_t Size() const { return claims.size() + handOvers.size() + reads.size(); }
+};
 
 /// The capability that peers call.
 class PeerRpc::Server final : public wire::Peer::Server
@@ -128,10 +58,14 @@
 
   kj::Promise<void> askClaim(AskClaimContext aContext) override
   {
-    std::string claim = ToText(aContext.getParams().getClaim());
+    const auto text = aContext.getParams().getClaim();
+    std::string claim(text.begin(), text.size());
     aContext.releaseParams();
     aContext.allowCancellation();
-    return Port().Ask(std::move(claim)).then([aContext](ClaimWord aWord) mutable {
+    auto answer = Port().Ask(Port().questions_->claims, [&](QuestionId aId) {
+      return ClaimAsked{ aId, std::move(claim) };
+    });
+    return answer.then([aContext](ClaimWord aWord) mutable {
       switch (aWord) {
         case ClaimWord::Running:
           aContext.getResults().setWord(wire::ClaimWord::RUNNING);
@@ -149,6 +83,36 @@
     });
   }
 
+  kj::Promise<void> handOver(HandOverContext aContext) override
+  {
+    StreamState state = FromWire(aContext.getParams().getState());
+    aContext.releaseParams();
+    auto answer = Port().Ask(Port().questions_->handOvers, [&](QuestionId aId) {
+      return HandOverAsked{ aId, std::move(state) };
+    });
+    return answer.then([aContext](HandOverWord aWord) mutable {
+      aContext.getResults().setAccepted(aWord == HandOverWord::Accepted);
+    });
+  }
+
+  kj::Promise<void> readStream(ReadStreamContext aContext) override
+  {
+    const auto params = aContext.getParams();
+    const auto text = params.getStream();
+    StreamAsked asked{ .question = {},
+                       .stream = { text.begin(), text.size() },
+                       .from = params.getFrom() };
+    aContext.releaseParams();
+    aContext.allowCancellation();
+    auto answer = Port().Ask(Port().questions_->reads, [&](QuestionId aId) {
+      asked.question = aId;
+      return std::move(asked);
+    });
+    return answer.then([aContext](StreamPart aPart) mutable {
+      ToWire(aPart, aContext.getResults().initPart());
+    });
+  }
+
 private:
   PeerRpc& Port()
   {
@@ -159,13 +123,6 @@
   PeerRpc* port_;
 };
 
-/// Open claim questions. It is counted, because a call of the RPC system may end after
-/// the port.
-struct PeerRpc::Questions : public kj::Refcounted
-{
-  std::unordered_map<QuestionId, kj::Own<kj::PromiseFulfiller<ClaimWord>>> byId;
-};
-
 /// One accepted connection. Members are destroyed in reverse order.
 struct PeerRpc::Incoming
 {
@@ -238,7 +195,7 @@
 
 size_t PeerRpc::QuestionCount() const
 {
-  return questions_->byId.size();
+  return questions_->Size();
 }
 
 kj::Promise<void> PeerRpc::AcceptLoop()
@@ -266,32 +223,48 @@
   tasks_.add(disconnected.attach(kj::mv(incoming)).catch_([](kj::Exception&&) {}));
 }
 
-kj::Promise<ClaimWord> PeerRpc::Ask(std::string aClaim)
+template<typename Word, typename MakeEvent>
+kj::Promise<Word> PeerRpc::Ask(OpenQuestions<Word>& aOpen, MakeEvent aMakeEvent)
 {
-  if (questions_->byId.size() >= options_.maxQuestions) {
-    return KJ_EXCEPTION(OVERLOADED, "too many claim questions are open");
+  if (questions_->Size() >= options_.maxQuestions) {
+    return KJ_EXCEPTION(OVERLOADED, "too many questions are open");
   }
   const QuestionId id{ lastQuestion_++ };
-  auto answer = kj::newPromiseAndFulfiller<ClaimWord>();
-  questions_->byId.emplace(id, kj::mv(answer.fulfiller));
-  options_.sink(ClaimAsked{ id, std::move(aClaim) });
+  auto answer = kj::newPromiseAndFulfiller<Word>();
+  aOpen.emplace(id, kj::mv(answer.fulfiller));
+  options_.sink(aMakeEvent(id));
   return options_.timer
     .timeoutAfter(ToKj(options_.questionTimeout), kj::mv(answer.promise))
-    .attach(kj::defer([questions = kj::addRef(*questions_), id]() mutable {
-      questions->byId.erase(id);
-    }));
+    .attach(kj::defer(
+      [questions = kj::addRef(*questions_), &aOpen, id]() mutable { aOpen.erase(id); }));
 }
 
-void PeerRpc::Execute(const AnswerClaimQuestion& aAction)
+template<typename Word>
+void PeerRpc::Answer(OpenQuestions<Word>& aOpen, QuestionId aId, Word aWord)
 {
-  const auto found = questions_->byId.find(aAction.question);
-  if (found != questions_->byId.end()) {
+  const auto found = aOpen.find(aId);
+  if (found != aOpen.end()) {
     auto question = kj::mv(found->second);
-    questions_->byId.erase(found);
-    question->fulfill(ClaimWord(aAction.word));
+    aOpen.erase(found);
+    question->fulfill(kj::mv(aWord));
   }
 }
 
+void PeerRpc::Execute(const AnswerClaimQuestion& aAction)
+{
+  Answer(questions_->claims, aAction.question, ClaimWord(aAction.word));
+}
+
+void PeerRpc::Execute(const AnswerHandOver& aAction)
+{
+  Answer(questions_->handOvers, aAction.question, HandOverWord(aAction.word));
+}
+
+void PeerRpc::Execute(const AnswerStreamQuestion& aAction)
+{
+  Answer(questions_->reads, aAction.question, StreamPart(aAction.part));
+}
+
 PeerRpc::Outgoing& PeerRpc::ConnectionTo(const std::string& aAddress)
 {
   const auto found = connections_.find(aAddress);
@@ -351,24 +324,65 @@
       }));
 }
 
+/// Waits for the answer of a call; a failed one drops the connection and counts as the
+/// word for a peer that is out of reach.
+template<typename Word, typename MakeEvent>
+void PeerRpc::Await(const std::string& aAddress, uint64_t aGeneration,
+                    kj::Promise<Word> aAnswer, Word aUnreachable, MakeEvent aMakeEvent)
+{
+  tasks_.add(options_.timer.timeoutAfter(ToKj(options_.callTimeout), kj::mv(aAnswer))
+               .catch_([this, aAddress, aGeneration,
+                        unreachable = std::move(aUnreachable)](kj::Exception&&) mutable {
+                 Drop(aAddress, aGeneration);
+                 return std::move(unreachable);
+               })
+               .then([this, aMakeEvent](Word aWord) {
+                 options_.sink(aMakeEvent(std::move(aWord)));
+               }));
+}
+
 void PeerRpc::Execute(const AskClaim& aAction)
 {
   Outgoing& outgoing = ConnectionTo(aAction.address);
   auto request = KJ_ASSERT_NONNULL(outgoing.client).askClaimRequest();
   request.setClaim(View(aAction.claim));
-  auto answered =
-    request.send().then([](capnp::Response<wire::Peer::AskClaimResults>&& aResponse) {
-      return FromWire(aResponse.getWord());
+  Await(aAction.address, outgoing.generation,
+        request.send().then([](capnp::Response<wire::Peer::AskClaimResults>&& aResponse) {
+          return FromWire(aResponse.getWord());
+        }),
+        ClaimWord::Unreachable, [question = aAction.question](ClaimWord aWord) {
+          return ClaimAnswered{ question, aWord };
+        });
+}
+
+void PeerRpc::Execute(const HandOverStream& aAction)
+{
+  Outgoing& outgoing = ConnectionTo(aAction.address);
+  auto request = KJ_ASSERT_NONNULL(outgoing.client).handOverRequest();
+  ToWire(aAction.state, request.initState());
+  Await(aAction.address, outgoing.generation,
+        request.send().then([](capnp::Response<wire::Peer::HandOverResults>&& aResponse) {
+          return aResponse.getAccepted() ? HandOverWord::Accepted : HandOverWord::Refused;
+        }),
+        HandOverWord::Unreachable, [question = aAction.question](HandOverWord aWord) {
+          return HandOverAnswered{ question, aWord };
+        });
+}
+
+void PeerRpc::Execute(const ReadStream& aAction)
+{
+  Outgoing& outgoing = ConnectionTo(aAction.address);
+  auto request = KJ_ASSERT_NONNULL(outgoing.client).readStreamRequest();
+  request.setStream(View(aAction.stream));
+  request.setFrom(aAction.from);
+  Await(
+    aAction.address, outgoing.generation,
+    request.send().then([](capnp::Response<wire::Peer::ReadStreamResults>&& aResponse) {
+      return FromWire(aResponse.getPart());
+    }),
+    StreamPart{}, [question = aAction.question](StreamPart aPart) {
+      return StreamAnswered{ question, std::move(aPart) };
     });
-  tasks_.add(options_.timer.timeoutAfter(ToKj(options_.callTimeout), kj::mv(answered))
-               .catch_([this, address = aAction.address,
-                        generation = outgoing.generation](kj::Exception&&) {
-                 Drop(address, generation);
-                 return ClaimWord::Unreachable;
-               })
-               .then([this, question = aAction.question](ClaimWord aWord) {
-                 options_.sink(ClaimAnswered{ question, aWord });
-               }));
 }
 
 } // namespace gooseberrypath
--- a/gooseberrypath/peer_rpc.h
+++ b/gooseberrypath/peer_rpc.h
@@ -28,7 +28,7 @@
   EventSink sink;
   std::string address = "127.0.0.1:0"; // "IP:port"; port 0 chooses a free one
   Duration callTimeout = std::chrono::milliseconds(300); // with connecting
-  size_t maxQuestions = 1024;                            // open claim questions
+  size_t maxQuestions = 1024; // calls of peers that wait for the core
   Duration questionTimeout = std::chrono::seconds(2);
   size_t maxIncoming = 1024; // accepted connections
   size_t maxOutgoing = 64;   // cached connections; the least recently used is dropped
@@ -49,10 +49,14 @@
 
   void Execute(const SendGossip& aAction);
   void Execute(const AskClaim& aAction);
+  void Execute(const HandOverStream& aAction);
+  void Execute(const ReadStream& aAction);
 
-  /// Answers a ClaimAsked event. Unknown questions are ignored, since the asker may have
-  /// gone. The word Unreachable refuses the question.
+  /// Answer ClaimAsked, HandOverAsked and StreamAsked events. Unknown questions are
+  /// ignored, since the asker may have gone. The word Unreachable refuses the question.
   void Execute(const AnswerClaimQuestion& aAction);
+  void Execute(const AnswerHandOver& aAction);
+  void Execute(const AnswerStreamQuestion& aAction);
 
   uint16_t Port() const { return port_; }
   size_t IncomingCount() const { return incomingCount_; }
@@ -69,7 +73,17 @@
 
   kj::Promise<void> AcceptLoop();
   void Serve(kj::Own<kj::AsyncIoStream> aStream);
-  kj::Promise<ClaimWord> Ask(std::string aClaim);
+  template<typename Word>
+  using OpenQuestions =
+    std::unordered_map<QuestionId, kj::Own<kj::PromiseFulfiller<Word>>>;
+
+  template<typename Word, typename MakeEvent>
+  kj::Promise<Word> Ask(OpenQuestions<Word>& aOpen, MakeEvent aMakeEvent);
+  template<typename Word>
+  void Answer(OpenQuestions<Word>& aOpen, QuestionId aId, Word aWord);
+  template<typename Word, typename MakeEvent>
+  void Await(const std::string& aAddress, uint64_t aGeneration, kj::Promise<Word> aAnswer,
+             Word aUnreachable, MakeEvent aMakeEvent);
   Outgoing& ConnectionTo(const std::string& aAddress);
   void Drop(const std::string& aAddress, uint64_t aGeneration);
 
--- a/gooseberrypath/ports.h
+++ b/gooseberrypath/ports.h
@@ -49,10 +49,13 @@
   aPort.Follow(aStream, aFrom);
 };
 
-/// Other daemons: emits GossipReceived, GossipFailed, ClaimAsked and ClaimAnswered.
+/// Other daemons: emits GossipReceived, GossipFailed, ClaimAsked, ClaimAnswered,
+/// HandOverAsked, HandOverAnswered, StreamAsked and StreamAnswered.
 template<typename P>
 concept PeerPort =
-  Executes<P, SendGossip> && Executes<P, AskClaim> && Executes<P, AnswerClaimQuestion>;
+  Executes<P, SendGossip> && Executes<P, AskClaim> && Executes<P, AnswerClaimQuestion> &&
+  Executes<P, HandOverStream> && Executes<P, AnswerHandOver> && Executes<P, ReadStream> &&
+  Executes<P, AnswerStreamQuestion>;
 
 /// Operators: emits OperatorWrite, OperatorRead, OperatorStatus and OperatorDrain.
 template<typename P>
--- a/gooseberrypath/reply_writer.cc
+++ b/gooseberrypath/reply_writer.cc
@@ -52,8 +52,9 @@
 {
   const uint64_t offset = aRow.tokens.size();
   aRow.tokens.push_back(aText);
+  aRow.tokenBytes += aText.size();
   world_.counters.Add(Counter::TokensReceived);
-  if (!aRow.chat.streams) {
+  if (!aRow.chat.streams || aRow.callerGone) {
     return;
   }
   if (!aRow.headSent) {
--- a/gooseberrypath/serve.cc
+++ b/gooseberrypath/serve.cc
@@ -30,6 +30,9 @@
 /// Before the process exits, for answers that are still being written.
 constexpr Duration kFlushTime = 200ms;
 
+/// Room for received tokens in a message between daemons.
+constexpr uint64_t kMaxTokenBytes = uint64_t{ 1024 } * 1024;
+
 using PortSet =
   Ports<CallerHttp, BackendHttp, LogHttp, PeerRpc, OperatorHttp, Observation, KjClock>;
 
@@ -127,7 +130,9 @@
     , peers_({ .network = network_,
                .timer = timer_,
                .sink = Sink(),
-               .address = aSettings.peerListen })
+               .address = aSettings.peerListen,
+               // A handed-over request has the caller's body and the tokens.
+               .maxMessageBytes = aSettings.maxBodyBytes + kMaxTokenBytes })
     , operators_({ .address = aSettings.operatorListen,
                    .sink = Sink(),
                    .snapshot = [this] { return TakeSnapshot(daemon_->GetWorld()); } })
--- a/gooseberrypath/settings.cc
+++ b/gooseberrypath/settings.cc
@@ -102,6 +102,16 @@
        "time between not ready and refusing, in a planned stop" },
   Row{ "host-return-ms", &S::hostReturn, Number, "ms", "30000", 0, kDayMs,
        "time after a reclaim notice has passed, before the host is used again" },
+  Row{ "host", &S::host, Label, "", "", 0, 0,
+       "name of this host in the platform's notices; empty: none concerns this daemon" },
+  Row{
+    "reattach-ms", &S::reattachTime, Number, "ms", "10000", 0, 600'000,
+    "time for which a stream is kept after its end or the loss of its caller; 0: off" },
+  Row{ "max-kept-streams", &S::maxKeptStreams, Number, "streams", "1024", 0, 1'000'000,
+       "streams kept without a caller; ended ones are dropped first" },
+  Row{ "max-kept-stream-bytes", &S::maxKeptStreamBytes, Number, "bytes", "8388608", 0,
+       1'073'741'824,
+       "memory for kept streams; the default is a quarter of a daemon's 32 MB" },
   Row{ "load-interval-ms", &S::loadInterval, Number, "ms", "500", 10, 600'000,
        "time between load reports of a backend" },
   Row{ "host-list-interval-ms", &S::hostListInterval, Number, "ms", "1000", 10, 600'000,
@@ -387,7 +397,11 @@
                       .refusedPause = aSettings.refusedPause,
                       .drainDelay = aSettings.drainDelay,
                       .hostReturn = aSettings.hostReturn,
-                      .maxRequests = aSettings.maxRequests };
+                      .maxRequests = aSettings.maxRequests,
+                      .host = aSettings.host,
+                      .reattachTime = aSettings.reattachTime,
+                      .maxKeptStreams = aSettings.maxKeptStreams,
+                      .maxKeptStreamBytes = aSettings.maxKeptStreamBytes };
 }
 
 } // namespace gooseberrypath
--- a/gooseberrypath/settings.h
+++ b/gooseberrypath/settings.h
@@ -58,6 +58,10 @@
   Duration refusedPause{};
   Duration drainDelay{};
   Duration hostReturn{};
+  std::string host; // of this daemon, as the platform names it
+  Duration reattachTime{};
+  uint64_t maxKeptStreams = 0;
+  uint64_t maxKeptStreamBytes = 0;
   Duration loadInterval{};
   Duration hostListInterval{};
   LogLevel logLevel = LogLevel::Info;
--- a/gooseberrypath/testing/config_test.cc
+++ b/gooseberrypath/testing/config_test.cc
@@ -454,3 +454,33 @@
   cluster.Run(5s);
   CHECK(node.exits == 1);
 }
+
+TEST_CASE("A time limit or a notice for the own host begins the hand-over", "[config]")
+{
+  // Guards against a hand-over that begins when the host is gone already.
+  const bool isNotice = GENERATE(false, true);
+  Cluster cluster(1, 1, CoreOptions{ .host = "own" });
+  cluster.Run(1s);
+  const World& world = cluster.nodes[0].GetWorld();
+  cluster.Post(0, CallerRequest{ { 9 }, "GET", "/", {}, "" });
+  cluster.Post(0, ReclaimNotice{ "other", 1s });
+  cluster.Run(100ms);
+  CHECK(world.state == DaemonState::Serving);
+  const TimePoint begin = world.Now();
+  if (isNotice) {
+    cluster.Post(0, ReclaimNotice{ "own", 3s });
+  } else {
+    cluster.Post(0, OperatorDrain{ { 1 }, 9s });
+    cluster.Post(0, OperatorDrain{ { 2 }, 3s });
+    cluster.Post(0, OperatorDrain{ { 3 } }); // does not lift the limit
+  }
+  cluster.Run(50ms);
+  CHECK(world.state == DaemonState::Draining);
+  REQUIRE(world.handOverAt);
+  CHECK(*world.handOverAt >= begin + 2s);
+  CHECK(*world.handOverAt < begin + 2100ms);
+  // A limit shorter than the drain delay refuses requests from then on.
+  cluster.Post(0, OperatorDrain{ { 4 }, 200ms });
+  cluster.Run(200ms);
+  CHECK(world.refusesRequests);
+}
--- a/gooseberrypath/testing/operator_http_test.cc
+++ b/gooseberrypath/testing/operator_http_test.cc
@@ -205,6 +205,26 @@
   }
 }
 
+TEST_CASE("A planned stop takes a time limit", "[operator_http]")
+{
+  // Guards against a mistyped limit that becomes a stop without one.
+  const auto parse = [](const std::string& aBody) {
+    return ParseOperatorCall({ .method = "POST", .path = "/v1/drain", .body = aBody }, {},
+                             1s);
+  };
+  for (const char* body : { "", "{}" }) {
+    CHECK_FALSE(std::get<OperatorDrain>(*parse(body)).within);
+  }
+  CHECK(std::get<OperatorDrain>(*parse(R"({"within_ms":0})")).within == 0ms);
+  CHECK(std::get<OperatorDrain>(*parse(R"({"within_ms":1500})")).within == 1500ms);
+  for (const char* body :
+       { "x", "[]", R"({"within":1})", R"({"within_ms":-1})", R"({"within_ms":"1"})",
+         R"({"within_ms":1.5})", R"({"within_ms":86400001})" }) {
+    CAPTURE(body);
+    CHECK(parse(body).error().kind == ErrorKind::BadRequest);
+  }
+}
+
 TEST_CASE("A stop ends requests that wait", "[operator_http]")
 {
   // Guards against a planned stop that is held up by a long poll.
--- a/gooseberrypath/testing/peer_rpc_test.cc
+++ b/gooseberrypath/testing/peer_rpc_test.cc
@@ -141,6 +141,71 @@
   loop.RunUntil([&] { return there.IncomingCount() == 0; });
 }
 
+TEST_CASE("PeerRpc delivers streams", "[peer]")
+{
+  // Guards against fields lost in the wire form and against answers to the wrong
+  // question.
+  LoopFixture loop;
+  PeerRpc here(OptionsOf(loop));
+  PeerRpc there(OptionsOf(loop));
+  StreamState state{ .id = "d0-1-r2",
+                     .service = "s",
+                     .team = "t",
+                     .chat = R"({"a":1})",
+                     .model = "m",
+                     .trace = "tr",
+                     .span = "sp",
+                     .createdSeconds = 3,
+                     .timeLeft = 4us,
+                     .tokens = { "a ", "", std::string("\0\xff", 2) },
+                     .end = {} };
+  here.Execute(HandOverStream{ { 1 }, AddressOf(there), state });
+  const auto asked = loop.WaitFor<HandOverAsked>();
+  CHECK(asked.state.id == state.id);
+  CHECK(asked.state.service == state.service);
+  CHECK(asked.state.team == state.team);
+  CHECK(asked.state.chat == state.chat);
+  CHECK(asked.state.model == state.model);
+  CHECK(asked.state.trace == state.trace);
+  CHECK(asked.state.span == state.span);
+  CHECK(asked.state.createdSeconds == 3);
+  CHECK(asked.state.timeLeft == 4us);
+  CHECK(asked.state.tokens == state.tokens);
+  CHECK_FALSE(asked.state.end);
+  there.Execute(AnswerHandOver{ asked.question, HandOverWord::Accepted });
+  const auto answered = loop.WaitFor<HandOverAnswered>();
+  CHECK(answered.question == QuestionId{ 1 });
+  CHECK(answered.word == HandOverWord::Accepted);
+
+  here.Execute(ReadStream{ { 2 }, AddressOf(there), "d0-1-r2", 5 });
+  const auto read = loop.WaitFor<StreamAsked>();
+  CHECK(read.stream == "d0-1-r2");
+  CHECK(read.from == 5);
+  there.Execute(AnswerStreamQuestion{
+    read.question,
+    { .state = StreamPart::State::Found,
+      .model = "m",
+      .createdSeconds = 3,
+      .total = 7,
+      .tokens = { "x", "y" },
+      .end = StreamEnd{ .error = Error{ ErrorKind::DeadlineExceeded, "late" } } } });
+  const auto part = loop.WaitFor<StreamAnswered>().part;
+  CHECK(part.state == StreamPart::State::Found);
+  CHECK(part.model == "m");
+  CHECK(part.total == 7);
+  CHECK(part.tokens == std::vector<std::string>{ "x", "y" });
+  REQUIRE(part.end);
+  CHECK(part.end->error->kind == ErrorKind::DeadlineExceeded);
+  CHECK(part.end->error->message == "late");
+  CHECK(there.QuestionCount() == 0);
+
+  const std::string address = "127.0.0.1:1"; // nothing listens there
+  here.Execute(HandOverStream{ { 3 }, address, state });
+  CHECK(loop.WaitFor<HandOverAnswered>().word == HandOverWord::Unreachable);
+  here.Execute(ReadStream{ { 4 }, address, "d0-1-r2", 0 });
+  CHECK(loop.WaitFor<StreamAnswered>().part.state == StreamPart::State::Unreachable);
+}
+
 TEST_CASE("PeerRpc survives malformed data", "[peer]")
 {
   // Guards against a crash by a peer that sends anything but RPC messages.
--- a/gooseberrypath/world.h
+++ b/gooseberrypath/world.h
@@ -22,6 +22,7 @@
 #include "gooseberrypath/events.h"
 #include "gooseberrypath/messages.h"
 #include "gooseberrypath/resources.h"
+#include "gooseberrypath/stream_rows.h"
 #include "gooseberrypath/table.h"
 #include "gooseberrypath/timer_service.h"
 #include "gooseberrypath/types.h"
@@ -43,10 +44,14 @@
   Duration claimTimeout = std::chrono::seconds(2);  // for the whole claim
   Duration writeTimeout = std::chrono::seconds(5);  // for an operator's write
   Duration appendRetry = std::chrono::milliseconds(200); // before an append is repeated
-  Duration refusedPause = std::chrono::seconds(1); // a refusing backend is passed over
-  Duration drainDelay = std::chrono::seconds(2);   // from not ready to refusing
-  Duration hostReturn = std::chrono::seconds(30);  // after a notice, before new use
-  size_t maxRequests = 4096;                       // running at once; more: Overloaded
+  Duration refusedPause = std::chrono::seconds(1);  // a refusing backend is passed over
+  Duration drainDelay = std::chrono::seconds(2);    // from not ready to refusing
+  Duration hostReturn = std::chrono::seconds(30);   // after a notice, before new use
+  size_t maxRequests = 4096;                        // running at once; more: Overloaded
+  std::string host;                                 // of this daemon, for reclaim notices
+  Duration reattachTime = std::chrono::seconds(10); // streams are kept without a caller
+  size_t maxKeptStreams = 1024;
+  size_t maxKeptStreamBytes = size_t{ 8 } * 1024 * 1024;
 };
 
 /// The answer of a finished action.
@@ -74,6 +79,7 @@
   AwaitingClaim, // ClaimSystem works on it
   Ready,         // may be dispatched
   Running,       // an attempt runs
+  HandingOver,   // HandOverSystem offers it to peers
   Decided,       // `decision` holds the final answer, which DispatchSystem sends
 };
 
@@ -104,6 +110,8 @@
   // Model requests.
   ChatRequest chat;
   std::vector<std::string> tokens; // received so far
+  size_t tokenBytes = 0;           // in tokens
+  TimePoint keptUntil{};           // cancelled then, if callerGone
   bool headSent = false;
 
   AttemptId attempt;           // the running attempt; 0: none
@@ -223,7 +231,8 @@
 
   DaemonState state = DaemonState::Starting;
   TimePoint drainStarted{};
-  bool refusesRequests = false; // late part of a planned stop
+  bool refusesRequests = false;        // late part of a planned stop
+  std::optional<TimePoint> handOverAt; // for streams that still run
 
   std::map<std::string, StreamRow, std::less<>> streams;
   ResourceTable resources;
@@ -236,6 +245,8 @@
   /// Requests whose stage became Ready or Decided; drained by DispatchSystem.
   std::deque<RequestId> dispatchQueue;
   Table<AttemptId, AttemptRow> attempts;
+  Table<std::string, EndedStreamRow> endedStreams;
+  Table<RequestId, StreamReaderRow> streamReaders;
   Table<ActionId, ActionRow> actions;
   std::deque<ClaimEnd> claimEnds; // from DispatchSystem to ClaimSystem
   /// Hosts about which there is news to spread; drained by MembershipSystem.
@@ -249,6 +260,9 @@
   /// Tells whether a system left work for a system that has already run in this tick.
   bool HasWork() const { return !claimEnds.empty() || !dispatchQueue.empty(); }
 
+  /// Tells whether streams that still run are to be handed over now.
+  bool IsHandOverDue() const { return handOverAt && Now() >= *handOverAt; }
+
   /// Returns the time in ms since 1970, from the start time in the options.
   int64_t WallMs() const;
 
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -135,6 +135,7 @@
         peers = ",".join(f"127.0.0.1:{ports[1]}" for ports in self.daemon_ports)
         return Process(f"daemon{index}", [
             DAEMON, "serve", "--daemon", f"d{index}", "--zone", f"zone{index % 3}",
+            "--host", f"daemon{index}",
             "--listen", f"127.0.0.1:{caller}", "--peer-listen", f"127.0.0.1:{peer}",
             "--operator-listen", f"127.0.0.1:{operator}", "--peers", peers,
             "--log", f"127.0.0.1:{self.log.port}",
