--- a/gooseberrypath/actions.h
+++ b/gooseberrypath/actions.h
@@ -131,6 +131,36 @@
   std::string address;
 };
 
+/// Asks a peer to take a stream over.
+struct HandOverStream
+{
+  QuestionId question;
+  std::string address;
+  StreamState state;
+};
+
+struct AnswerHandOver
+{
+  QuestionId question;
+  HandOverWord word = HandOverWord::Refused;
+};
+
+/// Reads a stream of a peer. The peer answers when it has a token at the offset, when the
+/// stream ended, or after a short wait.
+struct ReadStream
+{
+  QuestionId question;
+  std::string address;
+  std::string stream; // public id of the request
+  uint64_t from = 0;
+};
+
+struct AnswerStreamQuestion
+{
+  QuestionId question;
+  StreamPart part;
+};
+
 // ---- Operators ----
 
 struct OperatorReply
@@ -180,7 +210,8 @@
   std::variant<ReplyWhole, ReplyStreamHead, ReplyStreamEvent, ReplyStreamEnd,
                StartModelAttempt, StartServiceAttempt, CancelAttempt, ExportKv,
                WatchLoads, AppendRecord, SendGossip, AskClaim, AnswerClaimQuestion,
-               AskSnapshot, OperatorReply, WriteLog, WriteSpan, ExitProcess>;
+               AskSnapshot, HandOverStream, AnswerHandOver, ReadStream,
+               AnswerStreamQuestion, OperatorReply, WriteLog, WriteSpan, ExitProcess>;
 
 } // namespace gooseberrypath
 
--- a/gooseberrypath/client.cc
+++ b/gooseberrypath/client.cc
@@ -332,7 +332,11 @@
     if (servers_.size() != 1) {
       throw UsageError("drain: exactly one --server is required");
     }
-    return PrintObject(Send(true, "/v1/drain", "{}"));
+    json body = json::object();
+    if (parsed_.count("within-ms") > 0) {
+      body["within_ms"] = parsed_["within-ms"].as<uint64_t>();
+    }
+    return PrintObject(Send(true, "/v1/drain", DumpJson(body)));
   }
 
   const cxxopts::ParseResult& parsed_;
--- a/gooseberrypath/client_command.cc
+++ b/gooseberrypath/client_command.cc
@@ -17,7 +17,7 @@
   ClientCommand{ "watch", "[KIND [NAME]]", 0, 2, { "count", "after" } },
   ClientCommand{ "delete", "KIND NAME", 2, 2, { "base" } },
   ClientCommand{ "status", "", 0, 0, {} },
-  ClientCommand{ "drain", "", 0, 0, {} },
+  ClientCommand{ "drain", "", 0, 0, { "within-ms" } },
 };
 
 bool Takes(const ClientCommand& aCommand, std::string_view aOption)
@@ -55,6 +55,12 @@
     add("after", "print changes after this offset; default: the current one",
         cxxopts::value<uint64_t>());
   }
+  if (Takes(aCommand, "within-ms")) {
+    add("within-ms",
+        "time after which streams that still run are at a peer (0 to 86400000 ms); "
+        "default: they run to their end",
+        cxxopts::value<uint64_t>());
+  }
   add("help", "print this text and exit");
   options.add_options("positional")("args", "",
                                     cxxopts::value<std::vector<std::string>>());
--- a/gooseberrypath/config_system.h
+++ b/gooseberrypath/config_system.h
@@ -41,6 +41,7 @@
   void Handle(const OperatorStatus& aEvent) { inbox_.emplace_back(aEvent); }
   void Handle(const OperatorDrain& aEvent) { inbox_.emplace_back(aEvent); }
   void Handle(const SnapshotReceived& aEvent) { inbox_.emplace_back(aEvent); }
+  void Handle(const ReclaimNotice& aEvent);
 
 private:
   /// An operator's write that was not seen in the log yet.
--- a/gooseberrypath/counters.cc
+++ b/gooseberrypath/counters.cc
@@ -58,6 +58,11 @@
   { KvExportsFailed, "kv_exports_failed", "KV cache exports refused or not in time." },
   { KvExportsLate, "kv_exports_late", "KV cache exports of streams that had moved." },
   { KvHandlesRefused, "kv_handles_refused", "KV handles that a new engine refused." },
+  { StreamsKept, "streams_kept", "Model requests that went on without their caller." },
+  { StreamsReattached, "streams_reattached", "Streams that a caller read again." },
+  { StreamsHandedOver, "streams_handed_over", "Streams that a peer took." },
+  { StreamsTakenOver, "streams_taken_over", "Streams taken from a peer." },
+  { StreamsNotTakenOver, "streams_not_taken_over", "Streams of a peer refused." },
 };
 
 constexpr bool IsInEnumOrder()
--- a/gooseberrypath/counters.h
+++ b/gooseberrypath/counters.h
@@ -57,7 +57,12 @@
   KvExportsFailed,
   KvExportsLate,
   KvHandlesRefused,
-  Count_, // not a counter
+  StreamsKept,         // went on after their caller had gone
+  StreamsReattached,   // read again by a caller
+  StreamsHandedOver,   // taken by a peer
+  StreamsTakenOver,    // taken from a peer
+  StreamsNotTakenOver, // refused to a peer
+  Count_,              // not a counter
 };
 
 /// All counters, starting at 0.
--- a/gooseberrypath/operator_call.cc
+++ b/gooseberrypath/operator_call.cc
@@ -88,6 +88,29 @@
   return write;
 }
 
+Result<Event> ParseDrain(const std::string& aBody, WriteId aWrite)
+{
+  constexpr uint64_t kMaxWithinMs = 86'400'000;
+  if (aBody.empty()) {
+    return OperatorDrain{ .write = aWrite };
+  }
+  const json body = json::parse(aBody, nullptr, false);
+  if (!body.is_object()) {
+    return BadBody("not a JSON object");
+  }
+  OperatorDrain drain{ .write = aWrite };
+  for (const auto& [name, value] : body.items()) {
+    if (name != "within_ms") {
+      return BadBody("field \"" + name + "\" is not known");
+    }
+    if (!value.is_number_unsigned() || value.get<uint64_t>() > kMaxWithinMs) {
+      return BadBody("\"within_ms\" must be a number from 0 to 86400000");
+    }
+    drain.within = std::chrono::milliseconds(value.get<int64_t>());
+  }
+  return drain;
+}
+
 } // namespace
 
 Result<Event> ParseOperatorCall(const OperatorCall& aCall, WriteId aWrite,
@@ -106,7 +129,7 @@
     return OperatorStatus{ .write = aWrite };
   }
   if (aCall.path == "/v1/drain" && isPost) {
-    return OperatorDrain{ .write = aWrite };
+    return ParseDrain(aCall.body, aWrite);
   }
   if (aCall.path == "/v1/resources" || aCall.path == "/v1/status" ||
       aCall.path == "/v1/drain") {
--- a/gooseberrypath/serve.cc
+++ b/gooseberrypath/serve.cc
@@ -38,6 +38,9 @@
 /// would not accept connections, call timers or answer health checks.
 constexpr kj::uint kTurnsPerPoll = 200;
 
+/// Room for received tokens in a message between daemons.
+constexpr uint64_t kMaxTokenBytes = uint64_t{ 1024 } * 1024;
+
 using PortSet =
   Ports<CallerHttp, BackendHttp, LogHttp, PeerRpc, OperatorHttp, Observation, KjClock>;
 
@@ -148,7 +151,9 @@
                .timer = timer_,
                .sink = Sink(),
                .address = aSettings.peerListen,
-               .snapshot = [this] { return EncodeSnapshot(daemon_->GetWorld()); } })
+               .snapshot = [this] { return EncodeSnapshot(daemon_->GetWorld()); },
+               // A handed-over request has the caller's body and the tokens.
+               .maxMessageBytes = aSettings.maxBodyBytes + kMaxTokenBytes })
     , operators_({ .address = aSettings.operatorListen,
                    .sink = Sink(),
                    .snapshot = [this] { return TakeSnapshot(daemon_->GetWorld()); } })
