--- a/bench/overhead.py
+++ b/bench/overhead.py
@@ -17,8 +17,8 @@
 
 CALLS = 500
 ACTIONS = 150
-STREAMS = 30
-STREAM_TOKENS = 40
+STREAMS = 100
+STREAM_TOKENS = 20
 IDLE_SECONDS = 10
 LOAD_SECONDS = 5
 LOAD_STREAMS = 96
--- a/gooseberrypath/daemon.h
+++ b/gooseberrypath/daemon.h
@@ -78,7 +78,7 @@
       }
       core_.Tick(ports_.clock.Now());
       for (const Action& action : core_.TakeActions()) {
-        std::visit([this](const auto& aOne) { Execute(aOne); }, action);
+        std::visit([this](const auto& aOne) { this->Execute(aOne); }, action);
       }
     }
     isPumping_ = false;
