Queue model requests in the log and take them over from lost daemons

A model request with "Prefer: respond-async" becomes a job in the stream "jobs". JobTable applies its records, JobCallers serves callers, and JobSystem runs held jobs as request rows without a caller, with checkpoints and fenced leases.

A job runs only after its first lease, which only the daemon that proposed it can take. A single job record would leave a daemon that gave the job up and was then killed with a job that others run, although the caller was told "not run".

--- a/gooseberrypath/config_system.cc
+++ b/gooseberrypath/config_system.cc
@@ -430,7 +430,7 @@
   }
   // Operators' writes are requests too: their fate is told before the exit.
   if (!world_.refusesRequests || isExitSent_ || !world_.requests.IsEmpty() ||
-      !pending_.empty()) {
+      world_.heldJobs > 0 || !pending_.empty()) {
     return;
   }
   for (const WaitingRead& read : std::exchange(reads_, {})) {
--- a/gooseberrypath/core.h
+++ b/gooseberrypath/core.h
@@ -19,6 +19,7 @@
 #include "gooseberrypath/claim_system.h"
 #include "gooseberrypath/config_system.h"
 #include "gooseberrypath/dispatch_system.h"
+#include "gooseberrypath/job_system.h"
 #include "gooseberrypath/membership_system.h"
 #include "gooseberrypath/system_concept.h"
 #include "gooseberrypath/world.h"
@@ -96,8 +97,8 @@
 };
 
 /// The core of a daemon. The order is the order of the systems in a tick.
-using Core =
-  BasicCore<ConfigSystem, MembershipSystem, BackendSystem, ClaimSystem, DispatchSystem>;
+using Core = BasicCore<ConfigSystem, MembershipSystem, BackendSystem, ClaimSystem,
+                       JobSystem, DispatchSystem>;
 
 } // namespace gooseberrypath
 
--- a/gooseberrypath/dispatch_system.cc
+++ b/gooseberrypath/dispatch_system.cc
@@ -48,6 +48,9 @@
     replies_.SendOutcome(aEvent);
     return;
   }
+  if (IsJobQuery(aEvent)) {
+    return; // JobSystem answers.
+  }
   auto taken = TakeIn(world_, aEvent);
   if (!taken) {
     world_.counters.Add(Counter::RequestsRefused);
@@ -424,7 +427,7 @@
     return;
   }
   if (row->stage != RequestStage::Running) {
-    return; // ClaimSystem decides.
+    return; // ClaimSystem or JobSystem decides.
   }
   if (!row->idempotent) {
     // The caller is answered now; a late answer is recorded for a retry with the key.
--- a/gooseberrypath/records.cc
+++ b/gooseberrypath/records.cc
@@ -1,34 +1,13 @@
 #include "gooseberrypath/records.h"
 
-#include <limits>
-#include <optional>
+#include <utility>
 
-#include <kj/encoding.h>
-#include <nlohmann/json.hpp>
+#include "gooseberrypath/record_fields.h"
 
 namespace gooseberrypath {
 
 namespace {
 
-using Json = nlohmann::json;
-
-std::string ToBase64(std::string_view aBytes)
-{
-  const kj::ArrayPtr<const kj::byte> bytes(
-    reinterpret_cast<const kj::byte*>(aBytes.data()), aBytes.size());
-  return kj::encodeBase64(bytes, false).cStr();
-}
-
-std::optional<std::string> FromBase64(const std::string& aText)
-{
-  const auto bytes =
-    kj::decodeBase64(kj::ArrayPtr<const char>(aText.data(), aText.size()));
-  if (bytes.hadErrors) {
-    return std::nullopt;
-  }
-  return std::string(reinterpret_cast<const char*>(bytes.begin()), bytes.size());
-}
-
 // Header values are base64 like bodies: callers and backends may send any bytes above
 // 127.
 Json HeadersToJson(const Headers& aHeaders)
@@ -107,112 +86,6 @@
   return { { "type", aRecord.type } };
 }
 
-/// Reads the fields of one JSON object and keeps the name of the first wrong one.
-class FieldReader
-{
-public:
-  explicit FieldReader(const Json& aObject)
-    : object_(aObject)
-  {
-  }
-
-  std::string Text(const char* aName)
-  {
-    const Json* value = Get(aName, &Json::is_string);
-    return value ? value->get_ref<const std::string&>() : std::string();
-  }
-
-  uint64_t Unsigned(const char* aName)
-  {
-    const Json* value = Get(aName, &Json::is_number_unsigned);
-    return value ? value->get<uint64_t>() : 0;
-  }
-
-  int64_t Integer(const char* aName, int64_t aMin, int64_t aMax)
-  {
-    const Json* value = Get(aName, &Json::is_number_integer);
-    if (!value) {
-      return aMin;
-    }
-    if (value->is_number_unsigned() &&
-        value->get<uint64_t>() >
-          static_cast<uint64_t>(std::numeric_limits<int64_t>::max())) {
-      Fail(aName);
-      return aMin;
-    }
-    const auto number = value->get<int64_t>();
-    if (number < aMin || number > aMax) {
-      Fail(aName);
-      return aMin;
-    }
-    return number;
-  }
-
-  bool Boolean(const char* aName)
-  {
-    const Json* value = Get(aName, &Json::is_boolean);
-    return value && value->get<bool>();
-  }
-
-  std::string Bytes(const char* aName)
-  {
-    const Json* value = Get(aName, &Json::is_string);
-    return value ? Decoded(aName, *value) : std::string();
-  }
-
-  Headers HeaderFields(const char* aName)
-  {
-    Headers headers;
-    const Json* value = Get(aName, &Json::is_array);
-    if (!value) {
-      return headers;
-    }
-    for (const Json& field : *value) {
-      if (!field.is_array() || field.size() != 2 || !field[0].is_string() ||
-          !field[1].is_string()) {
-        Fail(aName);
-        return headers;
-      }
-      headers.push_back({ Decoded(aName, field[0]), Decoded(aName, field[1]) });
-    }
-    return headers;
-  }
-
-  const Json* Object(const char* aName) { return Get(aName, &Json::is_object); }
-
-  void Fail(const std::string& aName)
-  {
-    if (wrong_.empty()) {
-      wrong_ = aName;
-    }
-  }
-
-  const std::string& Wrong() const { return wrong_; }
-
-private:
-  const Json* Get(const char* aName, bool (Json::*aIsType)() const noexcept)
-  {
-    const auto found = object_.find(aName);
-    if (found == object_.end() || !((*found).*aIsType)()) {
-      Fail(aName);
-      return nullptr;
-    }
-    return &*found;
-  }
-
-  std::string Decoded(const char* aName, const Json& aValue)
-  {
-    std::optional<std::string> bytes = FromBase64(aValue.get_ref<const std::string&>());
-    if (!bytes) {
-      Fail(aName);
-    }
-    return std::move(bytes).value_or("");
-  }
-
-  const Json& object_;
-  std::string wrong_;
-};
-
 ClaimRecord ReadClaim(FieldReader& aFields)
 {
   return { .service = aFields.Text("service"),
@@ -291,6 +164,9 @@
   if (aType == "carry") {
     return ReadCarry(aFields);
   }
+  if (auto job = ReadJobRecord(aType, aFields)) {
+    return std::visit([](auto& aOne) { return Record(std::move(aOne)); }, *job);
+  }
   return UnknownRecord{ .type = aType };
 }
 
--- a/gooseberrypath/records.h
+++ b/gooseberrypath/records.h
@@ -4,8 +4,10 @@
 //   Result<Record> record = DecodeRecord(entry.data);
 //
 // Streams: kConfigStream has PutRecord and DeleteRecord; kActionStream has ClaimRecord,
-// OutcomeRecord, AbandonRecord and CarryRecord. A record of an unknown type decodes to
-// UnknownRecord, so that an older daemon can skip what a newer one wrote.
+// OutcomeRecord, AbandonRecord and CarryRecord; kJobStream has JobRecord, LeaseRecord,
+// CheckpointRecord, DoneRecord, CancelRecord, ReleaseRecord and CarryJobRecord. A record
+// of an unknown type decodes to UnknownRecord, so that an older daemon can skip what a
+// newer one wrote.
 
 #ifndef GOOSEBERRYPATH_RECORDS_H_
 #define GOOSEBERRYPATH_RECORDS_H_
@@ -16,6 +18,7 @@
 #include <variant>
 
 #include "gooseberrypath/errors.h"
+#include "gooseberrypath/job_records.h"
 #include "gooseberrypath/types.h"
 
 namespace gooseberrypath {
@@ -110,8 +113,10 @@
   bool operator==(const UnknownRecord&) const = default;
 };
 
-using Record = std::variant<PutRecord, DeleteRecord, ClaimRecord, OutcomeRecord,
-                            AbandonRecord, CarryRecord, UnknownRecord>;
+using Record =
+  std::variant<PutRecord, DeleteRecord, ClaimRecord, OutcomeRecord, AbandonRecord,
+               CarryRecord, JobRecord, LeaseRecord, CheckpointRecord, DoneRecord,
+               CancelRecord, ReleaseRecord, CarryJobRecord, UnknownRecord>;
 
 /// Returns the record as one JSON object without line breaks.
 std::string EncodeRecord(const Record& aRecord);
--- a/gooseberrypath/reply_writer.cc
+++ b/gooseberrypath/reply_writer.cc
@@ -33,6 +33,12 @@
   return aRequest.method == "GET" && aRequest.target.starts_with(kOutcomePrefix);
 }
 
+bool IsJobQuery(const CallerRequest& aRequest)
+{
+  return (aRequest.method == "GET" || aRequest.method == "DELETE") &&
+         aRequest.target.starts_with(kJobPrefix);
+}
+
 AnswerIdentity ReplyWriter::IdentityOf(const RequestRow& aRow) const
 {
   const auto age =
@@ -69,6 +75,13 @@
 void ReplyWriter::SendModelEnd(RequestId aId, const RequestRow& aRow,
                                std::string_view aFinishReason)
 {
+  if (!aRow.job.empty()) {
+    world_.jobEnds.push_back({ .job = aRow.job,
+                               .tokens = aRow.tokens,
+                               .finishReason = std::string(aFinishReason),
+                               .error = std::nullopt });
+    return;
+  }
   if (!aRow.chat.streams) {
     SendWhole(aId, aRow,
               { .status = 200,
@@ -87,6 +100,16 @@
 
 void ReplyWriter::SendError(RequestId aId, const RequestRow& aRow, const Error& aError)
 {
+  if (!aRow.job.empty()) {
+    const bool isFinal = aError.kind == ErrorKind::DeadlineExceeded ||
+                         aError.kind == ErrorKind::QueueTimeout;
+    world_.jobEnds.push_back({ .job = aRow.job,
+                               .tokens = aRow.tokens,
+                               .finishReason = {},
+                               .error = aError,
+                               .isFinal = isFinal });
+    return;
+  }
   const ErrorInfo& info = InfoOf(aError.kind);
   const std::string body = ErrorBody(aError, aRow.key);
   if (aRow.headSent) {
@@ -107,6 +130,17 @@
 void ReplyWriter::SendWhole(RequestId aId, const RequestRow& aRow,
                             const StoredAnswer& aAnswer)
 {
+  if (!aRow.job.empty()) {
+    // An engine refused the request itself, so that another run has the same end.
+    world_.jobEnds.push_back(
+      { .job = aRow.job,
+        .tokens = aRow.tokens,
+        .finishReason = {},
+        .error = Error{ ErrorKind::BadRequest, "the engine answered " +
+                                                 std::to_string(aAnswer.status) + ": " +
+                                                 aAnswer.body } });
+    return;
+  }
   world_.counters.Add(Counter::RequestsAnswered);
   Headers headers = aAnswer.headers;
   headers.push_back({ "X-Request-Id", aRow.publicId });
--- a/gooseberrypath/reply_writer.h
+++ b/gooseberrypath/reply_writer.h
@@ -15,10 +15,17 @@
 
 namespace gooseberrypath {
 
+/// Path of the queries about queued requests, followed by the id.
+inline constexpr std::string_view kJobPrefix = "/v1/jobs/";
+
 /// Tells whether a caller asks for the outcome of an action.
 bool IsOutcomeQuery(const CallerRequest& aRequest);
 
-/// Emits the actions that answer a caller.
+/// Tells whether a caller asks about a queued request or cancels it.
+bool IsJobQuery(const CallerRequest& aRequest);
+
+/// Emits the actions that answer a caller. The answers of a row that runs a queued
+/// request go to World::jobEnds instead.
 class ReplyWriter
 {
 public:
--- a/gooseberrypath/request_intake.cc
+++ b/gooseberrypath/request_intake.cc
@@ -107,11 +107,41 @@
   // The parsed request has its own copy.
   aRow.caller.body.clear();
   aRow.idempotent = true;
+  if (PrefersAsync(aRow.caller.headers)) {
+    aRow.stage = RequestStage::AwaitingJob;
+  }
   return {};
 }
 
 } // namespace
 
+bool PrefersAsync(const Headers& aHeaders)
+{
+  constexpr std::string_view kPreference = "respond-async";
+  for (const Header& header : aHeaders) {
+    if (!EqualsIgnoreCase(header.name, "Prefer")) {
+      continue;
+    }
+    std::string_view rest = header.value;
+    while (!rest.empty()) {
+      const size_t comma = std::min(rest.find(','), rest.size());
+      std::string_view one = rest.substr(0, comma);
+      one = one.substr(0, one.find(';'));
+      while (!one.empty() && one.front() == ' ') {
+        one.remove_prefix(1);
+      }
+      while (!one.empty() && one.back() == ' ') {
+        one.remove_suffix(1);
+      }
+      if (EqualsIgnoreCase(one, kPreference)) {
+        return true;
+      }
+      rest.remove_prefix(std::min(comma + 1, rest.size()));
+    }
+  }
+  return false;
+}
+
 std::string_view PathOf(std::string_view aTarget)
 {
   return aTarget.substr(0, aTarget.find('?'));
--- a/gooseberrypath/request_intake.h
+++ b/gooseberrypath/request_intake.h
@@ -24,8 +24,12 @@
 /// Checks an idempotency key: 1 to 128 printable ASCII characters. Fails with KeyInvalid.
 Result<void> CheckKey(std::string_view aKey);
 
+/// Tells whether the caller asks for a queued run by "Prefer: respond-async".
+bool PrefersAsync(const Headers& aHeaders);
+
 /// Checks everything that can be refused before any work and fills in the row. The stage
-/// is AwaitingClaim for a non-idempotent action, else Ready. Fails with NotReady,
+/// is AwaitingClaim for a non-idempotent action, AwaitingJob for a queued model request,
+/// else Ready. Fails with NotReady,
 /// Draining, Overloaded, RouteNotFound, MethodNotAllowed, BadHeader, BadRequest,
 /// KeyMissing or KeyInvalid; in all cases the request was not run.
 Result<RequestRow> TakeIn(World& aWorld, const CallerRequest& aRequest);
--- a/gooseberrypath/serve.cc
+++ b/gooseberrypath/serve.cc
@@ -50,7 +50,7 @@
   if (aWorld.state == DaemonState::Draining) {
     return "the daemon is stopping";
   }
-  for (const std::string_view stream : { kConfigStream, kActionStream }) {
+  for (const std::string_view stream : { kConfigStream, kActionStream, kJobStream }) {
     const auto found = aWorld.streams.find(stream);
     if (found == aWorld.streams.end() || !found->second.contacted) {
       return "the log has not answered for stream " + std::string(stream);
@@ -150,6 +150,7 @@
     daemon_->Wake();
     log_.Follow(kConfigStream, 1);
     log_.Follow(kActionStream, 1);
+    log_.Follow(kJobStream, 1);
     std::optional<PlatformHttp> platform;
     if (!settings_.platform.empty()) {
       platform.emplace(
--- a/gooseberrypath/testing/cluster.h
+++ b/gooseberrypath/testing/cluster.h
@@ -18,8 +18,8 @@
 
 namespace gooseberrypath::testing {
 
-/// Stands for the claim system: the stream "actions" is empty and read, and tests reach
-/// the world.
+/// Stands for the claim and job systems: their streams are empty and read, and tests
+/// reach the world.
 class ActionsRead
 {
 public:
@@ -27,7 +27,11 @@
     : world_(aWorld)
   {
   }
-  void Start() { world_.streams[std::string(kActionStream)].contacted = true; }
+  void Start()
+  {
+    world_.streams[std::string(kActionStream)].contacted = true;
+    world_.streams[std::string(kJobStream)].contacted = true;
+  }
   void Run() {}
   void Handle(const CallerRequest& aEvent) { world_.requests.Insert(aEvent.request, {}); }
   void Handle(const CallerGone& aEvent) { world_.requests.Erase(aEvent.request); }
--- a/gooseberrypath/world.cc
+++ b/gooseberrypath/world.cc
@@ -36,7 +36,7 @@
 
 bool World::IsCaughtUp() const
 {
-  for (const std::string_view name : { kConfigStream, kActionStream }) {
+  for (const std::string_view name : { kConfigStream, kActionStream, kJobStream }) {
     const auto found = streams.find(name);
     if (found == streams.end() || !found->second.contacted ||
         found->second.next < found->second.targetHead) {
--- a/gooseberrypath/world.h
+++ b/gooseberrypath/world.h
@@ -20,6 +20,7 @@
 #include "gooseberrypath/counters.h"
 #include "gooseberrypath/errors.h"
 #include "gooseberrypath/events.h"
+#include "gooseberrypath/job_records.h"
 #include "gooseberrypath/messages.h"
 #include "gooseberrypath/resources.h"
 #include "gooseberrypath/table.h"
@@ -43,10 +44,14 @@
   Duration claimTimeout = std::chrono::seconds(2);  // for the whole claim
   Duration writeTimeout = std::chrono::seconds(5);  // for an operator's write
   Duration appendRetry = std::chrono::milliseconds(200); // before an append is repeated
-  Duration refusedPause = std::chrono::seconds(1); // a refusing backend is passed over
-  Duration drainDelay = std::chrono::seconds(2);   // from not ready to refusing
-  Duration hostReturn = std::chrono::seconds(30);  // after a notice, before new use
-  size_t maxRequests = 4096;                       // running at once; more: Overloaded
+  Duration refusedPause = std::chrono::seconds(1);  // a refusing backend is passed over
+  Duration drainDelay = std::chrono::seconds(2);    // from not ready to refusing
+  Duration hostReturn = std::chrono::seconds(30);   // after a notice, before new use
+  Duration jobLeaseTime = std::chrono::seconds(15); // a silent holder is superseded
+  Duration jobTakeoverSpread = std::chrono::seconds(5); // largest random delay before it
+  Duration jobCheckpointInterval = std::chrono::seconds(5);
+  Duration jobWindow = std::chrono::hours(24); // ended jobs are kept, in log time
+  size_t maxRequests = 4096;                   // running at once; more: Overloaded
 };
 
 /// The answer of a finished action.
@@ -72,6 +77,7 @@
 enum class RequestStage : uint8_t
 {
   AwaitingClaim, // ClaimSystem works on it
+  AwaitingJob,   // JobSystem queues it
   Ready,         // may be dispatched
   Running,       // an attempt runs
   Decided,       // `decision` holds the final answer, which DispatchSystem sends
@@ -105,6 +111,7 @@
   ChatRequest chat;
   std::vector<std::string> tokens; // received so far
   bool headSent = false;
+  std::string job; // id of the queued request that this row runs; it has no caller
 
   AttemptId attempt;           // the running attempt; 0: none
   uint32_t attempts = 0;       // started so far
@@ -164,6 +171,49 @@
   StoredAnswer answer;
 };
 
+/// What the log says about a queued request.
+struct JobRow
+{
+  enum class State : uint8_t
+  {
+    Proposed, // not accepted yet and never run in this state
+    Queued,   // released by its holder
+    Running,
+    Done,
+    Failed,
+    Cancelled,
+  };
+  State state = State::Proposed;
+  JobRecord proposal;
+  std::string holder; // daemon; of a proposed job the daemon that proposed it
+  uint64_t holderIncarnation = 0;
+  Offset lease = 0; // fencing token of the newest lease; 0: none
+  std::vector<std::string> tokens;
+  std::string finishReason; // when Done
+  std::string error;        // JSON error object, when Failed
+  int64_t createdMs = 0;    // log time
+  int64_t endedMs = 0;      // log time; the row is dropped after the window
+  Offset revision = 0;      // newest record that changed the row
+  Offset offset = 0; // the row can be rebuilt from the records at and after this offset
+
+  bool HasEnded() const
+  {
+    return state == State::Done || state == State::Failed || state == State::Cancelled;
+  }
+
+  bool operator==(const JobRow&) const = default;
+};
+
+/// How a run of a queued request ended; drained by JobSystem.
+struct JobEnd
+{
+  std::string job;
+  std::vector<std::string> tokens; // all
+  std::string finishReason;        // when it succeeded
+  std::optional<Error> error;
+  bool isFinal = true; // false: another run may succeed
+};
+
 /// A server of a service as this daemon sees it. Its id is "service/name".
 struct BackendRow
 {
@@ -238,6 +288,9 @@
   Table<AttemptId, AttemptRow> attempts;
   Table<ActionId, ActionRow> actions;
   std::deque<ClaimEnd> claimEnds; // from DispatchSystem to ClaimSystem
+  Table<std::string, JobRow> jobs;
+  std::deque<JobEnd> jobEnds; // from DispatchSystem to JobSystem
+  size_t heldJobs = 0;        // jobs with an own lease; they delay the planned stop
   /// Hosts about which there is news to spread; drained by MembershipSystem.
   std::vector<HostNews> hostNews;
 
@@ -247,7 +300,10 @@
   TimePoint Now() const { return timers.Now(); }
 
   /// Tells whether a system left work for a system that has already run in this tick.
-  bool HasWork() const { return !claimEnds.empty() || !dispatchQueue.empty(); }
+  bool HasWork() const
+  {
+    return !claimEnds.empty() || !jobEnds.empty() || !dispatchQueue.empty();
+  }
 
   /// Returns the time in ms since 1970, from the start time in the options.
   int64_t WallMs() const;
@@ -271,7 +327,7 @@
   /// Tells whether the log answered within CoreOptions::logDownAfter.
   bool IsLogReachable(std::string_view aStream) const;
 
-  /// Tells whether both streams were read up to their heads at the first contact.
+  /// Tells whether all streams were read up to their heads at the first contact.
   bool IsCaughtUp() const;
 };
 
