--- a/gooseberrypath/settings.cc
+++ b/gooseberrypath/settings.cc
@@ -96,6 +96,12 @@
        "time for an operator's write" },
   Row{ "append-retry-ms", &S::appendRetry, Number, "ms", "200", 10, 60'000,
        "time before an append is repeated" },
+  Row{ "job-lease-ms", &S::jobLeaseTime, Number, "ms", "15000", 1000, 3'600'000,
+       "a queued request whose daemon is silent for this time is taken over" },
+  Row{ "job-checkpoint-ms", &S::jobCheckpointInterval, Number, "ms", "5000", 100,
+       1'800'000, "time between checkpoints of a queued request" },
+  Row{ "job-window-ms", &S::jobWindow, Number, "ms", "86400000", 1000, 864'000'000,
+       "time for which the answer of a queued request is kept" },
   Row{ "refused-pause-ms", &S::refusedPause, Number, "ms", "1000", 0, 600'000,
        "time for which a backend that refused a connection is passed over" },
   Row{ "drain-delay-ms", &S::drainDelay, Number, "ms", "2000", 0, 3'600'000,
@@ -248,6 +254,12 @@
                           " ms");
     }
   }
+  // One late checkpoint must not cost the lease.
+  if (aSettings.jobLeaseTime < 2 * aSettings.jobCheckpointInterval) {
+    return BadSetting("job-lease-ms", MsText(aSettings.jobLeaseTime),
+                      "at least twice --job-checkpoint-ms, " +
+                        MsText(2 * aSettings.jobCheckpointInterval) + " ms or more");
+  }
   const std::string& advertised = aSettings.peerAdvertise;
   if (advertised.starts_with("0.0.0.0:") || advertised.starts_with("[::]:")) {
     return BadSetting("peer-advertise", advertised,
@@ -387,6 +399,9 @@
                       .refusedPause = aSettings.refusedPause,
                       .drainDelay = aSettings.drainDelay,
                       .hostReturn = aSettings.hostReturn,
+                      .jobLeaseTime = aSettings.jobLeaseTime,
+                      .jobCheckpointInterval = aSettings.jobCheckpointInterval,
+                      .jobWindow = aSettings.jobWindow,
                       .maxRequests = aSettings.maxRequests };
 }
 
--- a/gooseberrypath/settings.h
+++ b/gooseberrypath/settings.h
@@ -55,6 +55,9 @@
   Duration claimTimeout{};
   Duration writeTimeout{};
   Duration appendRetry{};
+  Duration jobLeaseTime{};
+  Duration jobCheckpointInterval{};
+  Duration jobWindow{};
   Duration refusedPause{};
   Duration drainDelay{};
   Duration hostReturn{};
--- a/gooseberrypath/testing/job_simulation.h
+++ b/gooseberrypath/testing/job_simulation.h
@@ -90,35 +90,49 @@
     TimerId wake{};
   };
 
-  JobSimulation(size_t aDaemons, uint64_t aSeed, CoreOptions aOptions = {})
+  JobSimulation(size_t aDaemons, uint64_t aSeed, CoreOptions aOptions = {},
+                Duration aDeadline = 3600s)
     : log(timers, aSeed)
     , daemons(aDaemons)
   {
+    options_ = std::move(aOptions);
+    deadline_ = aDeadline;
+    options_.seed = aSeed * 100;
     for (size_t i = 0; i < aDaemons; ++i) {
-      aOptions.daemon = "d" + std::to_string(i);
-      aOptions.seed = aSeed * 100 + i;
-      daemons[i].core = std::make_unique<CoreType>(aOptions, timers.Now());
-      World& world = WorldOf(i);
-      world.state = DaemonState::Serving;
-      world.streams[std::string(kConfigStream)].contacted = true;
-      world.streams[std::string(kActionStream)].contacted = true;
-      world.resources[{ "service", "assistant" }].spec = ServiceSpec{
-        .kind = ServiceKind::Model, .firstTokenTimeout = 10s, .tokenStall = 2s
-      };
-      world.resources[{ "route", "chat" }].spec = RouteSpec{
-        .pathPrefix = "/v1/chat/completions", .service = "assistant", .deadline = deadline
-      };
-      for (const char* name : { "e0", "e1" }) {
-        world.backends.Insert(
-          "assistant/" + std::string(name),
-          { .service = "assistant",
-            .spec = { .name = name, .address = name, .host = name } });
-      }
+      Restart(i);
       timers.SubscribeEvery(100ms, [this, i](TimePoint) { Read(i); });
     }
     RunFor(300ms);
   }
 
+  /// Starts the daemon, after a kill if it ran, with a new incarnation.
+  void Restart(size_t aDaemon)
+  {
+    if (daemons[aDaemon].core) {
+      Kill(aDaemon);
+    }
+    CoreOptions options = options_;
+    options.daemon = "d" + std::to_string(aDaemon);
+    options.incarnation = ++lastIncarnation_;
+    options.seed += lastIncarnation_;
+    daemons[aDaemon].core = std::make_unique<CoreType>(options, timers.Now());
+    World& world = WorldOf(aDaemon);
+    world.state = DaemonState::Serving;
+    world.streams[std::string(kConfigStream)].contacted = true;
+    world.streams[std::string(kActionStream)].contacted = true;
+    world.resources[{ "service", "assistant" }].spec = ServiceSpec{
+      .kind = ServiceKind::Model, .firstTokenTimeout = 10s, .tokenStall = 2s
+    };
+    world.resources[{ "route", "chat" }].spec = RouteSpec{
+      .pathPrefix = "/v1/chat/completions", .service = "assistant", .deadline = deadline_
+    };
+    for (const char* name : { "e0", "e1" }) {
+      world.backends.Insert("assistant/" + std::string(name),
+                            { .service = "assistant",
+                              .spec = { .name = name, .address = name, .host = name } });
+    }
+  }
+
   World& WorldOf(size_t aDaemon)
   {
     return const_cast<World&>(daemons[aDaemon].core->GetWorld());
@@ -224,7 +238,6 @@
   std::vector<Daemon> daemons;
   std::vector<ReplyWhole> replies;
   std::map<std::string, bool> deadEngines;
-  Duration deadline = 3600s;
   uint64_t generated = 0; // tokens by all engines
   uint64_t starts = 0;    // attempts
 
@@ -332,6 +345,9 @@
 
   std::map<std::pair<size_t, AttemptId>, std::string> runs_;
   std::vector<std::unique_ptr<CoreType>> retired_;
+  CoreOptions options_;
+  Duration deadline_{};
+  uint64_t lastIncarnation_ = 0;
 };
 
 } // namespace gooseberrypath::testing
--- a/gooseberrypath/testing/job_system_test.cc
+++ b/gooseberrypath/testing/job_system_test.cc
@@ -239,3 +239,41 @@
   CHECK(s.TextOf(1, job) == Simulation::Expected());
   CHECK(s.generated == Simulation::kTokens);
 }
+
+TEST_CASE("A job fails at its deadline, whoever holds it", "[jobs]")
+{
+  // Guards against a job that nobody ends, and against a new deadline after a take-over.
+  Simulation s(3, 10, {}, 30s);
+  const std::string job = QueueAndRun(s, 7s);
+  SECTION("its daemon lives") {}
+  SECTION("its daemon is killed")
+  {
+    s.Kill(0);
+  }
+  s.RunFor(40s);
+  const auto view = s.View(1, job);
+  CHECK(view["state"] == "failed");
+  CHECK(view["error"]["kind"] == "deadline_exceeded");
+  CHECK(s.WorldOf(1).jobs.Find(job)->endedMs <=
+        s.WorldOf(1).jobs.Find(job)->createdMs + 31'000);
+  CheckSameTables(s);
+}
+
+TEST_CASE("Live jobs and answers outlast the log's retention", "[jobs]")
+{
+  // Guards against a job or an answer whose records the log has removed: the daemon that
+  // starts after the removal must know both.
+  Simulation s(3, 11);
+  s.log.faults.keep = 30;
+  const std::string done = QueueAndRun(s, 60s);
+  std::string live;
+  for (int i = 0; i < 12; ++i) {
+    live = QueueAndRun(s, 15s);
+  }
+  REQUIRE(s.log.Read(std::string(kJobStream), 1)->start > 20);
+  s.Restart(1);
+  s.RunFor(30s);
+  CHECK(s.TextOf(1, done) == Simulation::Expected());
+  CHECK(s.TextOf(1, live) == Simulation::Expected());
+  CheckSameTables(s);
+}
--- a/gooseberrypath/testing/records_test.cc
+++ b/gooseberrypath/testing/records_test.cc
@@ -43,6 +43,21 @@
            AbandonRecord{ "shop", "k", "c1" },
            CarryRecord{ claim, 1700000000000, 7, 90, true, outcome },
            CarryRecord{ .claim = claim, .outcome = {} },
+           JobRecord{ "j", "s", "t", kAnyBytes, "d0", 7, 60000, 5000, 3 },
+           LeaseRecord{ "j", "d0", 7, 12 },
+           CheckpointRecord{ "j", 12, 3, { "caf\u00e9", "\n" } },
+           DoneRecord{ "j", 12, 3, { "a" }, "stop", "{}" },
+           CancelRecord{ "j" },
+           ReleaseRecord{ "j", 12, 3, {} },
+           CarryJobRecord{ .proposal = { .job = "j", .body = kAnyBytes },
+                           .asOf = 9,
+                           .revision = 8,
+                           .state = "running",
+                           .holder = "d1",
+                           .holderIncarnation = 7,
+                           .lease = 5,
+                           .tokens = { "a", "b" },
+                           .createdMs = 1700000000000 },
            UnknownRecord{ "future" } };
 }
 
--- a/gooseberrypath/testing/settings_test.cc
+++ b/gooseberrypath/testing/settings_test.cc
@@ -42,6 +42,9 @@
   CHECK(options.seed == 7);
   const CoreOptions defaults;
   CHECK(options.claimTimeout == defaults.claimTimeout);
+  CHECK(options.jobLeaseTime == defaults.jobLeaseTime);
+  CHECK(options.jobCheckpointInterval == defaults.jobCheckpointInterval);
+  CHECK(options.jobWindow == defaults.jobWindow);
   CHECK(options.hostReturn == defaults.hostReturn);
   CHECK(options.maxRequests == defaults.maxRequests);
 }
@@ -77,6 +80,7 @@
       { "--log-level", "loud", "debug, info, warning, error" },
       { "--suspicion-ms", "999", "twice --gossip-interval-ms, 1000 ms" },
       { "--claim-timeout-ms", "200", "above --append-retry-ms" },
+      { "--job-lease-ms", "9999", "twice --job-checkpoint-ms, 10000 ms" },
       { "--peer-advertise", "0.0.0.0:1", "can connect to" },
     }));
   const std::string message = MessageOf(Parse({ argument + "=" + value }));
--- a/tests/jobs_test.py
+++ b/tests/jobs_test.py
@@ -1,6 +1,7 @@
 """Queued requests with real processes."""
 
 import json
+import signal
 import unittest
 
 from deployment import Deployment, chat, http_call, stream_text, wait_for
@@ -39,6 +40,22 @@
             self.assertEqual(view["response"]["choices"][0]["message"]["content"], expected)
             self.assertEqual(view["tokens"], 2500)
 
+    def test_planned_stop_and_cancellation(self):
+        """Guards against a stop that waits for a review or loses it, and against a review
+        that cannot be cancelled through another daemon."""
+        with Deployment(engines=3, services=0, daemons=3, decode_us=5000) as d:
+            d.apply(d.serrana())
+            _, _, body = d.call(
+                0, "POST", "/v1/chat/completions", chat(REVIEW, max_tokens=3000),
+                {"Prefer": "respond-async"})
+            job = json.loads(body)["id"]
+            d.daemons[0].signal(signal.SIGTERM)
+            self.assertEqual(d.daemons[0].process.wait(20), 0)
+            self.assertGreater(self.job(d, 1, job)["tokens"], 0)
+            wait_for(lambda: self.job(d, 1, job)["state"] == "running", "the next holder")
+            status, _, body = d.call(2, "DELETE", f"/v1/jobs/{job}")
+            self.assertEqual((status, json.loads(body)["state"]), (200, "cancelled"))
+
 
 if __name__ == "__main__":
     unittest.main()
