Test that the result of an old lease is ignored

The paused-holder test read the tables before the other daemons had read the stale records, and the position check hid a missing fence. With the fencing check taken out of JobTable for a trial, the new test and the slow-table test fail; with it, all of "[jobs]" passes.

--- a/gooseberrypath/testing/job_system_test.cc
+++ b/gooseberrypath/testing/job_system_test.cc
@@ -1,5 +1,7 @@
 #include "gooseberrypath/job_system.h"
 
+#include <algorithm>
+
 #include <catch2/catch.hpp>
 
 #include "gooseberrypath/testing/job_simulation.h"
@@ -157,7 +159,7 @@
     const JobRow row = *s.WorldOf(1).jobs.Find(job);
     CHECK(row.holder != "d0");
     s.Resume(0);
-    s.RunFor(50ms);
+    s.RunFor(300ms); // all daemons read what the old holder sends
     CHECK(s.WorldOf(1).jobs.Find(job)->lease == row.lease);
     s.RunFor(kWholeTime);
     CHECK(s.TextOf(1, job) == Simulation::Expected());
@@ -167,6 +169,30 @@
   }
 }
 
+TEST_CASE("The result of an old lease is ignored", "[jobs]")
+{
+  // Guards against a result that is accepted because its position fits: without
+  // checkpoints, only the fencing token tells that the holder was superseded.
+  Simulation s(3, 1, { .jobCheckpointInterval = 90s });
+  const std::string job = QueueAndRun(s, 7s);
+  const Offset oldLease = s.WorldOf(0).jobs.Find(job)->lease;
+  s.daemons[0].isPaused = true;
+  s.RunFor(45s); // the engine's tokens wait in the connection
+  s.Resume(0);
+  s.RunFor(300ms); // all daemons read what the old holder sends
+  const auto& records = s.log.All(std::string(kJobStream));
+  const bool wasSent = std::ranges::any_of(records, [&](const LogEntry& aEntry) {
+    const Record record = *DecodeRecord(aEntry.data);
+    const auto* done = std::get_if<DoneRecord>(&record);
+    return done && done->lease == oldLease && done->from == 0;
+  });
+  CHECK(wasSent);
+  CHECK(s.WorldOf(1).jobs.Find(job)->lease > oldLease);
+  CHECK(s.WorldOf(1).jobs.Find(job)->state == JobRow::State::Running);
+  s.RunFor(10s);
+  CHECK(s.WorldOf(0).counters.Get(Counter::JobsSuperseded) == 1);
+}
+
 TEST_CASE("Two daemons that supersede at once leave one holder", "[jobs]")
 {
   // Guards against two runs under valid leases.
