--- a/gooseberrypath/config_system.cc
+++ b/gooseberrypath/config_system.cc
@@ -366,7 +366,7 @@
   // Operators' writes are requests too: their fate is told before the exit.
   if (!world_.refusesRequests || isExitSent_ || !world_.requests.IsEmpty() ||
       !world_.streamReaders.IsEmpty() || !world_.endedStreams.IsEmpty() ||
-      !pending_.empty()) {
+      world_.heldJobs > 0 || !pending_.empty()) {
     return;
   }
   if (!AreOutcomesRecorded()) {
--- a/gooseberrypath/core.h
+++ b/gooseberrypath/core.h
@@ -20,6 +20,7 @@
 #include "gooseberrypath/config_system.h"
 #include "gooseberrypath/dispatch_system.h"
 #include "gooseberrypath/hand_over_system.h"
+#include "gooseberrypath/job_system.h"
 #include "gooseberrypath/membership_system.h"
 #include "gooseberrypath/stream_system.h"
 #include "gooseberrypath/system_concept.h"
@@ -99,7 +100,7 @@
 
 /// The core of a daemon. The order is the order of the systems in a tick.
 using Core = BasicCore<ConfigSystem, MembershipSystem, BackendSystem, ClaimSystem,
-                       DispatchSystem, HandOverSystem, StreamSystem>;
+                       JobSystem, DispatchSystem, HandOverSystem, StreamSystem>;
 
 } // namespace gooseberrypath
 
--- a/gooseberrypath/records.h
+++ b/gooseberrypath/records.h
@@ -4,8 +4,10 @@
 //   Result<Record> record = DecodeRecord(entry.data);
 //
 // Streams: kConfigStream has PutRecord, DeleteRecord and SnapshotRecord; kActionStream
-// has ClaimRecord, OutcomeRecord, AbandonRecord and CarryRecord. A record of an unknown
-// type decodes to UnknownRecord, so that an older daemon can skip what a newer one wrote.
+// has ClaimRecord, OutcomeRecord, AbandonRecord and CarryRecord; kJobStream has
+// JobRecord, LeaseRecord, CheckpointRecord, DoneRecord, CancelRecord, ReleaseRecord and
+// CarryJobRecord. A record of an unknown type decodes to UnknownRecord, so that an older
+// daemon can skip what a newer one wrote.
 
 #ifndef GOOSEBERRYPATH_RECORDS_H_
 #define GOOSEBERRYPATH_RECORDS_H_
@@ -17,6 +19,7 @@
 #include <vector>
 
 #include "gooseberrypath/errors.h"
+#include "gooseberrypath/job_records.h"
 #include "gooseberrypath/types.h"
 
 namespace gooseberrypath {
@@ -135,8 +138,10 @@
   bool operator==(const UnknownRecord&) const = default;
 };
 
-using Record = std::variant<PutRecord, DeleteRecord, SnapshotRecord, ClaimRecord,
-                            OutcomeRecord, AbandonRecord, CarryRecord, UnknownRecord>;
+using Record =
+  std::variant<PutRecord, DeleteRecord, SnapshotRecord, ClaimRecord, OutcomeRecord,
+               AbandonRecord, CarryRecord, JobRecord, LeaseRecord, CheckpointRecord,
+               DoneRecord, CancelRecord, ReleaseRecord, CarryJobRecord, UnknownRecord>;
 
 /// Returns the record as one JSON object without line breaks.
 std::string EncodeRecord(const Record& aRecord);
--- a/gooseberrypath/world.cc
+++ b/gooseberrypath/world.cc
@@ -39,7 +39,7 @@
   if (awaitsConfigSnapshot) {
     return false;
   }
-  for (const std::string_view name : { kConfigStream, kActionStream }) {
+  for (const std::string_view name : { kConfigStream, kActionStream, kJobStream }) {
     const auto found = streams.find(name);
     if (found == streams.end() || !found->second.contacted ||
         found->second.next < found->second.targetHead) {
