--- a/gooseberrypath/testing/config_snapshots_test.cc
+++ b/gooseberrypath/testing/config_snapshots_test.cc
@@ -162,7 +162,7 @@
   cluster.Run(1s);
   for (size_t i = 0; i < 20; ++i) {
     cluster.log.Store(PutRecord{ "service", "s" + std::to_string(i), 0,
-                                 "w" + std::to_string(i), ServiceJson(70) });
+                                 "w" + std::to_string(i), ServiceJson(80) });
   }
   cluster.Run(1s);
   const std::string snapshot = EncodeSnapshot(cluster.nodes[0].GetWorld());
--- a/tests/config_test.py
+++ b/tests/config_test.py
@@ -19,7 +19,7 @@
 def read_team(deployment, daemon):
     """Returns (version, limit, missing daemons) of the team as one daemon sees it."""
     _, _, body = http_call(deployment.operator_port(daemon), "GET",
-                           "/v1/resources/team/drivers")
+                           "/v1/resources?kind=team&name=drivers")
     resource = json.loads(body)["resources"][0]
     return (resource["version"], resource["spec"].get("maxConcurrent", 0),
             resource["status"]["missing"])
@@ -32,8 +32,8 @@
         self.d.apply(self.d.serrana())
 
     def write(self, daemon, limit, base):
-        return self.d.client("apply", "-f", "-", "--base", str(base), daemon=daemon,
-                             text=json.dumps(team(limit)))
+        return self.d.client("apply", "-f", "-", daemon=daemon,
+                             text=json.dumps({**team(limit), "base": base}))
 
     def test_two_writers_at_once(self):
         """Guards against two accepted writes on one version, and a lost one."""
