--- a/gooseberrypath/testing/records_test.cc
+++ b/gooseberrypath/testing/records_test.cc
@@ -58,6 +58,8 @@
                            .lease = 5,
                            .tokens = { "a", "b" },
                            .createdMs = 1700000000000 },
+           SnapshotRecord{ 9, { { "team", "t", 8, 5, "{}" } }, { "w" }, "1f" },
+           SnapshotRecord{},
            UnknownRecord{ "future" } };
 }
 
