--- a/gooseberrypath/testing/reclaim_simulation.h
+++ b/gooseberrypath/testing/reclaim_simulation.h
@@ -316,7 +316,7 @@
   void Execute(const std::vector<Action>& aActions)
   {
     for (const Action& action : aActions) {
-      std::visit([this](const auto& aOne) { Execute(aOne); }, action);
+      std::visit([this](const auto& aOne) { this->Execute(aOne); }, action);
     }
   }
 
