--- a/gooseberrypath/peer_order.cc
+++ b/gooseberrypath/peer_order.cc
@@ -58,6 +58,7 @@
 std::vector<std::string> AddressesOf(const std::vector<Ranked>& aRanked)
 {
   std::vector<std::string> addresses;
+  addresses.reserve(aRanked.size());
   for (const Ranked& peer : aRanked) {
     addresses.push_back(peer.address);
   }
--- a/gooseberrypath/peer_rpc.cc
+++ b/gooseberrypath/peer_rpc.cc
@@ -108,7 +108,7 @@
       asked.question = aId;
       return std::move(asked);
     });
-    return answer.then([aContext](StreamPart aPart) mutable {
+    return answer.then([aContext](const StreamPart& aPart) mutable {
       ToWire(aPart, aContext.getResults().initPart());
     });
   }
@@ -226,7 +226,7 @@
 template<typename Word, typename MakeEvent>
 kj::Promise<Word> PeerRpc::Ask(OpenQuestions<Word>& aOpen, MakeEvent aMakeEvent)
 {
-  if (questions_->Size() >= options_.maxQuestions) {
+  if (aOpen.size() >= options_.maxQuestions) {
     return KJ_EXCEPTION(OVERLOADED, "too many questions are open");
   }
   const QuestionId id{ lastQuestion_++ };
--- a/gooseberrypath/peer_rpc.h
+++ b/gooseberrypath/peer_rpc.h
@@ -28,7 +28,7 @@
   EventSink sink;
   std::string address = "127.0.0.1:0"; // "IP:port"; port 0 chooses a free one
   Duration callTimeout = std::chrono::milliseconds(300); // with connecting
-  size_t maxQuestions = 1024; // calls of peers that wait for the core
+  size_t maxQuestions = 1024; // of each kind that wait for the core
   Duration questionTimeout = std::chrono::seconds(2);
   size_t maxIncoming = 1024; // accepted connections
   size_t maxOutgoing = 64;   // cached connections; the least recently used is dropped
--- a/gooseberrypath/testing/stream_simulation.h
+++ b/gooseberrypath/testing/stream_simulation.h
@@ -229,6 +229,9 @@
     retired_.clear();
   }
 
+  /// Runs a tick, for an event that a test passed to the core itself.
+  void Tick(size_t aDaemon) { Step(aDaemon); }
+
   /// Reads the whole stream of another caller anew and returns its tokens.
   std::vector<std::string> ReadAgain(size_t aCaller, size_t aDaemon)
   {
