--- a/gooseberrypath/config_log.cc
+++ b/gooseberrypath/config_log.cc
@@ -25,18 +25,18 @@
   bool isDelete = false;
 };
 
-Result<Change> ToChange(Result<Record>& record)
+Result<Change> ToChange(Result<Record>& aRecord)
 {
-  if (!record) {
-    return tl::unexpected<Error>(record.error());
+  if (!aRecord) {
+    return tl::unexpected<Error>(aRecord.error());
   }
-  if (auto* put = std::get_if<PutRecord>(&*record)) {
+  if (auto* put = std::get_if<PutRecord>(&*aRecord)) {
     return Change{ .id = { put->kind, put->name },
                    .base = put->base,
                    .write = put->write,
                    .spec = std::move(put->spec) };
   }
-  if (auto* del = std::get_if<DeleteRecord>(&*record)) {
+  if (auto* del = std::get_if<DeleteRecord>(&*aRecord)) {
     return Change{ .id = { del->kind, del->name },
                    .base = del->base,
                    .write = del->write,
--- a/gooseberrypath/dispatch_system.cc
+++ b/gooseberrypath/dispatch_system.cc
@@ -43,15 +43,17 @@
   if (IsJobQuery(aEvent)) {
     return; // JobSystem answers.
   }
+  const std::string publicId = world_.options.daemon + "-" +
+                               std::to_string(world_.options.incarnation) + "-r" +
+                               std::to_string(world_.NewId<RequestId>().value);
   auto taken = TakeIn(world_, aEvent);
   if (!taken) {
     world_.counters.Add(Counter::RequestsRefused);
-    replies_.SendError(aEvent.request, RequestRow{ .caller = aEvent }, taken.error());
+    const RequestRow refused{ .caller = aEvent, .publicId = publicId };
+    replies_.SendError(aEvent.request, refused, taken.error());
     return;
   }
-  taken->publicId = world_.options.daemon + "-" +
-                    std::to_string(world_.options.incarnation) + "-r" +
-                    std::to_string(world_.NewId<RequestId>().value);
+  taken->publicId = publicId;
   world_.counters.Add(Counter::RequestsAccepted);
   retryTokens_ =
     std::min(kMaxRetryTokens, retryTokens_ + Policy().retryBudgetPercent / 100.0);
--- a/gooseberrypath/testing/dispatch_system_test.cc
+++ b/gooseberrypath/testing/dispatch_system_test.cc
@@ -205,7 +205,9 @@
   const auto kindOf = [&](const char* aMethod, const char* aTarget,
                           const Headers& aHeaders, const char* aBody) {
     f.Request(aMethod, aTarget, aHeaders, aBody);
-    return ErrorKindOf(f.Take<ReplyWhole>().at(0));
+    const auto reply = f.Take<ReplyWhole>().at(0);
+    CHECK(FindHeader(reply.headers, "X-Request-Id").starts_with("d0-1000-r"));
+    return ErrorKindOf(reply);
   };
   CHECK(kindOf("GET", "/nowhere", {}, "") == "route_not_found");
   CHECK(kindOf("POST", "/pickupsx", {}, "") == "route_not_found");
--- a/gooseberrypath/testing/peer_rpc_test.cc
+++ b/gooseberrypath/testing/peer_rpc_test.cc
@@ -96,8 +96,8 @@
   LoopFixture loop;
   PeerRpc here(OptionsOf(loop));
   auto options = OptionsOf(loop);
-  const std::string text(100'000, 'x');
-  options.snapshot = [&] { return text; };
+  std::string text(100'000, 'x');
+  options.snapshot = [&text] { return text; };
   PeerRpc there(std::move(options));
   here.Execute(AskSnapshot{ AddressOf(there) });
   CHECK(loop.WaitFor<SnapshotReceived>().record == text);
