--- a/gooseberrypath/caller_exchange.cc
+++ b/gooseberrypath/caller_exchange.cc
@@ -8,6 +8,19 @@
 
 namespace {
 
+size_t SizeOf(const Headers& aHeaders)
+{
+  size_t size = 0;
+  for (const Header& header : aHeaders) {
+    size += header.name.size() + header.value.size();
+  }
+  return size;
+}
+
+} // namespace
+
+namespace {
+
 /// Appends one field of a server-sent event. A field has one line.
 void AppendField(std::string& aInto, std::string_view aName, std::string_view aValue)
 {
@@ -82,6 +95,11 @@
                             .target = { aUrl.begin(), aUrl.size() },
                             .headers = FromKj(aHeaders),
                             .body = {} };
+  if (SizeOf(request_.headers) > options.maxHeaderBytes) {
+    return Fail(ErrorKind::HeadersTooLarge, "the header fields have more than " +
+                                              std::to_string(options.maxHeaderBytes) +
+                                              " bytes");
+  }
   using Outcome = kj::Maybe<bool>; // null: timeout
   auto timeout =
     options.timer.afterDelay(ToKj(options.bodyTimeout)).then([]() -> Outcome {
--- a/gooseberrypath/caller_http.h
+++ b/gooseberrypath/caller_http.h
@@ -32,6 +32,7 @@
   // "<daemon>-<incarnation>".
   std::string idPrefix = "d0-1";
   size_t maxBodyBytes = size_t{ 1024 } * 1024;
+  size_t maxHeaderBytes = size_t{ 64 } * 1024; // names and values of one request
   size_t maxQueuedBytes =
     size_t{ 256 } * 1024; // of one stream, for a caller that reads slowly
   size_t maxConnections = 4096;
--- a/gooseberrypath/claim_system.cc
+++ b/gooseberrypath/claim_system.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "gooseberrypath/record_reader.h"
+
 namespace gooseberrypath {
 
 namespace {
@@ -60,15 +62,10 @@
 
 void ClaimSystem::Apply(const LogEntry& aEntry)
 {
-  const Result<Record> record = DecodeRecord(aEntry.data);
-  if (!record || std::holds_alternative<UnknownRecord>(*record)) {
-    world_.counters.Add(Counter::RecordsSkipped);
-    world_.Log(LogLevel::Warning, kPart,
-               "skipped the record at offset " + std::to_string(aEntry.offset) + ": " +
-                 (record ? "unknown type" : record.error().message));
+  const std::optional<Record> record = ReadRecord(world_, kPart, aEntry);
+  if (!record) {
     return;
   }
-  world_.counters.Add(Counter::RecordsApplied);
   table_.Apply(aEntry.offset, aEntry.timeMs, *record);
 
   if (const auto* claim = std::get_if<ClaimRecord>(&*record)) {
--- a/gooseberrypath/job_system.cc
+++ b/gooseberrypath/job_system.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "gooseberrypath/chat_format.h"
+#include "gooseberrypath/record_reader.h"
 
 namespace gooseberrypath {
 
@@ -80,15 +81,10 @@
 
 void JobSystem::Apply(const LogEntry& aEntry)
 {
-  const Result<Record> record = DecodeRecord(aEntry.data);
-  if (!record || std::holds_alternative<UnknownRecord>(*record)) {
-    world_.counters.Add(Counter::RecordsSkipped);
-    world_.Log(LogLevel::Warning, kPart,
-               "skipped the record at offset " + std::to_string(aEntry.offset) + ": " +
-                 (record ? "unknown type" : record.error().message));
+  const std::optional<Record> record = ReadRecord(world_, kPart, aEntry);
+  if (!record) {
     return;
   }
-  world_.counters.Add(Counter::RecordsApplied);
   latestAt_ = world_.Now();
   if (table_.Apply(aEntry.offset, aEntry.timeMs, *record)) {
     changed_.insert(JobOf(*record));
--- a/gooseberrypath/serve.cc
+++ b/gooseberrypath/serve.cc
@@ -135,6 +135,7 @@
                  .address = aSettings.listen,
                  .idPrefix = aSettings.daemon + "-" + std::to_string(incarnation_),
                  .maxBodyBytes = aSettings.maxBodyBytes,
+                 .maxHeaderBytes = aSettings.maxHeaderBytes,
                  .maxConnections = aSettings.maxConnections,
                  .maxRequests = aSettings.maxRequests,
                  .headTimeout = aSettings.requestReadTimeout,
--- a/gooseberrypath/testing/caller_http_test.cc
+++ b/gooseberrypath/testing/caller_http_test.cc
@@ -180,6 +180,7 @@
   LoopFixture loop;
   auto options = OptionsOf(loop);
   options.maxBodyBytes = 10;
+  options.maxHeaderBytes = 2000;
   options.bodyTimeout = 20ms;
   options.headTimeout = 300ms;
   CallerHttp callers(std::move(options));
@@ -192,6 +193,11 @@
               std::string(70000, 'x');
     kind = ErrorKind::BodyTooLarge;
   }
+  SECTION("many header fields")
+  {
+    request = "GET / HTTP/1.1\r\nX-A: " + std::string(3000, 'a') + "\r\n\r\n";
+    kind = ErrorKind::HeadersTooLarge;
+  }
   SECTION("long chunked body")
   {
     request = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nb\r\n01234567890\r\n"
