Priorities at engines: quick questions before long answers

Cause: every request was sent with priority 0, so a quick question queued at an engine behind long plans and reviews. Measured: unit test of the order and of the promotion after the first-token timeout; no latency was measured. Conclusion: engines that honour priorities serve quick questions first; the wait of a long request behind them is bounded by the first-token timeout.

--- a/gooseberrypath/attempt_runner.cc
+++ b/gooseberrypath/attempt_runner.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <utility>
 
+#include "gooseberrypath/backend_candidates.h"
 #include "gooseberrypath/chat_format.h"
 
 namespace gooseberrypath {
@@ -70,6 +71,16 @@
          std::to_string(aId.value);
 }
 
+int PriorityOf(const RequestRow& aRow)
+{
+  if (!aRow.job.empty()) {
+    return kQueuedPriority;
+  }
+  const bool isLong =
+    aRow.chat.maxTokens == 0 || aRow.chat.maxTokens >= kLongStreamTokens;
+  return isLong && aRow.attempts <= 1 ? kLongPriority : kQuickPriority;
+}
+
 RunningAttempt AttemptRunner::Find(AttemptId aId)
 {
   AttemptRow* attempt = world_.attempts.Find(aId);
@@ -117,8 +128,9 @@
     .address = world_.backends.Find(aAttempt.backend)->spec.address,
     .headers = { { "traceparent", TraceParent(aRow.trace, aAttempt.span) },
                  { "X-Request-Id", name } },
-    .body = EngineRequestBody(aRow.chat, aRow.tokens,
-                              { .requestId = name, .kvHandle = aRow.kvHandle }) });
+    .body = EngineRequestBody(
+      aRow.chat, aRow.tokens,
+      { .requestId = name, .priority = PriorityOf(aRow), .kvHandle = aRow.kvHandle }) });
 }
 
 void AttemptRunner::StartService(AttemptId aId, const RequestRow& aRow,
--- a/gooseberrypath/attempt_runner.h
+++ b/gooseberrypath/attempt_runner.h
@@ -22,6 +22,18 @@
 /// failed attempt up to 2 s.
 Duration RetryDelay(const RequestRow& aRow);
 
+/// Priorities of a request at an engine; lower is sooner.
+inline constexpr int kQuickPriority = 0;
+inline constexpr int kLongPriority = 10;
+inline constexpr int kQueuedPriority = 20;
+
+/// Returns the request's priority at an engine: quick questions before long answers, and
+/// these before queued requests. From the second attempt on, a request of a caller is as
+/// urgent as a quick one, so that a long request behind a steady load of quick ones waits
+/// at most for the first-token timeout before it is promoted, and a stream that moved
+/// does not pause behind others.
+int PriorityOf(const RequestRow& aRow);
+
 /// An attempt with its request. Both are null if the attempt has ended.
 struct RunningAttempt
 {
--- a/gooseberrypath/testing/dispatch_system_test.cc
+++ b/gooseberrypath/testing/dispatch_system_test.cc
@@ -89,6 +89,29 @@
   CHECK(f.world.counters.Get(Counter::TokensDropped) == 2);
 }
 
+TEST_CASE("Quick questions go before long answers, and a late long one is promoted",
+          "[dispatch]")
+{
+  // Guards against a long answer that starves behind quick questions, and the reverse.
+  DispatchFixture f;
+  const auto priorityOf = [&](const std::string& aLimit) {
+    f.Request("POST", "/v1/chat/completions", {},
+              R"({"messages":[{"role":"user","content":"a"}])" + aLimit + "}");
+    const auto start = f.Take<StartModelAttempt>().at(0);
+    return nlohmann::json::parse(start.body)["priority"].get<int>();
+  };
+  CHECK(priorityOf(R"(,"max_tokens":50)") == kQuickPriority);
+  CHECK(priorityOf(R"(,"max_tokens":4000)") == kLongPriority);
+  CHECK(priorityOf("") == kLongPriority);
+  f.Advance(10s); // the first-token timeout
+  const auto again = f.Take<StartModelAttempt>();
+  REQUIRE(again.size() == 3);
+  for (const StartModelAttempt& start : again) {
+    CHECK(nlohmann::json::parse(start.body)["priority"] == kQuickPriority);
+  }
+  CHECK(PriorityOf(RequestRow{ .job = "j" }) == kQueuedPriority);
+}
+
 TEST_CASE("A stalled stream is moved and the old attempt cancelled", "[dispatch]")
 {
   DispatchFixture f;
