Test that a service's answer to another request is not passed on

Cause: crossed answers of services were handled and had no test of their own. Change: one test case for an action and an idempotent call. Conclusion: a crossed answer ends an action as outcome_unknown and repeats an idempotent call.

--- a/gooseberrypath/testing/dispatch_system_test.cc
+++ b/gooseberrypath/testing/dispatch_system_test.cc
@@ -159,6 +159,27 @@
   CHECK(f.world.claimEnds[0].how == ClaimEnd::How::Unknown);
 }
 
+TEST_CASE("A service's answer to another request is not passed on", "[dispatch]")
+{
+  // Guards against a caller that gets the outcome of another caller's action.
+  DispatchFixture f;
+  const Headers other = { { "X-Request-Id", "d7-1000-a1" } };
+  f.Request("POST", "/pickups", { { "Idempotency-Key", "k1" } }, "{}");
+  const auto action = f.Take<StartServiceAttempt>().at(0);
+  f.Post(AttemptAnswered{ action.attempt, 200, other, "theirs" });
+  CHECK(ErrorKindOf(f.Take<ReplyWhole>().at(0)) == "outcome_unknown");
+  CHECK(f.Take<StartServiceAttempt>().empty());
+  REQUIRE(f.world.claimEnds.size() == 1);
+  CHECK(f.world.claimEnds[0].how == ClaimEnd::How::Unknown);
+  for (int i = 0; i < 5; ++i) { // earns one retry
+    f.Request("GET", "/status");
+  }
+  const auto reads = f.Take<StartServiceAttempt>();
+  f.Post(AttemptAnswered{ reads.at(0).attempt, 200, other, "theirs" });
+  CHECK(f.Take<ReplyWhole>().empty());
+  CHECK(f.Take<StartServiceAttempt>().size() == 1);
+}
+
 TEST_CASE("A refused connection proves that nothing was sent", "[dispatch]")
 {
   DispatchFixture f;
