--- a/entry/duty_system.cc
+++ b/entry/duty_system.cc
@@ -108,6 +108,8 @@
   isReading_ = false;
   if (!aEvent.isRead) {
     end_.reset();
+    world_.Log(LogLevel::Warning, "duty_state_unread", {},
+               { { "reason", aEvent.reason } });
     return;
   }
   const auto state = DecodeDutyState(aEvent.text);
@@ -225,6 +227,10 @@
   const Write write = *std::move(writing_);
   writing_.reset();
   if (aEvent.outcome != WriteOutcome::Written) {
+    world_.Log(LogLevel::Warning, "duty_state_unwritten", {},
+               { { "reason", aEvent.reason },
+                 { "token", std::to_string(write.state.token) },
+                 { "renewal", std::to_string(write.state.renewal) } });
     // The write may still take effect, or another one came first: only the store knows.
     end_.reset();
     lastRead_ = {};
@@ -329,13 +335,6 @@
       }
       (row.entry.isReclaimable ? fleet.reclaimable : fleet.ordinary) += 1;
     }
-    const auto order = orders_.find(OrderKey{ aService.name, name, true });
-    if (order != orders_.end() && order->second.isAccepted &&
-        world_.Now() - order->second.sent <
-          aService.scaling->boot + std::chrono::seconds(2) &&
-        order->second.count > fleet.reclaimable) {
-      fleet.booting = order->second.count - fleet.reclaimable;
-    }
     fleets.push_back(std::move(fleet));
   }
   return fleets;
--- a/entry/fleet_plan.cc
+++ b/entry/fleet_plan.cc
@@ -19,9 +19,6 @@
     // An ordinary backend is let go only when its reclaimable successor serves.
     const uint32_t expected = std::min(reclaimable, fleet.reclaimable);
     uint32_t ordinary = std::max(aTarget.ordinary, total - expected);
-    if (fleet.booting > 0) {
-      ordinary = std::max(aTarget.ordinary, std::min(ordinary, fleet.ordinary));
-    }
     ordinary = std::min(ordinary, scaling.max - std::min(scaling.max, reclaimable));
     orders.push_back({ .service = aService.name,
                        .dataCentre = fleet.dataCentre,
--- a/entry/fleet_plan.h
+++ b/entry/fleet_plan.h
@@ -24,7 +24,6 @@
   std::string dataCentre;
   uint32_t ordinary = 0;    // that serve
   uint32_t reclaimable = 0; // that serve
-  uint32_t booting = 0;     // reclaimable ones that were ordered and may still come
 };
 
 struct FleetTarget
--- a/entry/fleet_system.cc
+++ b/entry/fleet_system.cc
@@ -54,8 +54,9 @@
     if (row == nullptr) {
       row = &world_.teams.Insert(team.name, TeamRow{ .quota = TeamQuota(world_.Now()) });
     }
+    const QuotaLimit limit{ .rate = team.ratePerSecond, .burst = team.burst };
     row->quota.SetLimit(world_.Now(),
-                        { .rate = team.ratePerSecond, .burst = team.burst });
+                        EnforcedLimit(limit, world_.options.quotaTolerance));
   }
   world_.teams.EraseIf([&](const std::string& aName, const TeamRow&) {
     return !names.contains(aName);
--- a/entry/messages.h
+++ b/entry/messages.h
@@ -137,6 +137,7 @@
 struct DutyStateRead
 {
   bool isRead = false; // false: the store did not answer
+  std::string reason;  // if not read
   std::string text;    // empty: there is none yet
   uint64_t end = 0;
 };
@@ -151,6 +152,7 @@
 struct DutyStateWritten
 {
   WriteOutcome outcome = WriteOutcome::Unknown;
+  std::string reason; // unless Written
   uint64_t end = 0; // offset for the next write, when Written
 };
 
--- a/entry/request_system.cc
+++ b/entry/request_system.cc
@@ -126,7 +126,11 @@
   if (row.team != nullptr) {
     TeamRow* team = world_.teams.Find(row.team->name);
     if (team != nullptr && !team->quota.TryAdmit(world_.Now(), intake->quotaAmount)) {
-      AnswerError(request, Error{ ErrorKind::RateLimited, "the team is over its limit" },
+      AnswerError(request,
+                  Error{ ErrorKind::RateLimited, "team " + row.team->name +
+                                                   " is over its limit of " +
+                                                   MsText(row.team->ratePerSecond) +
+                                                   " a second" },
                   std::max<Duration>(team->quota.RefillTime(world_.Now()), milliseconds(50)));
       return;
     }
--- a/entry/serve_entry.cc
+++ b/entry/serve_entry.cc
@@ -148,7 +148,10 @@
   {
     Log("started", { { "data_centre", settings_.dataCentre },
                      { "callers", settings_.callerAddress },
-                     { "store", settings_.storeAddress } });
+                     { "store", settings_.storeAddress },
+                     { "cloud", settings_.cloudAddress },
+                     { "reports_usage", settings_.reportsUsage ? "yes" : "no" },
+                     { "orders_backends", settings_.ordersBackends ? "yes" : "no" } });
     daemon_->Wake();
     store_.Start();
     auto stops = aIo.unixEventPort.onSignal(SIGTERM)
@@ -182,6 +185,7 @@
              .wallOffset = wallOffset_,
              .seed = std::random_device{}(),
              .retryBudget = settings_.retryBudget,
+             .quotaTolerance = settings_.quotaTolerance,
              .leaseTime = settings_.leaseTime,
              .usageWindow = settings_.usageWindow,
              .stopTime = settings_.stopTime,
@@ -190,7 +194,7 @@
   }
 
   /// Reads the settings again on SIGHUP and at times without it. A file that cannot be
-  /// used leaves the old settings in force; changed ones take effect at the next start.
+  /// used leaves the old settings in force.
   kj::Promise<void> ReloadLoop(kj::UnixEventPort& aPort)
   {
     return aPort.onSignal(SIGHUP)
@@ -201,13 +205,26 @@
         if (!settings) {
           Log("settings_invalid", { { "reason", settings.error().message } });
         } else if (*settings != settings_) {
-          settings_ = *settings;
-          Log("settings_changed", { { "effect", "at the next start" } });
+          TakeSettings(*settings);
         }
         return ReloadLoop(aPort);
       });
   }
 
+  /// New seeds are used at once, all else at the next start.
+  void TakeSettings(const EntrySettings& aSettings)
+  {
+    if (aSettings.seeds != settings_.seeds) {
+      daemon_->Post(PeersListed{ aSettings.seeds });
+    }
+    EntrySettings others = aSettings;
+    others.seeds = settings_.seeds;
+    if (others != settings_) {
+      Log("settings_changed", { { "effect", "at the next start" } });
+    }
+    settings_ = aSettings;
+  }
+
   std::string RenderMetrics() const
   {
     const World& world = daemon_->GetWorld();
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -24,6 +24,7 @@
   bool reportsUsage = false;
   bool ordersBackends = false;
   RetryBudgetOptions retryBudget{};
+  QuotaTolerance quotaTolerance{};
   Duration leaseTime{};
   WallTime usageWindow{};
   Duration stopTime{};
--- a/entry/store_port.cc
+++ b/entry/store_port.cc
@@ -198,6 +198,9 @@
                      }
                    }
                  }
+                 if (!aNewest) {
+                   event.reason = aNewest.error().message;
+                 }
                  options_.sink(std::move(event));
                }));
 }
@@ -215,7 +218,10 @@
             aResult->isWritten ? WriteOutcome::Written : WriteOutcome::Conflict;
           event.end = aResult->end;
         }
-        options_.sink(event);
+        if (event.outcome != WriteOutcome::Written) {
+          event.reason = aResult ? "another write came first" : aResult.error().message;
+        }
+        options_.sink(std::move(event));
       }));
 }
 
--- a/entry/store_port.h
+++ b/entry/store_port.h
@@ -35,7 +35,7 @@
   // Pause after a changed configuration, so that many changes are read together.
   Duration configPause = std::chrono::milliseconds(200);
   // Entries of backends change several times a second; they are gathered for this time.
-  Duration fleetPause = std::chrono::milliseconds(500);
+  Duration fleetPause = std::chrono::milliseconds(800);
   // Before a failed call is repeated.
   Duration retryPause = std::chrono::milliseconds(200);
 };
--- a/entry/team_quota.cc
+++ b/entry/team_quota.cc
@@ -4,6 +4,26 @@
 
 namespace gooseberrypath::entry {
 
+namespace {
+
+// Shares of the tolerance that callers get. In the time between two digests a team that
+// sends many times its limit may take the rest.
+constexpr double kOvershootShare = 0.5;
+constexpr double kSlackShare = 0.6;
+
+} // namespace
+
+QuotaLimit EnforcedLimit(QuotaLimit aLimit, const QuotaTolerance& aTolerance)
+{
+  if (aLimit.rate <= 0) {
+    return aLimit;
+  }
+  const double seconds = std::chrono::duration<double>(aTolerance.window).count();
+  const double slackRate = kSlackShare * aTolerance.slack / seconds;
+  return { .rate = aLimit.rate * (1 + kOvershootShare * aTolerance.overshoot) + slackRate,
+           .burst = aLimit.burst };
+}
+
 void TeamQuota::SetLimit(TimePoint aNow, QuotaLimit aLimit)
 {
   if (aLimit == limit_) {
--- a/entry/team_quota.h
+++ b/entry/team_quota.h
@@ -27,6 +27,21 @@
   bool operator==(const QuotaLimit&) const = default;
 };
 
+/// How far the calls of a team in any span of the window's length may go beyond its limit.
+struct QuotaTolerance
+{
+  Duration window = std::chrono::seconds(8);
+  double overshoot = 0; // share of the limit
+  double slack = 0;     // in the unit of the limit
+
+  bool operator==(const QuotaTolerance&) const = default;
+};
+
+/// Returns the limit that is enforced. A refused call is lost to its caller, so a part of
+/// the tolerance is given to callers; the rest covers what daemons admit before they hear
+/// of each other.
+QuotaLimit EnforcedLimit(QuotaLimit aLimit, const QuotaTolerance& aTolerance);
+
 /// One team's bucket as this daemon sees it.
 class TeamQuota
 {
--- a/entry/world.h
+++ b/entry/world.h
@@ -41,6 +41,7 @@
   WallTime wallOffset{};          // wall-clock time at TimePoint{}
   uint64_t seed = 1;              // for random choices
   RetryBudgetOptions retryBudget{};
+  QuotaTolerance quotaTolerance{};
   Duration leaseTime = std::chrono::seconds(3);  // of the duties
   WallTime usageWindow = std::chrono::seconds(5);
   Duration stopTime = std::chrono::seconds(8); // from the signal to the kill
