Keep a connection's error handler alive; tests of the entry daemon's ports

Ruled out by a debugger's trace: links that are destroyed in their own callbacks. A cancelled link also takes no more bytes now. Tests: 'An answer that is cut or reset is broken' failed before; so did 'Calls survive a backend that resets at random'.

--- a/entry/backend_port.cc
+++ b/entry/backend_port.cc
@@ -61,7 +61,12 @@
     socket_.Write(aAction.body);
   }
 
-  void Silence() { socket_.Silence(); }
+  /// Makes no more callbacks, also for bytes that are being read right now.
+  void Silence()
+  {
+    socket_.Silence();
+    attempt_ = AttemptId{};
+  }
 
   /// Tells whether the connection may be used for a call after this idle time.
   bool IsFresh(TimePoint aNow, bool aMayRepeat) const
--- a/entry/socket.cc
+++ b/entry/socket.cc
@@ -26,9 +26,13 @@
 {
   SetOption(*stream_, IPPROTO_TCP, TCP_NODELAY, 1);
   // The loops begin in a fresh turn, when the owner is complete.
-  const auto closeOnError = [this](kj::Exception&&) { Closed(true); };
-  reading_ = kj::evalLater([this] { return ReadLoop(); }).eagerlyEvaluate(closeOnError);
-  writes_ = kj::evalLater([this] { return WriteLoop(); }).eagerlyEvaluate(closeOnError);
+  // kj keeps a handler that is passed by name as a reference, so each one is made in place.
+  reading_ = kj::evalLater([this] {
+               return ReadLoop();
+             }).eagerlyEvaluate([this](kj::Exception&&) { Closed(true); });
+  writes_ = kj::evalLater([this] {
+              return WriteLoop();
+            }).eagerlyEvaluate([this](kj::Exception&&) { Closed(true); });
 }
 
 void Socket::SetSilenceLimit(std::chrono::milliseconds aLimit)
--- /dev/null
+++ b/entry/testing/backend_port_test.cc
@@ -0,0 +1,255 @@
+#include "entry/backend_port.h"
+
+#include <sys/socket.h>
+
+#include <catch2/catch.hpp>
+
+#include "gooseberrypath/testing/loop_fixture.h"
+
+namespace gooseberrypath::entry {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+using EntryLoop = BasicLoopFixture<Event>;
+
+BackendPortOptions OptionsOf(EntryLoop& aLoop)
+{
+  return { .network = aLoop.Network(),
+           .timer = aLoop.Timer(),
+           .sink = aLoop.Sink(),
+           .now = [] { return TimePoint{ 1s }; } };
+}
+
+StartAttempt Attempt(uint64_t aId, std::string aAddress, bool aIsStream = false)
+{
+  return { .attempt = { aId },
+           .backend = "i-1",
+           .address = std::move(aAddress),
+           .method = "POST",
+           .target = "/pickups/7?a=1",
+           .headers = { { "Host", "shop.example" } },
+           .body = "call-body",
+           .requestId = "r" + std::to_string(aId),
+           .timeLeft = 10s,
+           .isStream = aIsStream,
+           .mayRepeat = true };
+}
+
+std::string Answer(int aId, const std::string& aBody, const std::string& aMore = "")
+{
+  return "HTTP/1.1 200 OK\r\nGooseberrypath-Request-Id: r" + std::to_string(aId) +
+         "\r\nGooseberrypath-Response-Stamp: s\r\n" + aMore +
+         "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+}
+
+/// Closes the connection with a reset.
+void Reset(RawPeer& aPeer)
+{
+  const linger now{ .l_onoff = 1, .l_linger = 0 };
+  aPeer.stream->setsockopt(SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+  aPeer.Close();
+}
+
+const std::string kStreamHead =
+  "HTTP/1.1 200 OK\r\nGooseberrypath-Request-Id: r1\r\nGooseberrypath-Response-Stamp: "
+  "s\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+std::string ChunkOf(const std::string& aText)
+{
+  char size[16];
+  std::snprintf(size, sizeof(size), "%zx\r\n", aText.size());
+  return size + aText + "\r\n";
+}
+
+} // namespace
+
+TEST_CASE("A kept connection carries the next call", "[entry][backend]")
+{
+  // Guards against a new connection for each call, which backends have to pay for.
+  EntryLoop loop;
+  BackendPort backends(OptionsOf(loop));
+  auto listener = loop.Listen();
+  backends.Execute(Attempt(1, loop.AddressOf(*listener)));
+  RawPeer backend = loop.Accept(*listener);
+  backend.ReadUntil("call-body");
+  backend.Write(Answer(1, "one"));
+  CHECK(loop.WaitFor<AttemptAnswered>().body == "one");
+  CHECK(backends.IdleCount() == 1);
+  backends.Execute(Attempt(2, loop.AddressOf(*listener)));
+  backend.ReadUntil("call-body");
+  backend.Write(Answer(2, "two"));
+  CHECK(loop.WaitFor<AttemptAnswered>().body == "two");
+}
+
+TEST_CASE("An answer to another call is passed over", "[entry][backend]")
+{
+  // Guards against a late answer that reaches the caller of the next call.
+  EntryLoop loop;
+  BackendPort backends(OptionsOf(loop));
+  auto listener = loop.Listen();
+  backends.Execute(Attempt(1, loop.AddressOf(*listener)));
+  RawPeer backend = loop.Accept(*listener);
+  backend.ReadUntil("call-body");
+  backend.Write(Answer(9, "wrong"));
+  backend.Write(Answer(1, "right"));
+  CHECK(loop.WaitFor<AttemptAnswered>().body == "right");
+  CHECK(backends.IdleCount() == 0); // such a connection is not used again
+}
+
+TEST_CASE("Bytes behind an answer end the connection", "[entry][backend]")
+{
+  // Guards against extra bytes that are taken for the answer to the next call.
+  EntryLoop loop;
+  BackendPort backends(OptionsOf(loop));
+  auto listener = loop.Listen();
+  backends.Execute(Attempt(1, loop.AddressOf(*listener)));
+  RawPeer backend = loop.Accept(*listener);
+  backend.ReadUntil("call-body");
+  SECTION("with the answer")
+  {
+    backend.Write(Answer(1, "one") + Answer(1, "again"));
+    CHECK(loop.WaitFor<AttemptAnswered>().body == "one");
+    CHECK(backends.IdleCount() == 0);
+  }
+  SECTION("later")
+  {
+    backend.Write(Answer(1, "one"));
+    CHECK(loop.WaitFor<AttemptAnswered>().body == "one");
+    backend.Write("junk");
+    loop.RunUntil([&] { return backends.IdleCount() == 0; });
+  }
+}
+
+TEST_CASE("An answer that is cut or reset is broken", "[entry][backend]")
+{
+  // Guards against half an answer that looks complete, and against a crash of the daemon
+  // when a connection is reset in the middle of a call.
+  EntryLoop loop;
+  BackendPort backends(OptionsOf(loop));
+  auto listener = loop.Listen();
+  backends.Execute(Attempt(1, loop.AddressOf(*listener)));
+  RawPeer backend = loop.Accept(*listener);
+  backend.ReadUntil("call-body");
+  SECTION("cut in the body")
+  {
+    const std::string answer = Answer(1, "whole");
+    backend.Write(answer.substr(0, answer.size() - 2));
+    backend.Close();
+  }
+  SECTION("closed without an answer")
+  {
+    backend.Close();
+  }
+  SECTION("reset without an answer")
+  {
+    Reset(backend);
+  }
+  SECTION("reset in an answer without length")
+  {
+    backend.Write("HTTP/1.1 200 OK\r\nGooseberrypath-Request-Id: r1\r\n\r\npart");
+    loop.Timer().afterDelay(5 * kj::MILLISECONDS).wait(loop.io.waitScope);
+    Reset(backend);
+  }
+  SECTION("no HTTP")
+  {
+    backend.Write("rubbish rubbish\r\n\r\n");
+  }
+  CHECK(loop.WaitFor<AttemptBroken>().attempt == AttemptId{ 1 });
+  loop.Timer().afterDelay(5 * kj::MILLISECONDS).wait(loop.io.waitScope);
+  CHECK(loop.Count<AttemptAnswered>() == 0);
+}
+
+TEST_CASE("An answer without length ends with its connection", "[entry][backend]")
+{
+  EntryLoop loop;
+  BackendPort backends(OptionsOf(loop));
+  auto listener = loop.Listen();
+  backends.Execute(Attempt(1, loop.AddressOf(*listener)));
+  RawPeer backend = loop.Accept(*listener);
+  backend.ReadUntil("call-body");
+  backend.Write("HTTP/1.1 200 OK\r\nGooseberrypath-Request-Id: r1\r\n"
+                "Gooseberrypath-Response-Stamp: s\r\n\r\nwhole");
+  backend.Close();
+  CHECK(loop.WaitFor<AttemptAnswered>().body == "whole");
+}
+
+TEST_CASE("A stream is passed on in whole events", "[entry][backend]")
+{
+  // Guards against half an event before a resume, whose rest would follow twice.
+  EntryLoop loop;
+  BackendPort backends(OptionsOf(loop));
+  auto listener = loop.Listen();
+  backends.Execute(Attempt(1, loop.AddressOf(*listener), true));
+  RawPeer backend = loop.Accept(*listener);
+  backend.ReadUntil("call-body");
+  backend.Write(kStreamHead + ChunkOf("id: 1\ndata: a\n\nid: 2\nda"));
+  loop.WaitFor<StreamStarted>();
+  const auto first = loop.WaitFor<StreamEvents>();
+  CHECK(first.bytes == "id: 1\ndata: a\n\n");
+  CHECK(first.lastId == "1");
+  SECTION("to its end")
+  {
+    backend.Write(ChunkOf("ta: b\n\n") + "0\r\n\r\n");
+    CHECK(loop.WaitFor<StreamEvents>().bytes == "id: 2\ndata: b\n\n");
+    loop.WaitFor<StreamEnded>();
+  }
+  SECTION("broken off")
+  {
+    Reset(backend);
+    loop.WaitFor<AttemptBroken>();
+    CHECK(loop.Count<StreamEvents>() == 0);
+  }
+  SECTION("ended without its last chunk")
+  {
+    backend.Close();
+    loop.WaitFor<AttemptBroken>();
+  }
+}
+
+TEST_CASE("A cancelled attempt has no further events", "[entry][backend]")
+{
+  // Guards against answers for calls that have ended, and against work that goes on at a
+  // backend after its caller left.
+  EntryLoop loop;
+  BackendPort backends(OptionsOf(loop));
+  auto listener = loop.Listen();
+  backends.Execute(Attempt(1, loop.AddressOf(*listener)));
+  RawPeer backend = loop.Accept(*listener);
+  backend.ReadUntil("call-body");
+  backends.Execute(CancelAttempt{ { 1 } });
+  CHECK(backend.ReadAll().empty());
+  loop.WaitFor<AttemptSent>();
+  CHECK(loop.events.empty());
+}
+
+TEST_CASE("A connection that a backend refuses proves that nothing was sent", "[entry][backend]")
+{
+  EntryLoop loop;
+  BackendPort backends(OptionsOf(loop));
+  backends.Execute(Attempt(1, loop.RefusingAddress()));
+  CHECK(loop.WaitFor<AttemptNotSent>().attempt == AttemptId{ 1 });
+  CHECK(loop.Count<AttemptSent>() == 0);
+}
+
+TEST_CASE("Calls survive a backend that resets at random", "[entry][backend]")
+{
+  // Guards against use of a connection after its end: each call has exactly one end.
+  EntryLoop loop;
+  BackendPort backends(OptionsOf(loop));
+  auto listener = loop.Listen();
+  for (uint64_t id = 1; id <= 60; ++id) {
+    backends.Execute(Attempt(id, loop.AddressOf(*listener), id % 2 == 0));
+    RawPeer backend = loop.Accept(*listener);
+    backend.ReadUntil("call-body");
+    if (id % 3 == 0) {
+      backend.Write("HTTP/1.1 200 OK\r\nContent-Le");
+    }
+    Reset(backend);
+    CHECK(loop.WaitFor<AttemptBroken>().attempt == AttemptId{ id });
+  }
+  CHECK(backends.Errors().Count() == 0);
+}
+
+} // namespace gooseberrypath::entry
--- /dev/null
+++ b/entry/testing/caller_port_test.cc
@@ -0,0 +1,136 @@
+#include "entry/caller_port.h"
+
+#include <catch2/catch.hpp>
+
+#include "gooseberrypath/testing/loop_fixture.h"
+
+namespace gooseberrypath::entry {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+using EntryLoop = BasicLoopFixture<Event>;
+
+/// A port on a free port of loopback.
+struct Callers
+{
+  explicit Callers(EntryLoop& aLoop)
+    : port(static_cast<uint16_t>(aLoop.Listen()->getPort()))
+    , callers({ .network = aLoop.Network(),
+                .timer = aLoop.Timer(),
+                .sink = aLoop.Sink(),
+                .now = [] { return TimePoint{ 1s }; },
+                .address = "127.0.0.1:" + std::to_string(port) })
+  {
+  }
+
+  uint16_t port;
+  CallerPort callers;
+};
+
+const std::string kRequest = "POST /pickups/7 HTTP/1.1\r\nHost: Shop.example:80\r\n"
+                             "Gooseberrypath-Request-Id: r1\r\n"
+                             "Gooseberrypath-Deadline-Ms: 1500\r\n"
+                             "Authorization: Token k1\r\n"
+                             "Gooseberrypath-Tenant: forged\r\n"
+                             "Content-Length: 6\r\n\r\npickup";
+
+} // namespace
+
+TEST_CASE("A call is decoded and answered on a kept connection", "[entry][caller]")
+{
+  EntryLoop loop;
+  Callers made(loop);
+  RawPeer caller = loop.ConnectTo(made.port);
+  caller.Write(kRequest + kRequest); // the second one waits for the first answer
+  const auto arrived = loop.WaitFor<CallArrived>();
+  CHECK(arrived.call.host == "shop.example");
+  CHECK(arrived.call.target == "/pickups/7");
+  CHECK(arrived.call.key == "k1");
+  CHECK(arrived.call.patience == 1500ms);
+  CHECK(arrived.call.body == "pickup");
+  // Fields that only the system may set, and the key, are not passed on.
+  CHECK(FindHeader(arrived.call.headers, "Gooseberrypath-Tenant").empty());
+  CHECK(FindHeader(arrived.call.headers, "Authorization").empty());
+  CHECK(loop.Count<CallArrived>() == 0);
+  made.callers.Execute(
+    AnswerWhole{ .exchange = arrived.exchange, .status = 201, .body = "ok" });
+  CHECK(caller.ReadUntil("\r\n\r\nok") ==
+        "HTTP/1.1 201 Created\r\nContent-Length: 2\r\n\r\nok");
+  CHECK(loop.WaitFor<CallArrived>().exchange != arrived.exchange);
+}
+
+TEST_CASE("A body in chunks is read whole", "[entry][caller]")
+{
+  EntryLoop loop;
+  Callers made(loop);
+  RawPeer caller = loop.ConnectTo(made.port);
+  caller.Write("POST /a/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc");
+  caller.Write("\r\n2\r\nde\r\n0\r\n\r\n");
+  CHECK(loop.WaitFor<CallArrived>().call.body == "abcde");
+}
+
+TEST_CASE("A request that could hide another one is refused", "[entry][caller]")
+{
+  // Guards against request smuggling by two statements of the length.
+  EntryLoop loop;
+  Callers made(loop);
+  RawPeer caller = loop.ConnectTo(made.port);
+  caller.Write("POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+               "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /b/ HTTP/1.1\r\n\r\n");
+  CHECK(caller.ReadAll().starts_with("HTTP/1.1 400 "));
+  CHECK(loop.events.empty());
+}
+
+TEST_CASE("A stream that is aborted does not look complete", "[entry][caller]")
+{
+  EntryLoop loop;
+  Callers made(loop);
+  RawPeer caller = loop.ConnectTo(made.port);
+  caller.Write(kRequest);
+  const ExchangeId id = loop.WaitFor<CallArrived>().exchange;
+  made.callers.Execute(AnswerStreamHead{ id, 200, {} });
+  made.callers.Execute(AnswerStreamBytes{ id, "data: a\n\n" });
+  SECTION("aborted")
+  {
+    made.callers.Execute(AnswerAbort{ id });
+    CHECK(caller.ReadAll().ends_with("\r\n\r\n9\r\ndata: a\n\n\r\n"));
+  }
+  SECTION("ended")
+  {
+    made.callers.Execute(AnswerStreamEnd{ id });
+    CHECK(caller.ReadUntil("0\r\n\r\n").ends_with("9\r\ndata: a\n\n\r\n0\r\n\r\n"));
+  }
+}
+
+TEST_CASE("A caller that leaves is noticed at once", "[entry][caller]")
+{
+  EntryLoop loop;
+  Callers made(loop);
+  RawPeer caller = loop.ConnectTo(made.port);
+  caller.Write(kRequest);
+  const ExchangeId id = loop.WaitFor<CallArrived>().exchange;
+  caller.Close();
+  CHECK(loop.WaitFor<CallerGone>().exchange == id);
+  // An answer that comes too late harms nothing.
+  made.callers.Execute(AnswerWhole{ .exchange = id, .status = 200 });
+}
+
+TEST_CASE("Idle connections are closed in a planned stop, busy ones after their answer",
+          "[entry][caller]")
+{
+  EntryLoop loop;
+  Callers made(loop);
+  RawPeer idle = loop.ConnectTo(made.port);
+  RawPeer busy = loop.ConnectTo(made.port);
+  busy.Write(kRequest);
+  const ExchangeId id = loop.WaitFor<CallArrived>().exchange;
+  made.callers.Execute(CloseCallers{});
+  CHECK(idle.ReadAll().empty());
+  made.callers.Execute(AnswerWhole{ .exchange = id, .status = 200, .body = "ok" });
+  CHECK(busy.ReadAll() ==
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok");
+}
+
+} // namespace gooseberrypath::entry
--- a/gooseberrypath/testing/loop_fixture.h
+++ b/gooseberrypath/testing/loop_fixture.h
@@ -5,6 +5,7 @@
 #define GOOSEBERRYPATH_TESTING_LOOP_FIXTURE_H_
 
 #include <deque>
+#include <functional>
 #include <string>
 #include <string_view>
 
@@ -63,12 +64,14 @@
   kj::Own<kj::AsyncIoStream> stream;
 };
 
-class LoopFixture
+/// The event loop, the network and the events of one kind of daemon.
+template<typename EventType>
+class BasicLoopFixture
 {
 public:
-  EventSink Sink()
+  std::function<void(EventType)> Sink()
   {
-    return [this](Event aEvent) {
+    return [this](EventType aEvent) {
       events.push_back(std::move(aEvent));
       if (arrived_.get() != nullptr) {
         arrived_->fulfill();
@@ -101,7 +104,7 @@
   size_t Count() const
   {
     size_t count = 0;
-    for (const Event& event : events) {
+    for (const EventType& event : events) {
       count += std::holds_alternative<T>(event) ? 1 : 0;
     }
     return count;
@@ -150,12 +153,14 @@
   }
 
   kj::AsyncIoContext io = kj::setupAsyncIo();
-  std::deque<Event> events;
+  std::deque<EventType> events;
 
 private:
   kj::Own<kj::PromiseFulfiller<void>> arrived_;
 };
 
+using LoopFixture = BasicLoopFixture<Event>;
+
 } // namespace gooseberrypath
 
 #endif // GOOSEBERRYPATH_TESTING_LOOP_FIXTURE_H_
