Refuse new calls late in a planned stop; tests of the entry core

Calls that come after the balancer has had its time are refused as not run, so that they go to another daemon at once. Test: 'a planned stop serves, then refuses, then exits' (failed before).

--- a/entry/request_system.cc
+++ b/entry/request_system.cc
@@ -6,6 +6,7 @@
 
 #include "entry/backend_choice.h"
 #include "entry/call_intake.h"
+#include "entry/stop_system.h"
 
 namespace gooseberrypath::entry {
 
@@ -26,6 +27,9 @@
 // Retry-After when there is no backend: one arrives with the next entries.
 constexpr Duration kNoBackendRetry = milliseconds(400);
 
+// Retry-After when another daemon can serve the call at once.
+constexpr Duration kElsewhereRetry = milliseconds(20);
+
 // Retry-After when a backend refused: its queue moves on within a fraction of a call.
 constexpr Duration kFullRetry = milliseconds(150);
 
@@ -111,6 +115,10 @@
   RequestRow& row = world_.requests.Insert(
     aEvent.exchange, RequestRow{ .call = aEvent.call, .arrived = aEvent.call.started });
   const Request request{ aEvent.exchange, &row };
+  if (RefusesNewCalls(world_)) {
+    AnswerError(request, Error{ ErrorKind::Draining, "the daemon stops" }, kElsewhereRetry);
+    return;
+  }
   const auto intake = CheckCall(world_, row.call);
   if (!intake) {
     AnswerError(request, intake.error(),
--- a/entry/stop_system.cc
+++ b/entry/stop_system.cc
@@ -13,6 +13,11 @@
 
 } // namespace
 
+bool RefusesNewCalls(const World& aWorld)
+{
+  return aWorld.stopping && aWorld.Now() >= *aWorld.stopping + kBalancerTime;
+}
+
 void StopSystem::Handle(const StopRequested&)
 {
   if (world_.stopping) {
@@ -38,7 +43,7 @@
                { { "version", std::to_string(world_.configuration->version) },
                  { "backends", std::to_string(world_.backends.Size()) } });
   }
-  if (!world_.stopping || world_.Now() < *world_.stopping + kBalancerTime) {
+  if (!RefusesNewCalls(world_)) {
     return;
   }
   if (!hasClosed_) {
--- a/entry/stop_system.h
+++ b/entry/stop_system.h
@@ -28,6 +28,10 @@
   bool hasExited_ = false;
 };
 
+/// Tells whether a planned stop is so far that new calls are refused: those that come now
+/// may not end before the process does.
+bool RefusesNewCalls(const World& aWorld);
+
 } // namespace gooseberrypath::entry
 
 #endif // ENTRY_STOP_SYSTEM_H_
--- /dev/null
+++ b/entry/testing/entry_fixture.h
@@ -0,0 +1,185 @@
+// An entry core on virtual time, with a configuration and backends, and the actions that it
+// emitted.
+
+#ifndef ENTRY_TESTING_ENTRY_FIXTURE_H_
+#define ENTRY_TESTING_ENTRY_FIXTURE_H_
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "entry/entry_core.h"
+
+namespace gooseberrypath::entry {
+
+/// Two routes of a booking service and two of a model service.
+inline Configuration TestConfiguration(uint64_t aVersion = 1)
+{
+  using namespace std::chrono_literals;
+  Configuration configuration{ .version = aVersion };
+  const auto add = [&](std::string aName, CallKind aKind, uint32_t aAttempts,
+                       std::string aService) -> Route& {
+    configuration.routes.push_back({ .name = aName,
+                                     .host = "h",
+                                     .pathPrefix = "/" + aName + "/",
+                                     .kind = aKind,
+                                     .timeout = 2s,
+                                     .objective = 500ms,
+                                     .maxAttempts = aAttempts,
+                                     .services = { { std::move(aService), 1 } } });
+    return configuration.routes.back();
+  };
+  add("status", CallKind::Idempotent, 2, "booking");
+  add("pickups", CallKind::NonIdempotent, 1, "booking");
+  add("plans", CallKind::Streaming, 1, "assistant").timeout = 10s;
+  add("questions", CallKind::Streaming, 2, "assistant").isResumable = true;
+  configuration.services["booking"] = Service{ .name = "booking" };
+  configuration.services["assistant"] =
+    Service{ .name = "assistant",
+             .engine = EngineTraits{ .slots = 24, .kvCapacityTokens = 400'000 } };
+  configuration.requiresKeys = true;
+  configuration.teams = { { .name = "acme" } };
+  configuration.teamOfKey = { { "k", 0 } };
+  return configuration;
+}
+
+class EntryFixture
+{
+public:
+  explicit EntryFixture(EntryOptions aOptions = { .host = "d1",
+                                                  .dataCentre = "c1",
+                                                  .dataCentres = { "c1" } })
+    : core_(std::move(aOptions), TimePoint{ std::chrono::seconds(100) })
+    , now_(TimePoint{ std::chrono::seconds(100) })
+  {
+    Tick();
+  }
+
+  /// Applies a configuration and two backends of each service.
+  void Prepare(Configuration aConfiguration = TestConfiguration())
+  {
+    Post(ConfigurationRead{
+      std::make_shared<const Configuration>(std::move(aConfiguration)) });
+    for (const std::string service : { "booking", "assistant" }) {
+      for (const std::string number : { "1", "2" }) {
+        AddBackend(service + number, service);
+      }
+    }
+  }
+
+  void AddBackend(const std::string& aId, const std::string& aService,
+                  uint64_t aSequence = 1, bool aIsLeaving = false)
+  {
+    Post(FleetRead{ .changes = { Entry(aId, aService, aSequence, aIsLeaving) } });
+  }
+
+  static BackendEntry Entry(const std::string& aId, const std::string& aService,
+                            uint64_t aSequence = 1, bool aIsLeaving = false)
+  {
+    return { .id = aId,
+             .service = aService,
+             .address = aId + ":80",
+             .dataCentre = "c1",
+             .slots = aService == "booking" ? 6U : 24U,
+             .isLeaving = aIsLeaving,
+             .sequence = aSequence };
+  }
+
+  template<typename E>
+  void Post(const E& aEvent)
+  {
+    core_.SetTime(now_);
+    core_.Handle(aEvent);
+    Tick();
+  }
+
+  /// Advances the time in small steps.
+  void Advance(Duration aTime)
+  {
+    constexpr Duration kStep = std::chrono::milliseconds(10);
+    for (Duration done{}; done < aTime; done += kStep) {
+      now_ += kStep;
+      Tick();
+    }
+  }
+
+  /// Posts a call on a route and returns its exchange.
+  ExchangeId Arrive(const std::string& aRoute, const std::string& aKey = "k",
+                    std::optional<ModelDemand> aDemand = std::nullopt)
+  {
+    const ExchangeId id{ ++lastExchange_ };
+    Post(CallArrived{ id, Call{ .requestId = "r" + std::to_string(id.value),
+                                .method = "POST",
+                                .target = "/" + aRoute + "/7",
+                                .host = "h",
+                                .started = now_,
+                                .key = aKey,
+                                .model = std::move(aDemand) } });
+    return id;
+  }
+
+  /// Returns the actions of this type so far and removes them.
+  template<typename A>
+  std::vector<A> Take()
+  {
+    std::vector<A> taken;
+    std::erase_if(actions, [&](const Action& aAction) {
+      const A* found = std::get_if<A>(&aAction);
+      if (found != nullptr) {
+        taken.push_back(*found);
+      }
+      return found != nullptr;
+    });
+    return taken;
+  }
+
+  /// Returns the attempt that was started last and reports it as sent.
+  StartAttempt Sent()
+  {
+    const auto started = Take<StartAttempt>();
+    if (started.empty()) {
+      return {};
+    }
+    Post(AttemptSent{ started.back().attempt });
+    return started.back();
+  }
+
+  /// Answers an attempt as its backend would.
+  void Answer(const StartAttempt& aAttempt, int aStatus, bool aWasNotRun = false)
+  {
+    Post(AttemptAnswered{ aAttempt.attempt,
+                          { .status = aStatus, .isSigned = true, .wasNotRun = aWasNotRun },
+                          "body" });
+  }
+
+  /// Returns the status of the last whole answer, 0 if there is none.
+  int LastStatus()
+  {
+    const auto answers = Take<AnswerWhole>();
+    return answers.empty() ? 0 : answers.back().status;
+  }
+
+  const World& GetWorld() const { return core_.GetWorld(); }
+  TimePoint Now() const { return now_; }
+
+  std::vector<Action> actions;
+
+private:
+  void Tick()
+  {
+    core_.Tick(now_);
+    for (Action& action : core_.TakeActions()) {
+      actions.push_back(std::move(action));
+    }
+  }
+
+  EntryCore core_;
+  TimePoint now_;
+  uint64_t lastExchange_ = 0;
+};
+
+} // namespace gooseberrypath::entry
+
+#endif // ENTRY_TESTING_ENTRY_FIXTURE_H_
--- /dev/null
+++ b/entry/testing/request_system_test.cc
@@ -0,0 +1,302 @@
+#include "entry/request_system.h"
+
+#include <catch2/catch.hpp>
+
+#include "entry/testing/entry_fixture.h"
+
+namespace gooseberrypath::entry {
+
+using namespace std::chrono_literals;
+
+TEST_CASE("Entry: a call before the first configuration is refused, not denied", "[entry]")
+{
+  // Guards against 401 or 404 for calls that the configuration allows.
+  EntryFixture entry;
+  entry.Arrive("status");
+  const auto answers = entry.Take<AnswerWhole>();
+  REQUIRE(answers.size() == 1);
+  CHECK(answers[0].status == 503);
+  CHECK_FALSE(FindHeader(answers[0].headers, "Retry-After").empty());
+}
+
+TEST_CASE("Entry: routes and keys of the configuration in force decide", "[entry]")
+{
+  EntryFixture entry;
+  entry.Prepare();
+  entry.Arrive("elsewhere");
+  CHECK(entry.LastStatus() == 404);
+  entry.Arrive("status", "unknown");
+  CHECK(entry.LastStatus() == 401);
+  // An older version than the one in force is ignored.
+  Configuration next = TestConfiguration(2);
+  next.teamOfKey = { { "k2", 0 } };
+  entry.Post(ConfigurationRead{ std::make_shared<const Configuration>(next) });
+  entry.Post(
+    ConfigurationRead{ std::make_shared<const Configuration>(TestConfiguration(1)) });
+  entry.Arrive("status");
+  CHECK(entry.LastStatus() == 401);
+}
+
+TEST_CASE("Entry: an answer is passed on unchanged", "[entry]")
+{
+  EntryFixture entry;
+  entry.Prepare();
+  entry.Arrive("pickups");
+  const StartAttempt attempt = entry.Sent();
+  CHECK(attempt.team == "acme");
+  CHECK(attempt.timeLeft <= 2s);
+  entry.Answer(attempt, 409);
+  const auto answers = entry.Take<AnswerWhole>();
+  REQUIRE(answers.size() == 1);
+  CHECK(answers[0].status == 409);
+  CHECK(answers[0].body == "body");
+  CHECK(entry.GetWorld().requests.IsEmpty());
+}
+
+TEST_CASE("Entry: a non-idempotent call is never sent twice", "[entry]")
+{
+  // Guards against a second pickup, and against "not run" for one that may have run.
+  EntryFixture entry;
+  entry.Prepare();
+  entry.Arrive("pickups");
+  const StartAttempt attempt = entry.Sent();
+  SECTION("broken")
+  {
+    entry.Post(AttemptBroken{ attempt.attempt, "reset" });
+    CHECK(entry.LastStatus() == 502);
+  }
+  SECTION("answered with a failure")
+  {
+    entry.Answer(attempt, 500);
+    CHECK(entry.LastStatus() == 500);
+  }
+  SECTION("silent until the time is over")
+  {
+    entry.Advance(2100ms);
+    CHECK(entry.LastStatus() == 504);
+    CHECK(entry.Take<CancelAttempt>().size() == 1);
+  }
+  SECTION("refused by the backend")
+  {
+    entry.Answer(attempt, 503, true);
+    CHECK(entry.LastStatus() == 503);
+  }
+  SECTION("answered without a signature")
+  {
+    entry.Post(AttemptAnswered{ attempt.attempt, { .status = 200 }, "body" });
+    CHECK(entry.LastStatus() == 502);
+  }
+  CHECK(entry.Take<StartAttempt>().empty());
+  CHECK(entry.GetWorld().requests.IsEmpty());
+}
+
+TEST_CASE("Entry: an idempotent call goes to another backend after a failure", "[entry]")
+{
+  EntryOptions options{ .host = "d1", .dataCentre = "c1", .dataCentres = { "c1" } };
+  options.retryBudget.extra = 10;
+  EntryFixture entry(options);
+  entry.Prepare();
+  entry.Arrive("status");
+  const StartAttempt first = entry.Sent();
+  SECTION("broken")
+  {
+    entry.Post(AttemptBroken{ first.attempt, "reset" });
+  }
+  SECTION("failed")
+  {
+    entry.Answer(first, 500);
+  }
+  SECTION("silent")
+  {
+    entry.Advance(1s);
+  }
+  const StartAttempt second = entry.Sent();
+  CHECK(second.backend != first.backend);
+  CHECK_FALSE(second.backend.empty());
+  entry.Answer(second, 200);
+  CHECK(entry.LastStatus() == 200);
+}
+
+TEST_CASE("Entry: attempts end at the route's maximum and the retry budget", "[entry]")
+{
+  EntryFixture entry; // without an allowance, 20 calls allow less than 4 repeats
+  entry.Prepare();
+  int repeats = 0;
+  for (int i = 0; i < 20; ++i) {
+    entry.Arrive("status");
+    entry.Post(AttemptBroken{ entry.Sent().attempt, "reset" });
+    const StartAttempt second = entry.Sent();
+    if (!second.backend.empty()) {
+      ++repeats;
+      entry.Post(AttemptBroken{ second.attempt, "reset" });
+      CHECK(entry.Take<StartAttempt>().empty()); // the maximum is 2
+    }
+    CHECK(entry.LastStatus() == 502);
+  }
+  CHECK(repeats >= 1);
+  CHECK(repeats <= 4);
+}
+
+TEST_CASE("Entry: a connection that fails does not count as an attempt", "[entry]")
+{
+  EntryFixture entry;
+  entry.Prepare();
+  entry.Arrive("pickups");
+  const auto first = entry.Take<StartAttempt>().at(0);
+  entry.Post(AttemptNotSent{ first.attempt, "refused" });
+  const StartAttempt second = entry.Sent();
+  CHECK(second.backend != first.backend);
+  entry.Answer(second, 200);
+  CHECK(entry.LastStatus() == 200);
+}
+
+TEST_CASE("Entry: a resumable stream goes on after its last event", "[entry]")
+{
+  // Guards against lost and repeated events, and against a second head.
+  EntryOptions options{ .host = "d1", .dataCentre = "c1", .dataCentres = { "c1" } };
+  options.retryBudget.extra = 10;
+  EntryFixture entry(options);
+  entry.Prepare();
+  const ExchangeId id = entry.Arrive("questions");
+  const StartAttempt first = entry.Sent();
+  entry.Post(StreamStarted{ first.attempt, { .status = 200, .isSigned = true } });
+  entry.Post(StreamEvents{ first.attempt, "id: 1\ndata: a\n\n", "1" });
+  entry.Post(AttemptBroken{ first.attempt, "reset" });
+  const StartAttempt second = entry.Sent();
+  CHECK(second.lastEventId == "1");
+  CHECK(second.backend != first.backend);
+  entry.Post(StreamStarted{ second.attempt, { .status = 200, .isSigned = true } });
+  entry.Post(StreamEvents{ second.attempt, "id: 2\ndata: b\n\n", "2" });
+  entry.Post(StreamEnded{ second.attempt });
+  CHECK(entry.Take<AnswerStreamHead>().size() == 1);
+  CHECK(entry.Take<AnswerStreamBytes>().size() == 2);
+  const auto ends = entry.Take<AnswerStreamEnd>();
+  REQUIRE(ends.size() == 1);
+  CHECK(ends[0].exchange == id);
+}
+
+TEST_CASE("Entry: a stream that may not be resumed is broken off openly", "[entry]")
+{
+  EntryFixture entry;
+  entry.Prepare();
+  entry.Arrive("plans");
+  const StartAttempt attempt = entry.Sent();
+  entry.Post(StreamStarted{ attempt.attempt, { .status = 200, .isSigned = true } });
+  SECTION("before its first event")
+  {
+    entry.Post(AttemptBroken{ attempt.attempt, "reset" });
+    CHECK(entry.LastStatus() == 502);
+  }
+  SECTION("after its first event")
+  {
+    entry.Post(StreamEvents{ attempt.attempt, "id: 1\ndata: a\n\n", "1" });
+    entry.Post(AttemptBroken{ attempt.attempt, "reset" });
+    CHECK(entry.Take<AnswerAbort>().size() == 1);
+    CHECK(entry.Take<AnswerStreamEnd>().empty());
+  }
+  CHECK(entry.Take<StartAttempt>().empty());
+}
+
+TEST_CASE("Entry: the work for a caller that left is cancelled", "[entry]")
+{
+  EntryFixture entry;
+  entry.Prepare();
+  const ExchangeId id = entry.Arrive("questions");
+  const StartAttempt attempt = entry.Sent();
+  entry.Post(CallerGone{ id });
+  const auto cancelled = entry.Take<CancelAttempt>();
+  REQUIRE(cancelled.size() == 1);
+  CHECK(cancelled[0].attempt == attempt.attempt);
+  CHECK(entry.GetWorld().attempts.IsEmpty());
+  for (const auto& [backend, row] : entry.GetWorld().backends) {
+    CHECK(row.inFlight == 0);
+  }
+}
+
+TEST_CASE("Entry: leaving and removed backends get no new calls", "[entry]")
+{
+  EntryFixture entry;
+  entry.Prepare();
+  entry.AddBackend("booking1", "booking", 2, true);
+  SECTION("the other one serves")
+  {
+    entry.Arrive("status");
+    CHECK(entry.Sent().backend == "booking2");
+  }
+  SECTION("none is left")
+  {
+    entry.Post(FleetRead{ .changes = { BackendRemoved{ "booking2" } } });
+    entry.Arrive("status");
+    CHECK(entry.LastStatus() == 503);
+    CHECK(entry.Take<StartAttempt>().empty());
+  }
+}
+
+TEST_CASE("Entry: entries that lapse around an outage of the store are kept for a while",
+          "[entry]")
+{
+  // Guards against an empty fleet when the store returns before its entries do.
+  EntryFixture entry;
+  entry.Prepare();
+  entry.Post(StoreReachable{ .isReachable = true });
+  entry.Post(StoreReachable{ .isReachable = false, .reason = "down" });
+  entry.Advance(5s);
+  entry.Post(StoreReachable{ .isReachable = true });
+  entry.Post(FleetRead{ .changes = { BackendRemoved{ "booking1" },
+                                     BackendRemoved{ "booking2" } } });
+  entry.Arrive("status");
+  CHECK_FALSE(entry.Sent().backend.empty());
+  entry.Advance(1s);
+  entry.AddBackend("booking1", "booking", 2);
+  entry.Advance(2s);
+  // The one that came back serves; the other one is gone.
+  entry.Arrive("status");
+  CHECK(entry.Sent().backend == "booking1");
+}
+
+TEST_CASE("Entry: a late copy of an older entry changes nothing", "[entry]")
+{
+  EntryFixture entry;
+  entry.Prepare();
+  entry.AddBackend("booking1", "booking", 3, true);
+  entry.AddBackend("booking1", "booking", 2, false);
+  CHECK(entry.GetWorld().backends.Find("booking1")->entry.isLeaving);
+}
+
+TEST_CASE("Entry: a planned stop serves, then refuses, then exits", "[entry]")
+{
+  // Guards against calls that are taken late in a stop and broken off by its end.
+  EntryFixture entry;
+  entry.Prepare();
+  entry.Post(FleetRead{ .isWhole = false });
+  CHECK(entry.Take<SetReady>().back().isReady);
+  entry.Post(StopRequested{});
+  CHECK_FALSE(entry.Take<SetReady>().back().isReady);
+  entry.Advance(1s);
+  entry.Arrive("plans");
+  const StartAttempt running = entry.Sent();
+  CHECK_FALSE(running.backend.empty());
+  entry.Advance(2s);
+  CHECK(entry.Take<CloseCallers>().size() == 1);
+  entry.Arrive("plans");
+  CHECK(entry.LastStatus() == 503);
+  CHECK(entry.Take<StartAttempt>().empty());
+  CHECK(entry.Take<ExitProcess>().empty());
+  entry.Answer(running, 200);
+  CHECK(entry.LastStatus() == 200);
+  entry.Advance(100ms);
+  CHECK(entry.Take<ExitProcess>().size() == 1);
+}
+
+TEST_CASE("Entry: a stop ends in time whatever runs", "[entry]")
+{
+  EntryFixture entry;
+  entry.Prepare();
+  entry.Arrive("plans");
+  entry.Sent();
+  entry.Post(StopRequested{});
+  entry.Advance(7500ms);
+  CHECK(entry.Take<ExitProcess>().size() == 1);
+}
+
+} // namespace gooseberrypath::entry
