--- a/entry/fleet_system.cc
+++ b/entry/fleet_system.cc
@@ -172,6 +172,7 @@
     return;
   }
   row->removedAt = world_.Now();
+  world_.isDigestDue = true;
   world_.Emit(DropConnections{ row->entry.address });
   world_.Log(LogLevel::Info, "backend_removed", {},
              { { "backend", aId }, { "in_flight", std::to_string(row->inFlight) } });
--- a/entry/peer_digest.h
+++ b/entry/peer_digest.h
@@ -46,7 +46,7 @@
   std::vector<TeamUse> teams;
   std::vector<UsageRow> usage;     // of the sender itself
   std::vector<std::string> peers;  // addresses of other daemons
-  std::vector<std::string> leaving; // ids of backends that said that they leave
+  std::vector<std::string> leaving; // ids of backends that leave or have just left
 };
 
 /// Returns the Cap'n Proto message.
--- a/entry/peer_system.cc
+++ b/entry/peer_system.cc
@@ -27,6 +27,9 @@
 // A peer that stays unheard is forgotten: by then a restarted host is back.
 constexpr Duration kForgetAfter = std::chrono::seconds(20);
 
+// Peers are told of a removed backend for this time: by then each has read it itself.
+constexpr Duration kTellRemoved = std::chrono::seconds(3);
+
 constexpr Duration kCheckInterval = std::chrono::milliseconds(200);
 constexpr size_t kToldPeers = 4;   // addresses in a full digest
 constexpr size_t kHeadBytes = 200; // of a digest without lists, with UDP and IP headers
@@ -110,7 +113,8 @@
                                   .waitingTokens = row.waitingTokens,
                                   .kvTokens = row.kvTokens });
     }
-    if (row.entry.isLeaving && !row.removedAt) {
+    const bool isGone = row.removedAt && *row.removedAt + kTellRemoved > world_.Now();
+    if (isGone || (row.entry.isLeaving && !row.removedAt)) {
       digest.leaving.push_back(id);
     }
   }
--- a/entry/serve_entry.cc
+++ b/entry/serve_entry.cc
@@ -1,6 +1,7 @@
 #include "entry/serve_entry.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <optional>
@@ -160,6 +161,7 @@
     auto reloads = ReloadLoop(aIo.unixEventPort).eagerlyEvaluate([](kj::Exception&&) {});
     exit_.promise.wait(aIo.waitScope);
     timer_.afterDelay(kFlushTime.count() * kj::MICROSECONDS).wait(aIo.waitScope);
+    Log("exiting", {});
   }
 
 private:
@@ -276,8 +278,10 @@
   kj::UnixEventPort::captureSignal(SIGTERM);
   kj::UnixEventPort::captureSignal(SIGHUP);
   kj::AsyncIoContext io = kj::setupAsyncIo();
-  EntryServer(aSettingsPath, *settings, io).Run(io);
-  return 0;
+  EntryServer server(aSettingsPath, *settings, io);
+  server.Run(io);
+  // The process holds nothing that must be written, and the platform waits for its end.
+  std::_Exit(0);
 }
 
 } // namespace gooseberrypath::entry
