--- a/entry/backend_choice.cc
+++ b/entry/backend_choice.cc
@@ -83,8 +83,8 @@
       .isRemote = backend->entry.dataCentre != aWorld.options.dataCentre
     };
     if (demand) {
-      load.missingTokens = aWorld.promptCache.MissingTokens(
-        aWorld.Now(), backend->key, i == home, *demand);
+      load.missingTokens =
+        aWorld.promptCache.MissingTokens(aWorld.Now(), backend->key, i == home, *demand);
       load.neededKvTokens = NeededKvTokens(*demand);
     }
     const double cost = ExpectedCost(load);
--- a/entry/backend_choice.h
+++ b/entry/backend_choice.h
@@ -26,7 +26,8 @@
 /// nothing. Backends that failed this call are only taken if there is no other one.
 std::optional<BackendChoice> ChooseBackend(const World& aWorld, const RequestRow& aRow);
 
-/// Picks the service of a call among those of its route, by weight and the id of the call.
+/// Picks the service of a call among those of its route, by weight and the id of the
+/// call.
 std::string PickService(const Route& aRoute, std::string_view aRequestId);
 
 } // namespace gooseberrypath::entry
--- a/entry/backend_cost.cc
+++ b/entry/backend_cost.cc
@@ -6,8 +6,8 @@
 
 namespace {
 
-// Bytes between data centres are paid for; a small cost keeps a call near when all else is
-// equal.
+// Bytes between data centres are paid for; a small cost keeps a call near when all else
+// is equal.
 constexpr double kRemoteMs = 5;
 
 // Each running call slows the tokens of all others, so a fuller backend costs more than
--- a/entry/backend_port.cc
+++ b/entry/backend_port.cc
@@ -227,33 +227,33 @@
   connecting->action = aAction;
   const AttemptId id = aAction.attempt;
   const Duration timeout = std::min(options_.connectTimeout, aAction.timeLeft);
-  auto task =
-    Connect(options_.network, options_.timer, aAction.address, timeout)
-      .then(
-        [this, id](kj::Own<kj::AsyncIoStream> aStream) {
-          const auto found = connecting_.find(id);
-          if (found == connecting_.end()) {
-            return; // cancelled in this turn
-          }
-          const StartAttempt action = std::move(found->second->action);
-          // This is a continuation of the promise in the entry, so it is dropped later.
-          tasks_.add(kj::evalLater(
-            [entry = kj::mv(found->second)]() mutable { entry = nullptr; }));
-          connecting_.erase(found);
-          Begin(kj::heap<Link>(*this, action.address, kj::mv(aStream)), action);
-        },
-        [this, id](kj::Exception&& aError) {
-          const auto found = connecting_.find(id);
-          if (found == connecting_.end()) {
-            return; // cancelled in this turn
-          }
-          tasks_.add(kj::evalLater(
-            [entry = kj::mv(found->second)]() mutable { entry = nullptr; }));
-          connecting_.erase(found);
-          options_.sink(AttemptNotSent{ id, aError.getDescription().cStr() });
-        })
-      .eagerlyEvaluate(
-        [this](kj::Exception&& aError) { errors_.taskFailed(kj::mv(aError)); });
+  auto task = Connect(options_.network, options_.timer, aAction.address, timeout)
+                .then(
+                  [this, id](kj::Own<kj::AsyncIoStream> aStream) {
+                    const auto found = connecting_.find(id);
+                    if (found == connecting_.end()) {
+                      return; // cancelled in this turn
+                    }
+                    const StartAttempt action = std::move(found->second->action);
+                    // This is a continuation of the promise in the entry, so it is
+                    // dropped later.
+                    tasks_.add(kj::evalLater(
+                      [entry = kj::mv(found->second)]() mutable { entry = nullptr; }));
+                    connecting_.erase(found);
+                    Begin(kj::heap<Link>(*this, action.address, kj::mv(aStream)), action);
+                  },
+                  [this, id](kj::Exception&& aError) {
+                    const auto found = connecting_.find(id);
+                    if (found == connecting_.end()) {
+                      return; // cancelled in this turn
+                    }
+                    tasks_.add(kj::evalLater(
+                      [entry = kj::mv(found->second)]() mutable { entry = nullptr; }));
+                    connecting_.erase(found);
+                    options_.sink(AttemptNotSent{ id, aError.getDescription().cStr() });
+                  })
+                .eagerlyEvaluate(
+                  [this](kj::Exception&& aError) { errors_.taskFailed(kj::mv(aError)); });
   connecting->task = kj::mv(task);
   connecting_.emplace(id, kj::mv(connecting));
 }
--- a/entry/boot_clock.h
+++ b/entry/boot_clock.h
@@ -1,5 +1,5 @@
-// The clock of the entry daemon: time since the host started, which goes on while the host
-// is suspended. Leases and deadlines must count that time.
+// The clock of the entry daemon: time since the host started, which goes on while the
+// host is suspended. Leases and deadlines must count that time.
 //
 //   BootClock clock({ .timer = timer });
 //   clock.WakeAt(clock.Now() + 20ms, [] { ... });
--- a/entry/caller_port.cc
+++ b/entry/caller_port.cc
@@ -185,8 +185,8 @@
     exchange_ = ExchangeId{ ++port_.lastExchange_ };
     port_.exchanges_.emplace(exchange_, id_);
     const TimePoint started = started_.value_or(port_.options_.now());
-    port_.options_.sink(CallArrived{
-      exchange_, platform::DecodeCall(head_, std::move(body_), started) });
+    port_.options_.sink(
+      CallArrived{ exchange_, platform::DecodeCall(head_, std::move(body_), started) });
   }
 
   /// The answer is written.
@@ -235,8 +235,9 @@
   void Refuse(ErrorKind aKind, const char* aMessage)
   {
     const std::string body = ErrorBody(Error{ aKind, aMessage });
-    socket_.Write(AnswerHead(InfoOf(aKind).status, { { "Content-Type", "application/json" } },
-                             body.size(), true));
+    socket_.Write(AnswerHead(InfoOf(aKind).status,
+                             { { "Content-Type", "application/json" } }, body.size(),
+                             true));
     socket_.Write(body);
     Linger();
   }
@@ -265,8 +266,8 @@
   HttpReader reader_;
   HttpHead head_;
   std::string body_;
-  ExchangeId exchange_;            // of the request being answered; 0: none
-  TimePoint since_;                // start of the idle time or of the head
+  ExchangeId exchange_;              // of the request being answered; 0: none
+  TimePoint since_;                  // start of the idle time or of the head
   std::optional<TimePoint> started_; // of the current request
   std::optional<TimePoint> lingerEnd_;
   bool isHeadRead_ = false;
--- a/entry/caller_port.h
+++ b/entry/caller_port.h
@@ -1,4 +1,5 @@
-// Callers over HTTP/1.1: reads whole calls, passes them to the core and writes the answers.
+// Callers over HTTP/1.1: reads whole calls, passes them to the core and writes the
+// answers.
 //
 //   CallerPort callers({ .network = network, ..., .address = "10.0.0.1:8360" });
 //   callers.Execute(AnswerWhole{ ... });
--- a/entry/digest_port.cc
+++ b/entry/digest_port.cc
@@ -69,8 +69,8 @@
           ++malformed_;
           return;
         }
-        options_.sink(DigestReceived{ receiver_->getSource().toString().cStr(),
-                                      *std::move(digest) });
+        options_.sink(
+          DigestReceived{ receiver_->getSource().toString().cStr(), *std::move(digest) });
       },
       // A refused datagram of an earlier send shows up here; receiving goes on.
       [](kj::Exception&&) {})
--- a/entry/duty_state.cc
+++ b/entry/duty_state.cc
@@ -14,14 +14,12 @@
   for (const UsageRow& row : aState.counts) {
     counts.push_back({ row.window, row.daemon, row.team, row.count });
   }
-  return nlohmann::json{ { "holder", aState.holder },
-                         { "incarnation", aState.incarnation },
-                         { "token", aState.token },
-                         { "renewal", aState.renewal },
-                         { "reports", std::move(reports) },
-                         { "firstUnreported", aState.firstUnreported },
-                         { "counts", std::move(counts) } }
-    .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return nlohmann::json{
+    { "holder", aState.holder },       { "incarnation", aState.incarnation },
+    { "token", aState.token },         { "renewal", aState.renewal },
+    { "reports", std::move(reports) }, { "firstUnreported", aState.firstUnreported },
+    { "counts", std::move(counts) }
+  }.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 Result<DutyState> DecodeDutyState(std::string_view aText)
--- a/entry/duty_state.h
+++ b/entry/duty_state.h
@@ -1,6 +1,7 @@
 // The shared state of the duties that one daemon at a time carries out: who holds them,
-// the usage reports that were decided, and the counts behind the next ones. It lies in the
-// platform's store as one value, and each write replaces it only if no other came between.
+// the usage reports that were decided, and the counts behind the next ones. It lies in
+// the platform's store as one value, and each write replaces it only if no other came
+// between.
 //
 //   Result<DutyState> state = DecodeDutyState(text);
 //   state->renewal += 1;
@@ -42,10 +43,10 @@
 
 struct DutyState
 {
-  std::string holder;       // name of the daemon's host; empty: never held
-  uint64_t incarnation = 0; // of the holder's process
-  uint64_t token = 0;       // fencing token, grows with each holder
-  uint64_t renewal = 0;     // grows with each write
+  std::string holder;               // name of the daemon's host; empty: never held
+  uint64_t incarnation = 0;         // of the holder's process
+  uint64_t token = 0;               // fencing token, grows with each holder
+  uint64_t renewal = 0;             // grows with each write
   std::vector<UsageReport> reports; // decided and not known to be delivered
   uint64_t firstUnreported = 0;     // windows before it have a report
   std::vector<UsageRow> counts;     // of windows without a report
--- a/entry/duty_system.cc
+++ b/entry/duty_system.cc
@@ -119,9 +119,8 @@
     return;
   }
   end_ = aEvent.end;
-  const bool isNews =
-    !hasRead_ ||
-    std::pair(state->token, state->renewal) != std::pair(known_.token, known_.renewal);
+  const bool isNews = !hasRead_ || std::pair(state->token, state->renewal) !=
+                                     std::pair(known_.token, known_.renewal);
   if (isNews) {
     lastSign_ = world_.Now();
   }
--- a/entry/duty_system.h
+++ b/entry/duty_system.h
@@ -1,11 +1,11 @@
 // Carries out the duties that one daemon at a time has: usage reports and orders for
-// backends. The holder is agreed through one value in the platform's store that is replaced
-// only if nobody wrote in between.
+// backends. The holder is agreed through one value in the platform's store that is
+// replaced only if nobody wrote in between.
 //
 // The holder renews its lease by writing. It acts only while less than the lease time has
 // passed on its own clock since it began its last successful write. Another daemon takes
-// over when it has seen no sign of a renewal for the lease time and a margin, and its write
-// succeeds. So two holders never act at the same time, whatever is late or lost.
+// over when it has seen no sign of a renewal for the lease time and a margin, and its
+// write succeeds. So two holders never act at the same time, whatever is late or lost.
 
 #ifndef ENTRY_DUTY_SYSTEM_H_
 #define ENTRY_DUTY_SYSTEM_H_
--- a/entry/entry_counters.cc
+++ b/entry/entry_counters.cc
@@ -13,31 +13,33 @@
   std::string_view help;
 };
 
-constexpr std::array<Description, static_cast<size_t>(EntryCounter::Count_)> kCounters = { {
-  { "calls_arrived_total", "Calls that were read whole" },
-  { "calls_answered_total", "Calls that got a backend's answer" },
-  { "calls_refused_total", "Calls that were refused and not run" },
-  { "calls_failed_total", "Calls that failed and may have run" },
-  { "calls_aborted_total", "Streams that were broken off" },
-  { "callers_gone_total", "Callers that left before their answer" },
-  { "attempts_sent_total", "Calls sent to a backend" },
-  { "attempts_not_sent_total", "Attempts of which no byte reached a backend" },
-  { "attempts_refused_total", "Attempts that a backend refused and did not run" },
-  { "attempts_broken_total", "Attempts that broke after they were sent" },
-  { "attempts_repeated_total", "Calls sent to another backend" },
-  { "repeats_denied_total", "Repeats that the retry budget did not allow" },
-  { "streams_resumed_total", "Streams that went on at another engine" },
-  { "configurations_applied_total", "Versions of the configuration that were applied" },
-  { "fleet_changes_total", "Entries of backends that were read" },
-  { "store_lost_total", "Times that the platform's store got out of reach" },
-  { "digests_received_total", "Datagrams of other daemons" },
-  { "digests_malformed_total", "Datagrams that could not be read" },
-  { "duties_taken_total", "Times that this daemon took the duties" },
-  { "duties_lost_total", "Times that this daemon lost the duties" },
-  { "reports_sent_total", "Usage reports that were sent" },
-  { "orders_sent_total", "Orders for backends that were sent" },
-  { "log_lines_dropped_total", "Lines of the log that were left out" },
-} };
+constexpr std::array<Description, static_cast<size_t>(EntryCounter::Count_)> kCounters = {
+  {
+    { "calls_arrived_total", "Calls that were read whole" },
+    { "calls_answered_total", "Calls that got a backend's answer" },
+    { "calls_refused_total", "Calls that were refused and not run" },
+    { "calls_failed_total", "Calls that failed and may have run" },
+    { "calls_aborted_total", "Streams that were broken off" },
+    { "callers_gone_total", "Callers that left before their answer" },
+    { "attempts_sent_total", "Calls sent to a backend" },
+    { "attempts_not_sent_total", "Attempts of which no byte reached a backend" },
+    { "attempts_refused_total", "Attempts that a backend refused and did not run" },
+    { "attempts_broken_total", "Attempts that broke after they were sent" },
+    { "attempts_repeated_total", "Calls sent to another backend" },
+    { "repeats_denied_total", "Repeats that the retry budget did not allow" },
+    { "streams_resumed_total", "Streams that went on at another engine" },
+    { "configurations_applied_total", "Versions of the configuration that were applied" },
+    { "fleet_changes_total", "Entries of backends that were read" },
+    { "store_lost_total", "Times that the platform's store got out of reach" },
+    { "digests_received_total", "Datagrams of other daemons" },
+    { "digests_malformed_total", "Datagrams that could not be read" },
+    { "duties_taken_total", "Times that this daemon took the duties" },
+    { "duties_lost_total", "Times that this daemon lost the duties" },
+    { "reports_sent_total", "Usage reports that were sent" },
+    { "orders_sent_total", "Orders for backends that were sent" },
+    { "log_lines_dropped_total", "Lines of the log that were left out" },
+  }
+};
 
 constexpr std::array<Description, static_cast<size_t>(EntryHistogram::Count_)>
   kHistograms = { {
--- a/entry/entry_counters.h
+++ b/entry/entry_counters.h
@@ -16,10 +16,10 @@
 enum class EntryCounter : uint8_t
 {
   CallsArrived,
-  CallsAnswered,  // with a backend's answer
-  CallsRefused,   // not run
-  CallsFailed,    // may have run
-  CallsAborted,   // streams that were broken off
+  CallsAnswered, // with a backend's answer
+  CallsRefused,  // not run
+  CallsFailed,   // may have run
+  CallsAborted,  // streams that were broken off
   CallersGone,
   AttemptsSent,
   AttemptsNotSent,
--- a/entry/event_log.h
+++ b/entry/event_log.h
@@ -52,7 +52,7 @@
   EventLogOptions options_;
   Budget other_;
   TimePoint secondBegan_{};
-  uint64_t callLines_ = 0;  // that were asked for in this second
+  uint64_t callLines_ = 0;   // that were asked for in this second
   double selectedShare_ = 1; // of the calls
   uint64_t dropped_ = 0;
   uint64_t toldDropped_ = 0;
--- a/entry/fleet_plan.h
+++ b/entry/fleet_plan.h
@@ -1,7 +1,7 @@
-// Decides how many backends of a service each data centre should have, from what it has and
-// what the load needs. Reclaimable backends are cheap and may all go at once, so each data
-// centre keeps some ordinary ones, and ordinary ones replace reclaimable ones that are not
-// to be had.
+// Decides how many backends of a service each data centre should have, from what it has
+// and what the load needs. Reclaimable backends are cheap and may all go at once, so each
+// data centre keeps some ordinary ones, and ordinary ones replace reclaimable ones that
+// are not to be had.
 //
 //   std::vector<FleetOrder> orders = PlanFleet(service, fleets, { .perDataCentre = 3 });
 
--- a/entry/fleet_system.cc
+++ b/entry/fleet_system.cc
@@ -58,9 +58,8 @@
     row->quota.SetLimit(world_.Now(),
                         EnforcedLimit(limit, world_.options.quotaTolerance));
   }
-  world_.teams.EraseIf([&](const std::string& aName, const TeamRow&) {
-    return !names.contains(aName);
-  });
+  world_.teams.EraseIf(
+    [&](const std::string& aName, const TeamRow&) { return !names.contains(aName); });
 }
 
 void FleetSystem::Handle(const FleetRead& aEvent)
@@ -136,14 +135,14 @@
   // The entry may have lapsed because the store was away; the backend writes it again.
   const uint64_t sequence = row->entry.sequence;
   const uint64_t born = row->entry.bornMs;
-  world_.timers.SubscribeAt(
-    *regained + kReturnTime, [this, id = aRemoved.id, sequence, born](TimePoint) {
-      const BackendRow* known = world_.backends.Find(id);
-      if (known != nullptr && known->entry.sequence == sequence &&
-          known->entry.bornMs == born) {
-        MarkRemoved(id);
-      }
-    });
+  world_.timers.SubscribeAt(*regained + kReturnTime,
+                            [this, id = aRemoved.id, sequence, born](TimePoint) {
+                              const BackendRow* known = world_.backends.Find(id);
+                              if (known != nullptr && known->entry.sequence == sequence &&
+                                  known->entry.bornMs == born) {
+                                MarkRemoved(id);
+                              }
+                            });
 }
 
 void FleetSystem::RemoveMissing(const FleetRead& aWhole)
--- a/entry/http_reader.cc
+++ b/entry/http_reader.cc
@@ -7,7 +7,8 @@
 
 namespace {
 
-constexpr int kSkipBody = 1; // what http_parser takes for "no body" from the head callback
+constexpr int kSkipBody =
+  1; // what http_parser takes for "no body" from the head callback
 
 bool IsInterim(int aStatus)
 {
@@ -36,7 +37,9 @@
   static const http_parser_settings settings = [] {
     http_parser_settings callbacks;
     http_parser_settings_init(&callbacks);
-    callbacks.on_message_begin = [](http_parser* aParser) { return Of(aParser).OnBegin(); };
+    callbacks.on_message_begin = [](http_parser* aParser) {
+      return Of(aParser).OnBegin();
+    };
     callbacks.on_url = [](http_parser* aParser, const char* aAt, size_t aSize) {
       Of(aParser).head_.target.append(aAt, aSize);
       return Of(aParser).CountHead(aSize) ? 0 : 1;
--- a/entry/http_reader.h
+++ b/entry/http_reader.h
@@ -1,5 +1,5 @@
-// Reads HTTP/1.1 messages from a connection, by http_parser. It keeps what follows a whole
-// message until the next one is asked for.
+// Reads HTTP/1.1 messages from a connection, by http_parser. It keeps what follows a
+// whole message until the next one is asked for.
 //
 //   HttpReader reader({ .isRequest = true, .onHead = ..., .onBody = ..., .onEnd = ... });
 //   reader.Feed(bytes);   // false: what came is no message
@@ -27,7 +27,7 @@
   std::string target;
   int status = 0;
   Headers headers;
-  bool keepsAlive = true; // the sender reads or sends more messages
+  bool keepsAlive = true;  // the sender reads or sends more messages
   bool isUnframed = false; // the body ends with the connection
 };
 
--- a/entry/messages.h
+++ b/entry/messages.h
@@ -153,7 +153,7 @@
 {
   WriteOutcome outcome = WriteOutcome::Unknown;
   std::string reason; // unless Written
-  uint64_t end = 0; // offset for the next write, when Written
+  uint64_t end = 0;   // offset for the next write, when Written
 };
 
 struct UsageSent
@@ -170,14 +170,13 @@
 
 /// The process was asked to stop.
 struct StopRequested
-{
-};
+{};
 
 using Event =
-  std::variant<ConfigurationRead, FleetRead, StoreReachable, RecordIgnored, CallArrived, CallerGone,
-               AttemptNotSent, AttemptSent, AttemptAnswered, StreamStarted, StreamEvents,
-               StreamEnded, AttemptBroken, DigestReceived, PeersListed, DutyStateRead,
-               DutyStateWritten, UsageSent, OrderSent, StopRequested>;
+  std::variant<ConfigurationRead, FleetRead, StoreReachable, RecordIgnored, CallArrived,
+               CallerGone, AttemptNotSent, AttemptSent, AttemptAnswered, StreamStarted,
+               StreamEvents, StreamEnded, AttemptBroken, DigestReceived, PeersListed,
+               DutyStateRead, DutyStateWritten, UsageSent, OrderSent, StopRequested>;
 
 // Actions towards callers.
 
@@ -229,8 +228,7 @@
 
 /// Idle connections of callers are closed from now on, after their answers.
 struct CloseCallers
-{
-};
+{};
 
 // Actions towards backends.
 
@@ -273,8 +271,7 @@
 };
 
 struct ReadDutyState
-{
-};
+{};
 
 /// Writes the state if no other write came since the offset.
 struct WriteDutyState
--- a/entry/model.h
+++ b/entry/model.h
@@ -41,10 +41,10 @@
   std::string host; // in lower case, without port
   std::string pathPrefix;
   CallKind kind = CallKind::NonIdempotent;
-  Duration timeout{};   // a final answer is due then
-  Duration objective{}; // an answer within it is in time
-  Duration maxPause{};  // between two events of a stream
-  uint32_t priority = 0; // 0 is served first
+  Duration timeout{};       // a final answer is due then
+  Duration objective{};     // an answer within it is in time
+  Duration maxPause{};      // between two events of a stream
+  uint32_t priority = 0;    // 0 is served first
   uint32_t maxAttempts = 1; // backends to which one call may be sent
   bool isPublic = false;    // needs no key
   bool isResumable = false; // a stream may go on at another engine
@@ -64,8 +64,8 @@
 {
   uint32_t min = 0;
   uint32_t max = 0;
-  Duration boot{};             // from the order to the first served call
-  double reclaimablePrice = 1; // share of the price of an ordinary backend
+  Duration boot{};                      // from the order to the first served call
+  double reclaimablePrice = 1;          // share of the price of an ordinary backend
   std::map<std::string, double> prices; // by data centre, for each backend and second
 };
 
@@ -161,10 +161,10 @@
 struct BackendHead
 {
   int status = 0;
-  Headers headers;           // that are passed on
-  bool isForThisCall = true; // it echoes the id of the call
-  bool isSigned = false;     // it bears the backend's signature
-  bool wasNotRun = false;    // the backend states that it did not run the call
+  Headers headers;             // that are passed on
+  bool isForThisCall = true;   // it echoes the id of the call
+  bool isSigned = false;       // it bears the backend's signature
+  bool wasNotRun = false;      // the backend states that it did not run the call
   bool isOtherBackend = false; // another backend has the address now
   bool isEncoded = false;      // the body is not the backend's own
   bool closesConnection = false;
--- a/entry/peer_digest.h
+++ b/entry/peer_digest.h
@@ -1,5 +1,6 @@
-// What a daemon tells the other daemons several times a second in one datagram. All values
-// are totals or current values, so that a lost datagram is repaired by the next one.
+// What a daemon tells the other daemons several times a second in one datagram. All
+// values are totals or current values, so that a lost datagram is repaired by the next
+// one.
 
 #ifndef ENTRY_PEER_DIGEST_H_
 #define ENTRY_PEER_DIGEST_H_
@@ -27,7 +28,7 @@
 /// What the sender has admitted for a team since its start.
 struct TeamUse
 {
-  uint64_t team = 0; // hash of the team's name
+  uint64_t team = 0;   // hash of the team's name
   double admitted = 0; // in the unit of the team's limit
 };
 
@@ -41,11 +42,11 @@
   uint64_t configVersion = 0;
   uint64_t dutyToken = 0;   // the sender holds the duties with this token; 0: it does not
   uint64_t dutyRenewal = 0; // its newest renewal
-  double demand = 0; // tokens a second that model requests of the sender need
+  double demand = 0;        // tokens a second that model requests of the sender need
   std::vector<BackendUse> backends;
   std::vector<TeamUse> teams;
-  std::vector<UsageRow> usage;     // of the sender itself
-  std::vector<std::string> peers;  // addresses of other daemons
+  std::vector<UsageRow> usage;      // of the sender itself
+  std::vector<std::string> peers;   // addresses of other daemons
   std::vector<std::string> leaving; // ids of backends that leave or have just left
 };
 
--- a/entry/peer_system.cc
+++ b/entry/peer_system.cc
@@ -50,7 +50,8 @@
   if (isTimerSet_ || world_.knownAddresses.empty()) {
     return;
   }
-  const Duration wait = world_.isDigestDue ? Interval() : std::max(Interval(), kIdleInterval);
+  const Duration wait =
+    world_.isDigestDue ? Interval() : std::max(Interval(), kIdleInterval);
   const TimePoint due = lastSent_ + wait;
   if (due <= world_.Now()) {
     Send();
@@ -67,8 +68,7 @@
 
 Duration PeerSystem::Interval() const
 {
-  const double bytes =
-    static_cast<double>(lastSize_ * world_.knownAddresses.size());
+  const double bytes = static_cast<double>(lastSize_ * world_.knownAddresses.size());
   const auto spread = std::chrono::duration_cast<Duration>(
     std::chrono::duration<double>(bytes / kBytesPerSecond));
   return std::max(kMinInterval, spread);
@@ -163,9 +163,8 @@
     return; // a seed list may name this daemon itself
   }
   PeerRow* peer = world_.peers.Find(digest.daemon);
-  if (peer != nullptr &&
-      std::pair(digest.incarnation, digest.sequence) <=
-        std::pair(peer->digest.incarnation, peer->digest.sequence)) {
+  if (peer != nullptr && std::pair(digest.incarnation, digest.sequence) <=
+                           std::pair(peer->digest.incarnation, peer->digest.sequence)) {
     return; // overtaken by a newer one
   }
   if (peer == nullptr) {
@@ -186,8 +185,7 @@
   for (const std::string& address : digest.peers) {
     Learn(address);
   }
-  const std::string process =
-    digest.daemon + "/" + std::to_string(digest.incarnation);
+  const std::string process = digest.daemon + "/" + std::to_string(digest.incarnation);
   std::vector<UsageRow> usage = digest.usage;
   for (UsageRow& row : usage) {
     row.daemon = process;
@@ -239,9 +237,8 @@
   for (const std::string& host : forgotten) {
     world_.peers.Erase(host);
   }
-  std::erase_if(world_.knownAddresses, [&](const auto& aItem) {
-    return aItem.second + kForgetAfter <= now;
-  });
+  std::erase_if(world_.knownAddresses,
+                [&](const auto& aItem) { return aItem.second + kForgetAfter <= now; });
   for (const std::string& address : world_.options.seeds) {
     Learn(address); // daemons that were cut off meet again through the seeds
   }
--- a/entry/probe_port.h
+++ b/entry/probe_port.h
@@ -36,8 +36,8 @@
 
 private:
   kj::Promise<void> request(kj::HttpMethod aMethod, kj::StringPtr aUrl,
-                            const kj::HttpHeaders& aHeaders,
-                            kj::AsyncInputStream& aBody, Response& aResponse) override;
+                            const kj::HttpHeaders& aHeaders, kj::AsyncInputStream& aBody,
+                            Response& aResponse) override;
 
   ProbePortOptions options_;
   bool isReady_ = false;
--- a/entry/prompt_cache.cc
+++ b/entry/prompt_cache.cc
@@ -47,7 +47,8 @@
   for (size_t i = 0; i < aDemand.parts.size(); ++i) {
     const PromptPart& part = aDemand.parts[i];
     const auto found = lastUse_.find(KeyOf(aEngine, part.id));
-    const bool isOwn = found != lastUse_.end() && found->second + options_.keepTime > aNow;
+    const bool isOwn =
+      found != lastUse_.end() && found->second + options_.keepTime > aNow;
     if (!isOwn && !(aIsHome && i < shared)) {
       break; // a part is only useful if all parts before it are there
     }
@@ -60,7 +61,8 @@
 void PromptCache::Purge(TimePoint aNow)
 {
   const auto dropOlder = [&](Duration aAge) {
-    std::erase_if(lastUse_, [&](const auto& aItem) { return aItem.second + aAge <= aNow; });
+    std::erase_if(lastUse_,
+                  [&](const auto& aItem) { return aItem.second + aAge <= aNow; });
   };
   dropOlder(options_.keepTime);
   for (Duration age = options_.keepTime / 2;
--- a/entry/prompt_cache.h
+++ b/entry/prompt_cache.h
@@ -1,6 +1,6 @@
-// What engines are expected to hold of a prompt. A daemon remembers the parts that it sent
-// to each engine. For parts that other daemons may have sent, all daemons agree on one
-// engine a part by rendezvous hashing, without messages.
+// What engines are expected to hold of a prompt. A daemon remembers the parts that it
+// sent to each engine. For parts that other daemons may have sent, all daemons agree on
+// one engine a part by rendezvous hashing, without messages.
 //
 //   PromptCache cache({});
 //   cache.Remember(now, engine, demand);
@@ -39,6 +39,9 @@
   uint32_t MissingTokens(TimePoint aNow, uint64_t aEngine, bool aIsHome,
                          const ModelDemand& aDemand) const;
 
+  /// Returns the number of parts at engines that are remembered.
+  size_t Size() const { return lastUse_.size(); }
+
   /// Forgets what is too old.
   void Purge(TimePoint aNow);
 
--- a/entry/request_system.cc
+++ b/entry/request_system.cc
@@ -33,8 +33,8 @@
 // Retry-After when a backend refused: its queue moves on within a fraction of a call.
 constexpr Duration kFullRetry = milliseconds(150);
 
-// A call that may be repeated is sent to another backend when its first event is this many
-// times later than expected, and not before this time.
+// A call that may be repeated is sent to another backend when its first event is this
+// many times later than expected, and not before this time.
 constexpr double kHedgeFactor = 4;
 constexpr Duration kMinHedge = milliseconds(250);
 
@@ -52,7 +52,8 @@
 
 Duration FromMs(double aMs)
 {
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(aMs));
+  return std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double, std::milli>(aMs));
 }
 
 double ToMs(Duration aDuration)
@@ -116,13 +117,15 @@
     aEvent.exchange, RequestRow{ .call = aEvent.call, .arrived = aEvent.call.started });
   const Request request{ aEvent.exchange, &row };
   if (RefusesNewCalls(world_)) {
-    AnswerError(request, Error{ ErrorKind::Draining, "the daemon stops" }, kElsewhereRetry);
+    AnswerError(request, Error{ ErrorKind::Draining, "the daemon stops" },
+                kElsewhereRetry);
     return;
   }
   const auto intake = CheckCall(world_, row.call);
   if (!intake) {
     AnswerError(request, intake.error(),
-                intake.error().kind == ErrorKind::NotReady ? kNoBackendRetry : Duration{});
+                intake.error().kind == ErrorKind::NotReady ? kNoBackendRetry
+                                                           : Duration{});
     return;
   }
   row.configuration = intake->configuration;
@@ -134,12 +137,12 @@
   if (row.team != nullptr) {
     TeamRow* team = world_.teams.Find(row.team->name);
     if (team != nullptr && !team->quota.TryAdmit(world_.Now(), intake->quotaAmount)) {
-      AnswerError(request,
-                  Error{ ErrorKind::RateLimited, "team " + row.team->name +
-                                                   " is over its limit of " +
-                                                   MsText(row.team->ratePerSecond) +
-                                                   " a second" },
-                  std::max<Duration>(team->quota.RefillTime(world_.Now()), milliseconds(50)));
+      AnswerError(
+        request,
+        Error{ ErrorKind::RateLimited, "team " + row.team->name +
+                                         " is over its limit of " +
+                                         MsText(row.team->ratePerSecond) + " a second" },
+        std::max<Duration>(team->quota.RefillTime(world_.Now()), milliseconds(50)));
       return;
     }
     row.quotaAmount = intake->quotaAmount;
@@ -225,9 +228,8 @@
                             .isStream = isStream,
                             .mayRepeat = MayRunAgain(row) });
   if (MayRunAgain(row) && row.sends + 1 < row.route->maxAttempts) {
-    const Duration wait =
-      std::max<Duration>({ kMinHedge, FromMs(kHedgeFactor * aChoice.expectedMs),
-                           row.route->objective / 2 });
+    const Duration wait = std::max<Duration>(
+      { kMinHedge, FromMs(kHedgeFactor * aChoice.expectedMs), row.route->objective / 2 });
     row.hedgeTimer = world_.timers.SubscribeAt(
       now + wait, [this, exchange = aRequest.id](TimePoint) { OnHedge(exchange); });
   }
@@ -270,8 +272,7 @@
   row.mayHaveRun = true;
   world_.counters.Add(EntryCounter::AttemptsSent);
   if (row.sends == 1) {
-    world_.retryBudgets
-      .try_emplace(row.service, RetryBudget(world_.options.retryBudget))
+    world_.retryBudgets.try_emplace(row.service, RetryBudget(world_.options.retryBudget))
       .first->second.CountCall(world_.Now());
   }
 }
@@ -415,7 +416,8 @@
   world_.Emit(AnswerStreamEnd{ running->request.id });
   world_.counters.Add(EntryCounter::CallsAnswered);
   ServiceStats& stats = world_.serviceStats[row.service];
-  stats.holdMs += kLearnWeight * (ToMs(world_.Now() - running->attempt->sent) - stats.holdMs);
+  stats.holdMs +=
+    kLearnWeight * (ToMs(world_.Now() - running->attempt->sent) - stats.holdMs);
   world_.Log(LogLevel::Info, "answered", row.call.requestId,
              { { "status", std::to_string(row.streamHead.status) },
                { "backend", running->attempt->backend },
@@ -594,8 +596,7 @@
   }
   world_.counters.Add(EntryCounter::CallersGone);
   world_.Log(LogLevel::Info, "caller_gone", row->call.requestId,
-             { { "ms", MsText(AgeMs(*row)) },
-               { "sends", std::to_string(row->sends) } });
+             { { "ms", MsText(AgeMs(*row)) }, { "sends", std::to_string(row->sends) } });
   Cancel(*row);
   End({ aEvent.exchange, row });
 }
@@ -663,7 +664,8 @@
                                    kMinTokensPerMs, kMaxTokensPerMs);
     stats.tokensPerMs += kLearnWeight * (rate - stats.tokensPerMs);
   } else if (tokens < kLongPrompt / 3) {
-    stats.baseMs += kLearnWeight * (std::min(observedMs, 3 * stats.baseMs) - stats.baseMs);
+    stats.baseMs +=
+      kLearnWeight * (std::min(observedMs, 3 * stats.baseMs) - stats.baseMs);
   }
 }
 
--- a/entry/retry_budget.cc
+++ b/entry/retry_budget.cc
@@ -21,7 +21,8 @@
 bool RetryBudget::TryRepeat(TimePoint aNow, size_t aDaemons)
 {
   Forget(aNow);
-  const double share = options_.extra / static_cast<double>(std::max<size_t>(aDaemons, 1));
+  const double share =
+    options_.extra / static_cast<double>(std::max<size_t>(aDaemons, 1));
   const double allowed =
     kUsedShare * (options_.ratio * static_cast<double>(calls_.size()) + share);
   if (static_cast<double>(repeats_.size() + 1) > allowed) {
--- a/entry/retry_budget.h
+++ b/entry/retry_budget.h
@@ -1,6 +1,6 @@
-// The number of calls that may be sent to a second backend. All daemons together keep to a
-// share of the calls of the last seconds plus a fixed allowance; each daemon keeps to its
-// own calls and its part of the allowance, so that no message is needed.
+// The number of calls that may be sent to a second backend. All daemons together keep to
+// a share of the calls of the last seconds plus a fixed allowance; each daemon keeps to
+// its own calls and its part of the allowance, so that no message is needed.
 //
 //   RetryBudget budget({ .ratio = 0.2, .extra = 56, .window = 10s });
 //   budget.CountCall(now);
--- a/entry/route_index.cc
+++ b/entry/route_index.cc
@@ -23,8 +23,9 @@
     return nullptr;
   }
   const std::string_view path = aTarget.substr(0, aTarget.find('?'));
-  const auto route = std::ranges::find_if(
-    found->second, [&](const Route* aRoute) { return path.starts_with(aRoute->pathPrefix); });
+  const auto route = std::ranges::find_if(found->second, [&](const Route* aRoute) {
+    return path.starts_with(aRoute->pathPrefix);
+  });
   return route == found->second.end() ? nullptr : *route;
 }
 
--- a/entry/serve_entry.cc
+++ b/entry/serve_entry.cc
@@ -94,8 +94,8 @@
     , settings_(aSettings)
     , timer_(aIo.provider->getTimer())
     , clock_({ .timer = timer_ })
-    , wallOffset_(ReadWallClock() - std::chrono::duration_cast<WallTime>(
-                                      clock_.Now().time_since_epoch()))
+    , wallOffset_(ReadWallClock() -
+                  std::chrono::duration_cast<WallTime>(clock_.Now().time_since_epoch()))
     , log_({ .host = aSettings.host,
              .wallNow = [this] { return WallNow(); },
              .now = [this] { return clock_.Now(); } })
--- a/entry/serve_entry.h
+++ b/entry/serve_entry.h
@@ -7,8 +7,8 @@
 
 namespace gooseberrypath::entry {
 
-/// Serves until a planned stop is complete. Returns the exit code: 0, or 2 if the settings
-/// file is missing or malformed.
+/// Serves until a planned stop is complete. Returns the exit code: 0, or 2 if the
+/// settings file is missing or malformed.
 int RunEntry(const std::string& aSettingsPath);
 
 } // namespace gooseberrypath::entry
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -15,9 +15,9 @@
   std::string host; // name of this host
   std::string dataCentre;
   std::vector<std::string> dataCentres;
-  std::string callerAddress; // "IP:port", as all addresses
-  std::string probeAddress;  // for the balancer's questions and the metrics
-  std::string peerAddress;   // for datagrams of other daemons
+  std::string callerAddress;      // "IP:port", as all addresses
+  std::string probeAddress;       // for the balancer's questions and the metrics
+  std::string peerAddress;        // for datagrams of other daemons
   std::vector<std::string> seeds; // peer addresses of some daemons
   std::string storeAddress;
   std::string cloudAddress; // empty: there are no duties
--- a/entry/socket.cc
+++ b/entry/socket.cc
@@ -26,7 +26,8 @@
 {
   SetOption(*stream_, IPPROTO_TCP, TCP_NODELAY, 1);
   // The loops begin in a fresh turn, when the owner is complete.
-  // kj keeps a handler that is passed by name as a reference, so each one is made in place.
+  // kj keeps a handler that is passed by name as a reference, so each one is made in
+  // place.
   reading_ = kj::evalLater([this] {
                return ReadLoop();
              }).eagerlyEvaluate([this](kj::Exception&&) { Closed(true); });
--- a/entry/socket.h
+++ b/entry/socket.h
@@ -36,7 +36,8 @@
   Socket(const Socket&) = delete;
   Socket& operator=(const Socket&) = delete;
 
-  /// Sets the time after which unacknowledged bytes or a silent peer break the connection.
+  /// Sets the time after which unacknowledged bytes or a silent peer break the
+  /// connection.
   void SetSilenceLimit(std::chrono::milliseconds aLimit);
 
   void Write(std::string_view aBytes);
--- a/entry/stop_system.cc
+++ b/entry/stop_system.cc
@@ -61,9 +61,9 @@
     return;
   }
   hasExited_ = true;
-  world_.Log(LogLevel::Info, "stopped", {},
-             { { "reason", aReason },
-               { "requests", std::to_string(world_.requests.Size()) } });
+  world_.Log(
+    LogLevel::Info, "stopped", {},
+    { { "reason", aReason }, { "requests", std::to_string(world_.requests.Size()) } });
   world_.Emit(ExitProcess{});
 }
 
--- a/entry/stop_system.h
+++ b/entry/stop_system.h
@@ -1,5 +1,5 @@
-// Readiness and the planned stop: the daemon becomes not ready, serves on until the balancer
-// has noticed, closes idle connections and exits when its calls have ended.
+// Readiness and the planned stop: the daemon becomes not ready, serves on until the
+// balancer has noticed, closes idle connections and exits when its calls have ended.
 
 #ifndef ENTRY_STOP_SYSTEM_H_
 #define ENTRY_STOP_SYSTEM_H_
--- a/entry/store_port.cc
+++ b/entry/store_port.cc
@@ -1,6 +1,7 @@
 #include "entry/store_port.h"
 
 #include <memory>
+#include <ranges>
 #include <utility>
 
 #include "gooseberrypath/http_io.h"
@@ -10,7 +11,8 @@
 
 namespace {
 
-// One failed call may be a lost answer; the store is out of reach after this many in a row.
+// One failed call may be a lost answer; the store is out of reach after this many in a
+// row.
 constexpr int kFailuresUntilLost = 2;
 
 } // namespace
@@ -104,8 +106,9 @@
 kj::Promise<void> StorePort::Announce()
 {
   return calls_
-    .Append(platform::kDaemonsTopic, { options_.host, options_.peerAddress }, std::nullopt)
-    .then([this](Result<platform::AppendResult> aWritten) -> kj::Promise<void> {
+    .Append(platform::kDaemonsTopic, { options_.host, options_.peerAddress },
+            std::nullopt)
+    .then([this](const Result<platform::AppendResult>& aWritten) -> kj::Promise<void> {
       if (!aWritten) {
         return Pause(5 * options_.retryPause).then([this] { return Announce(); });
       }
@@ -129,13 +132,13 @@
 void StorePort::TakeConfig(const std::vector<platform::KeyedRecord>& aRecords)
 {
   // Only the last version matters; the ones before it were in force for no time.
-  for (auto record = aRecords.rbegin(); record != aRecords.rend(); ++record) {
-    if (record->key != platform::kConfigKey || !record->value) {
+  for (const platform::KeyedRecord& record : std::views::reverse(aRecords)) {
+    if (record.key != platform::kConfigKey || !record.value) {
       continue;
     }
-    auto configuration = platform::DecodeConfiguration(*record->value);
+    auto configuration = platform::DecodeConfiguration(*record.value);
     if (!configuration) {
-      Warn("configuration_malformed", record->key, configuration.error().message);
+      Warn("configuration_malformed", record.key, configuration.error().message);
       continue;
     }
     options_.sink(ConfigurationRead{
@@ -181,8 +184,7 @@
 
 void StorePort::Warn(std::string aEvent, std::string aKey, const std::string& aReason)
 {
-  options_.sink(
-    RecordIgnored{ std::move(aEvent), std::move(aKey), aReason });
+  options_.sink(RecordIgnored{ std::move(aEvent), std::move(aKey), aReason });
 }
 
 void StorePort::Execute(const ReadDutyState&)
@@ -207,22 +209,22 @@
 
 void StorePort::Execute(const WriteDutyState& aAction)
 {
-  tasks_.add(
-    calls_
-      .Append(platform::kDutyTopic, { std::string(platform::kDutyKey), aAction.text },
-              aAction.at)
-      .then([this](Result<platform::AppendResult> aResult) {
-        DutyStateWritten event;
-        if (aResult) {
-          event.outcome =
-            aResult->isWritten ? WriteOutcome::Written : WriteOutcome::Conflict;
-          event.end = aResult->end;
-        }
-        if (event.outcome != WriteOutcome::Written) {
-          event.reason = aResult ? "another write came first" : aResult.error().message;
-        }
-        options_.sink(std::move(event));
-      }));
+  tasks_.add(calls_
+               .Append(platform::kDutyTopic,
+                       { std::string(platform::kDutyKey), aAction.text }, aAction.at)
+               .then([this](Result<platform::AppendResult> aResult) {
+                 DutyStateWritten event;
+                 if (aResult) {
+                   event.outcome =
+                     aResult->isWritten ? WriteOutcome::Written : WriteOutcome::Conflict;
+                   event.end = aResult->end;
+                 }
+                 if (event.outcome != WriteOutcome::Written) {
+                   event.reason =
+                     aResult ? "another write came first" : aResult.error().message;
+                 }
+                 options_.sink(std::move(event));
+               }));
 }
 
 } // namespace gooseberrypath::entry
--- a/entry/team_quota.h
+++ b/entry/team_quota.h
@@ -27,7 +27,8 @@
   bool operator==(const QuotaLimit&) const = default;
 };
 
-/// How far the calls of a team in any span of the window's length may go beyond its limit.
+/// How far the calls of a team in any span of the window's length may go beyond its
+/// limit.
 struct QuotaTolerance
 {
   Duration window = std::chrono::seconds(8);
--- a/entry/testing/backend_port_test.cc
+++ b/entry/testing/backend_port_test.cc
@@ -224,7 +224,8 @@
   CHECK(loop.events.empty());
 }
 
-TEST_CASE("A connection that a backend refuses proves that nothing was sent", "[entry][backend]")
+TEST_CASE("A connection that a backend refuses proves that nothing was sent",
+          "[entry][backend]")
 {
   EntryLoop loop;
   BackendPort backends(OptionsOf(loop));
--- a/entry/testing/caller_port_test.cc
+++ b/entry/testing/caller_port_test.cc
@@ -66,7 +66,8 @@
   EntryLoop loop;
   Callers made(loop);
   RawPeer caller = loop.ConnectTo(made.port);
-  caller.Write("POST /a/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc");
+  caller.Write(
+    "POST /a/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc");
   caller.Write("\r\n2\r\nde\r\n0\r\n\r\n");
   CHECK(loop.WaitFor<CallArrived>().call.body == "abcde");
 }
--- /dev/null
+++ b/entry/testing/decisions_test.cc
@@ -0,0 +1,253 @@
+// Tests of the modules that decide without network: quota, retry budget, prompt cache,
+// cost, health and fleet plan.
+
+#include <catch2/catch.hpp>
+
+#include "entry/backend_cost.h"
+#include "entry/backend_health.h"
+#include "entry/fleet_plan.h"
+#include "entry/prompt_cache.h"
+#include "entry/retry_budget.h"
+#include "entry/route_index.h"
+#include "entry/team_quota.h"
+
+namespace gooseberrypath::entry {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint kStart{ 100s };
+
+/// What several daemons admit for a team that sends much more than its limit. `aTold` is
+/// the time between two digests; zero: they tell each other nothing.
+double AdmittedIn(Duration aTime, int aDaemons, Duration aTold, double aShare)
+{
+  const QuotaLimit limit{ .rate = 1000, .burst = 1000 };
+  std::vector<TeamQuota> quotas(static_cast<size_t>(aDaemons), TeamQuota(kStart));
+  for (TeamQuota& quota : quotas) {
+    quota.SetLimit(kStart, limit);
+    quota.SetHeardShare(kStart, aShare);
+  }
+  TimePoint told = kStart;
+  for (TimePoint now = kStart; now < kStart + aTime; now += 10ms) {
+    for (TeamQuota& quota : quotas) {
+      quota.TryAdmit(now, 25); // 2,500 units a second at each daemon
+    }
+    if (aTold > Duration::zero() && now - told >= aTold) {
+      told = now;
+      for (size_t to = 0; to < quotas.size(); ++to) {
+        for (size_t from = 0; from < quotas.size(); ++from) {
+          if (to != from) {
+            quotas[to].CountPeer(now, "d" + std::to_string(from),
+                                 quotas[from].Admitted());
+          }
+        }
+      }
+    }
+  }
+  double sum = 0;
+  for (const TeamQuota& quota : quotas) {
+    sum += quota.Admitted();
+  }
+  return sum;
+}
+
+ModelDemand Demand(uint64_t aSession)
+{
+  return { .promptTokens = 6000,
+           .maxOutputTokens = 400,
+           .parts = { { 1, 500 }, { aSession, 4500 }, { 1000 + aSession, 1000 } } };
+}
+
+} // namespace
+
+TEST_CASE("Entry: daemons that tell each other share one limit", "[entry][quota]")
+{
+  // Pattern: one team sends 20 times its limit through all daemons at once. The naive
+  // version, a full bucket at each daemon, admits eight times the limit.
+  const double limit = 8 * 1000 + 1000;
+  CHECK(AdmittedIn(8s, 8, Duration::zero(), 1) > 6 * limit);
+  CHECK(AdmittedIn(8s, 8, 100ms, 1) < 1.1 * limit + 8 * 25);
+  CHECK(AdmittedIn(8s, 8, 100ms, 1) > 0.95 * limit);
+}
+
+TEST_CASE("Entry: daemons that hear nobody keep to their share", "[entry][quota]")
+{
+  // Each starts with a full burst, so only what follows is shared.
+  const double bursts = 8 * 1000;
+  CHECK(AdmittedIn(8s, 8, Duration::zero(), 1.0 / 8) <= bursts + 8 * 1000 + 8 * 25);
+}
+
+TEST_CASE("Entry: a limit that is lowered binds, and refill times are true", "[entry][quota]")
+{
+  TeamQuota quota(kStart);
+  CHECK(quota.TryAdmit(kStart, 1e9)); // no limit yet
+  quota.SetLimit(kStart, { .rate = 100, .burst = 100 });
+  CHECK(quota.TryAdmit(kStart, 150)); // the rest becomes a debt
+  CHECK_FALSE(quota.TryAdmit(kStart, 1));
+  const Duration wait = quota.RefillTime(kStart);
+  CHECK(wait == 500ms);
+  CHECK_FALSE(quota.TryAdmit(kStart + wait - 10ms, 1));
+  CHECK(quota.TryAdmit(kStart + wait + 10ms, 1));
+  quota.SetLimit(kStart + 5s, { .rate = 10, .burst = 10 });
+  CHECK(quota.TryAdmit(kStart + 5s, 10));
+  CHECK_FALSE(quota.TryAdmit(kStart + 5s, 1));
+}
+
+TEST_CASE("Entry: the enforced limit stays inside the tolerance", "[entry][quota]")
+{
+  // Guards against a limit that alone uses up the whole tolerance.
+  const QuotaTolerance tolerance{ .window = 8s, .overshoot = 0.1, .slack = 140'000 };
+  for (const double rate : { 1000.0, 36'000.0, 220'000.0 }) {
+    const QuotaLimit limit{ .rate = rate, .burst = rate };
+    const QuotaLimit enforced = EnforcedLimit(limit, tolerance);
+    const double allowed = (8 * rate + rate) * 1.1 + 140'000;
+    const double admitted = 8 * enforced.rate + enforced.burst;
+    CHECK(admitted >= 9 * rate);
+    CHECK(admitted <= allowed - 0.25 * 140'000);
+  }
+  CHECK(EnforcedLimit({ .rate = 0, .burst = 0 }, tolerance).rate == 0);
+}
+
+TEST_CASE("Entry: repeats of all daemons stay within the budget", "[entry][budget]")
+{
+  // Pattern: each call fails and is repeated. Naive: one repeat a call.
+  constexpr size_t kDaemons = 8;
+  std::vector<RetryBudget> budgets(
+    kDaemons, RetryBudget({ .ratio = 0.2, .extra = 56, .window = 10s }));
+  size_t calls = 0;
+  size_t repeats = 0;
+  for (TimePoint now = kStart; now < kStart + 10s; now += 50ms) {
+    for (RetryBudget& budget : budgets) {
+      budget.CountCall(now);
+      ++calls;
+      repeats += budget.TryRepeat(now, kDaemons) ? 1 : 0;
+    }
+  }
+  CHECK(static_cast<double>(repeats) <= 0.2 * static_cast<double>(calls) + 56);
+  CHECK(repeats > calls / 10);
+}
+
+TEST_CASE("Entry: daemons agree on the engine of a prompt", "[entry][cache]")
+{
+  // Pattern: many sessions, each seen by all daemons. The naive version, an engine chosen
+  // by each daemon for itself, reads a session's part once at each.
+  const std::vector<uint64_t> engines{ 11, 12, 13, 14, 15, 16 };
+  std::vector<size_t> counts(engines.size());
+  for (uint64_t session = 1; session <= 600; ++session) {
+    const size_t home = HomeEngine(Demand(session), engines);
+    CHECK(home == HomeEngine(Demand(session), engines));
+    ++counts[home];
+  }
+  for (const size_t count : counts) {
+    CHECK(count > 60); // 100 on average
+  }
+  // When an engine leaves, only its own sessions move.
+  const std::vector<uint64_t> fewer{ 11, 12, 13, 14, 15 };
+  for (uint64_t session = 1; session <= 100; ++session) {
+    const size_t before = HomeEngine(Demand(session), engines);
+    if (before < fewer.size()) {
+      CHECK(HomeEngine(Demand(session), fewer) == before);
+    }
+  }
+}
+
+TEST_CASE("Entry: what an engine has read is not missing", "[entry][cache]")
+{
+  PromptCache cache({});
+  CHECK(cache.MissingTokens(kStart, 11, false, Demand(5)) == 6000);
+  CHECK(cache.MissingTokens(kStart, 11, true, Demand(5)) == 1000);
+  cache.Remember(kStart, 11, Demand(5));
+  CHECK(cache.MissingTokens(kStart, 11, false, Demand(6)) == 5500); // the first part
+  CHECK(cache.MissingTokens(kStart, 11, false, Demand(5)) == 0);
+  CHECK(cache.MissingTokens(kStart + 2min, 11, false, Demand(5)) == 6000); // forgotten
+}
+
+TEST_CASE("Entry: the prompt cache is bounded", "[entry][cache]")
+{
+  PromptCache cache({ .keepTime = 60s, .maxEntries = 100 });
+  for (uint64_t session = 1; session < 5000; ++session) {
+    cache.Remember(kStart + session * 10ms, 11, Demand(session));
+  }
+  CHECK(cache.Size() <= 103);
+}
+
+TEST_CASE("Entry: a long prompt in front costs more than a few running calls",
+          "[entry][cost]")
+{
+  // Pattern: quick questions behind a long review. Counting calls alone sends them to the
+  // engine whose only call reads 50,000 tokens.
+  const BackendLoad reading{ .slots = 24, .inFlight = 1, .waitingTokens = 50'000 };
+  const BackendLoad running{ .slots = 24, .inFlight = 6 };
+  CHECK(ExpectedCost(running) < ExpectedCost(reading));
+}
+
+TEST_CASE("Entry: full, slow, failing and distant backends cost more", "[entry][cost]")
+{
+  const BackendLoad plain{ .slots = 6, .inFlight = 2, .holdMs = 60 };
+  const auto with = [&](auto aChange) {
+    BackendLoad load = plain;
+    aChange(load);
+    return ExpectedCost(load);
+  };
+  const double cost = ExpectedCost(plain);
+  CHECK(with([](BackendLoad& aLoad) { aLoad.inFlight = 8; }) > cost);
+  CHECK(with([](BackendLoad& aLoad) { aLoad.slowness = 3; }) > cost);
+  CHECK(with([](BackendLoad& aLoad) { aLoad.failureShare = 0.5; }) > cost);
+  CHECK(with([](BackendLoad& aLoad) { aLoad.isRemote = true; }) > cost);
+  CHECK(with([](BackendLoad& aLoad) {
+          aLoad.kvCapacityTokens = 1000;
+          aLoad.kvTokens = 5000;
+        }) > cost);
+}
+
+TEST_CASE("Entry: failures are remembered and forgotten", "[entry][health]")
+{
+  BackendHealth health;
+  CHECK(health.FailureShare(kStart) == 0);
+  for (int i = 0; i < 5; ++i) {
+    health.NoteFailure(kStart);
+  }
+  CHECK(health.FailureShare(kStart) > 0.5);
+  CHECK(health.FailureShare(kStart + 20s) < 0.1); // it is tried again
+  for (int i = 0; i < 20; ++i) {
+    health.NoteSuccess(kStart, 5);
+  }
+  CHECK(health.Slowness(kStart) > 3);
+  CHECK(health.Slowness(kStart + 20s) < 1.2);
+}
+
+TEST_CASE("Entry: ordinary backends go only when reclaimable ones serve", "[entry][plan]")
+{
+  // Guards against the first seconds without engines, when ordinary ones are let go while
+  // their successors start.
+  const Service service{ .name = "assistant", .scaling = Scaling{ .min = 1, .max = 6 } };
+  const auto ordinaryOf = [&](DataCentreFleet aFleet) {
+    const auto orders = PlanFleet(service, std::span(&aFleet, 1),
+                                  { .perDataCentre = 3, .ordinary = 1 });
+    REQUIRE(orders.size() == 2);
+    CHECK(orders[0].isReclaimable);
+    CHECK(orders[0].count == 2);
+    return orders[1].count;
+  };
+  CHECK(ordinaryOf({ .dataCentre = "c1", .ordinary = 3, .reclaimable = 0 }) == 3);
+  CHECK(ordinaryOf({ .dataCentre = "c1", .ordinary = 3, .reclaimable = 1 }) == 2);
+  CHECK(ordinaryOf({ .dataCentre = "c1", .ordinary = 3, .reclaimable = 2 }) == 1);
+  // All reclaimable ones of the data centre are taken away.
+  CHECK(ordinaryOf({ .dataCentre = "c1", .ordinary = 1, .reclaimable = 0 }) == 3);
+}
+
+TEST_CASE("Entry: the longest prefix of the host is the route", "[entry][route]")
+{
+  Configuration configuration;
+  configuration.routes = { { .name = "all", .host = "h", .pathPrefix = "/" },
+                           { .name = "deep", .host = "h", .pathPrefix = "/a/b/" },
+                           { .name = "other", .host = "g", .pathPrefix = "/a/b/c/" } };
+  const RouteIndex index(configuration);
+  CHECK(index.Find("h", "/a/b/c/d")->name == "deep");
+  CHECK(index.Find("h", "/a/b?x=/a/b/")->name == "all");
+  CHECK(index.Find("none", "/a/b/") == nullptr);
+}
+
+} // namespace gooseberrypath::entry
--- a/entry/testing/entry_fixture.h
+++ b/entry/testing/entry_fixture.h
@@ -1,5 +1,5 @@
-// An entry core on virtual time, with a configuration and backends, and the actions that it
-// emitted.
+// An entry core on virtual time, with a configuration and backends, and the actions that
+// it emitted.
 
 #ifndef ENTRY_TESTING_ENTRY_FIXTURE_H_
 #define ENTRY_TESTING_ENTRY_FIXTURE_H_
@@ -149,9 +149,10 @@
   /// Answers an attempt as its backend would.
   void Answer(const StartAttempt& aAttempt, int aStatus, bool aWasNotRun = false)
   {
-    Post(AttemptAnswered{ aAttempt.attempt,
-                          { .status = aStatus, .isSigned = true, .wasNotRun = aWasNotRun },
-                          "body" });
+    Post(
+      AttemptAnswered{ aAttempt.attempt,
+                       { .status = aStatus, .isSigned = true, .wasNotRun = aWasNotRun },
+                       "body" });
   }
 
   /// Returns the status of the last whole answer, 0 if there is none.
--- a/entry/testing/request_system_test.cc
+++ b/entry/testing/request_system_test.cc
@@ -8,7 +8,8 @@
 
 using namespace std::chrono_literals;
 
-TEST_CASE("Entry: a call before the first configuration is refused, not denied", "[entry]")
+TEST_CASE("Entry: a call before the first configuration is refused, not denied",
+          "[entry]")
 {
   // Guards against 401 or 404 for calls that the configuration allows.
   EntryFixture entry;
@@ -242,8 +243,8 @@
   entry.Post(StoreReachable{ .isReachable = false, .reason = "down" });
   entry.Advance(5s);
   entry.Post(StoreReachable{ .isReachable = true });
-  entry.Post(FleetRead{ .changes = { BackendRemoved{ "booking1" },
-                                     BackendRemoved{ "booking2" } } });
+  entry.Post(FleetRead{
+    .changes = { BackendRemoved{ "booking1" }, BackendRemoved{ "booking2" } } });
   entry.Arrive("status");
   CHECK_FALSE(entry.Sent().backend.empty());
   entry.Advance(1s);
--- a/entry/usage_count.h
+++ b/entry/usage_count.h
@@ -1,5 +1,5 @@
-// Counts of begun calls by window of the wall clock, daemon and team. Counts only grow, so
-// merging takes the larger one, and messages may be lost, repeated or late.
+// Counts of begun calls by window of the wall clock, daemon and team. Counts only grow,
+// so merging takes the larger one, and messages may be lost, repeated or late.
 //
 //   UsageCount count(std::chrono::seconds(5));
 //   count.Add(wallNow, "d1/17", "acme");
@@ -63,10 +63,7 @@
   void DropBefore(uint64_t aWindow);
 
   /// Returns the number of the window that contains the time.
-  uint64_t WindowAt(WallTime aNow) const
-  {
-    return static_cast<uint64_t>(aNow / length_);
-  }
+  uint64_t WindowAt(WallTime aNow) const { return static_cast<uint64_t>(aNow / length_); }
 
   /// Returns the first moment after the window.
   WallTime EndOf(uint64_t aWindow) const { return length_ * (aWindow + 1); }
@@ -78,7 +75,8 @@
     std::string daemon;
     std::string team;
 
-    auto operator<=>(const Key&) const = default;
+    // clang-tidy 14 takes the 0 in the generated comparison for a null pointer.
+    auto operator<=>(const Key&) const = default; // NOLINT(modernize-use-nullptr)
   };
 
   std::chrono::milliseconds length_;
--- a/entry/world.h
+++ b/entry/world.h
@@ -1,5 +1,5 @@
-// All state of the entry core: options, tables, the outbox of actions, counters and timers.
-// Systems share nothing else.
+// All state of the entry core: options, tables, the outbox of actions, counters and
+// timers. Systems share nothing else.
 
 #ifndef ENTRY_WORLD_H_
 #define ENTRY_WORLD_H_
@@ -32,7 +32,7 @@
 /// What a daemon knows from its settings.
 struct EntryOptions
 {
-  std::string host; // name of this daemon's host, unique
+  std::string host;         // name of this daemon's host, unique
   uint64_t incarnation = 1; // start in ms since 1970
   std::string dataCentre;
   std::vector<std::string> dataCentres;
@@ -42,7 +42,7 @@
   uint64_t seed = 1;              // for random choices
   RetryBudgetOptions retryBudget{};
   QuotaTolerance quotaTolerance{};
-  Duration leaseTime = std::chrono::seconds(3);  // of the duties
+  Duration leaseTime = std::chrono::seconds(3); // of the duties
   WallTime usageWindow = std::chrono::seconds(5);
   Duration stopTime = std::chrono::seconds(8); // from the signal to the kill
   bool reportsUsage = false;                   // the platform asks for usage reports
@@ -59,9 +59,9 @@
   TimePoint avoidUntil{}; // it refused a connection
   std::optional<TimePoint> leavesAt;
   std::optional<TimePoint> removedAt; // its entry is gone; it gets no new calls
-  uint32_t inFlight = 0; // own calls
-  uint32_t waitingTokens = 0; // prompt tokens of own calls without a first event
-  uint32_t kvTokens = 0;      // memory that own calls need
+  uint32_t inFlight = 0;              // own calls
+  uint32_t waitingTokens = 0;         // prompt tokens of own calls without a first event
+  uint32_t kvTokens = 0;              // memory that own calls need
 };
 
 /// What daemons have running at a backend, in sum.
@@ -96,17 +96,17 @@
   const Route* route = nullptr;
   std::string service;
   const Team* team = nullptr;
-  double quotaAmount = 0;  // taken from the team's quota
+  double quotaAmount = 0; // taken from the team's quota
   TimePoint arrived{};
-  TimePoint due{};         // the final answer
+  TimePoint due{}; // the final answer
   RequestStage stage = RequestStage::Choosing;
-  AttemptId attempt;       // the running one; 0: none
-  uint32_t sends = 0;      // attempts that may have reached a backend
-  bool mayHaveRun = false; // some backend may have run it
-  BackendHead streamHead{}; // of the first engine, sent with the first event
-  bool headSent = false;   // the caller has the head of a stream
-  std::string lastEventId; // of the events that the caller has
-  bool isCounted = false;  // in the usage
+  AttemptId attempt;              // the running one; 0: none
+  uint32_t sends = 0;             // attempts that may have reached a backend
+  bool mayHaveRun = false;        // some backend may have run it
+  BackendHead streamHead{};       // of the first engine, sent with the first event
+  bool headSent = false;          // the caller has the head of a stream
+  std::string lastEventId;        // of the events that the caller has
+  bool isCounted = false;         // in the usage
   std::vector<std::string> tried; // backends that failed this call
   TimerId dueTimer;
   TimerId hedgeTimer;
@@ -120,7 +120,7 @@
   TimePoint started{};
   TimePoint sent{};
   TimePoint lastEvent{};
-  double expectedMs = 0; // to the first event
+  double expectedMs = 0;      // to the first event
   uint32_t waitingTokens = 0; // part of the backend's sum until the first event
   uint32_t kvTokens = 0;
   uint32_t inFlight = 1;
@@ -185,8 +185,8 @@
   Table<std::string, TeamRow> teams;
   PromptCache promptCache{ {} };
   UsageCount usage;
-  double demand = 0;            // prompt tokens a second of own calls, smoothed
-  uint64_t dutyToken = 0;       // held with this token; 0: not held
+  double demand = 0;      // prompt tokens a second of own calls, smoothed
+  uint64_t dutyToken = 0; // held with this token; 0: not held
   uint64_t dutyRenewal = 0;
 
   uint64_t lastId = 0;
--- a/gooseberrypath/testing/cluster.h
+++ b/gooseberrypath/testing/cluster.h
@@ -50,7 +50,8 @@
   World& world_;
 };
 
-using TestCore = BasicCore<World, ConfigSystem, MembershipSystem, BackendSystem, ActionsRead>;
+using TestCore =
+  BasicCore<World, ConfigSystem, MembershipSystem, BackendSystem, ActionsRead>;
 
 /// The platform's log with one stream.
 struct LogFake
