Plan the fleet from the measured need of the load

The holder of the duties now derives the number of busy engines from prompt tokens and calls in flight of all daemons; reclaimable engines follow a rise at once, ordinary ones slowly, and nothing is ordered before the fleet is known.

--- a/entry/digest.capnp
+++ b/entry/digest.capnp
@@ -12,7 +12,7 @@
   configVersion @5 :UInt64;
   dutyToken @6 :UInt64;
   dutyRenewal @7 :UInt64;
-  demand @8 :Float64;
+  demands @8 :List(ServiceDemand);
   backends @9 :List(BackendUse);
   teams @10 :List(TeamUse);
   usage @11 :List(UsageRow);
@@ -27,6 +27,11 @@
   kvTokens @3 :UInt32;
 }
 
+struct ServiceDemand {
+  service @0 :UInt64;
+  tokensPerSecond @1 :Float64;
+}
+
 struct TeamUse {
   team @0 :UInt64;
   admitted @1 :Float64;
--- a/entry/digest.capnp.h
+++ b/entry/digest.capnp.h
@@ -18,6 +18,7 @@
 
 CAPNP_DECLARE_SCHEMA(d62b11838d606aca);
 CAPNP_DECLARE_SCHEMA(ef4d759db683e31b);
+CAPNP_DECLARE_SCHEMA(be805a84bfb43b31);
 CAPNP_DECLARE_SCHEMA(bb64fea4ff166385);
 CAPNP_DECLARE_SCHEMA(87abaf16b3135879);
 
@@ -36,7 +37,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d62b11838d606aca, 7, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(d62b11838d606aca, 6, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -58,6 +59,21 @@
   };
 };
 
+struct ServiceDemand {
+  ServiceDemand() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(be805a84bfb43b31, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct TeamUse {
   TeamUse() = delete;
 
@@ -124,7 +140,8 @@
 
   inline  ::uint64_t getDutyRenewal() const;
 
-  inline double getDemand() const;
+  inline bool hasDemands() const;
+  inline  ::capnp::List< ::gooseberrypath::entry::wire::ServiceDemand,  ::capnp::Kind::STRUCT>::Reader getDemands() const;
 
   inline bool hasBackends() const;
   inline  ::capnp::List< ::gooseberrypath::entry::wire::BackendUse,  ::capnp::Kind::STRUCT>::Reader getBackends() const;
@@ -197,8 +214,12 @@
   inline  ::uint64_t getDutyRenewal();
   inline void setDutyRenewal( ::uint64_t value);
 
-  inline double getDemand();
-  inline void setDemand(double value);
+  inline bool hasDemands();
+  inline  ::capnp::List< ::gooseberrypath::entry::wire::ServiceDemand,  ::capnp::Kind::STRUCT>::Builder getDemands();
+  inline void setDemands( ::capnp::List< ::gooseberrypath::entry::wire::ServiceDemand,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::gooseberrypath::entry::wire::ServiceDemand,  ::capnp::Kind::STRUCT>::Builder initDemands(unsigned int size);
+  inline void adoptDemands(::capnp::Orphan< ::capnp::List< ::gooseberrypath::entry::wire::ServiceDemand,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::gooseberrypath::entry::wire::ServiceDemand,  ::capnp::Kind::STRUCT>> disownDemands();
 
   inline bool hasBackends();
   inline  ::capnp::List< ::gooseberrypath::entry::wire::BackendUse,  ::capnp::Kind::STRUCT>::Builder getBackends();
@@ -354,6 +375,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class ServiceDemand::Reader {
+public:
+  typedef ServiceDemand Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getService() const;
+
+  inline double getTokensPerSecond() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ServiceDemand::Builder {
+public:
+  typedef ServiceDemand Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getService();
+  inline void setService( ::uint64_t value);
+
+  inline double getTokensPerSecond();
+  inline void setTokensPerSecond(double value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ServiceDemand::Pipeline {
+public:
+  typedef ServiceDemand Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class TeamUse::Reader {
 public:
   typedef TeamUse Reads;
@@ -660,196 +762,216 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline double Digest::Reader::getDemand() const {
-  return _reader.getDataField<double>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline bool Digest::Reader::hasDemands() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline double Digest::Builder::getDemand() {
-  return _builder.getDataField<double>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline bool Digest::Builder::hasDemands() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void Digest::Builder::setDemand(double value) {
-  _builder.setDataField<double>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::gooseberrypath::entry::wire::ServiceDemand,  ::capnp::Kind::STRUCT>::Reader Digest::Reader::getDemands() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::ServiceDemand,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::gooseberrypath::entry::wire::ServiceDemand,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::getDemands() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::ServiceDemand,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Digest::Builder::setDemands( ::capnp::List< ::gooseberrypath::entry::wire::ServiceDemand,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::ServiceDemand,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::gooseberrypath::entry::wire::ServiceDemand,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::initDemands(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::ServiceDemand,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Digest::Builder::adoptDemands(
+    ::capnp::Orphan< ::capnp::List< ::gooseberrypath::entry::wire::ServiceDemand,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::ServiceDemand,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::gooseberrypath::entry::wire::ServiceDemand,  ::capnp::Kind::STRUCT>> Digest::Builder::disownDemands() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::ServiceDemand,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool Digest::Reader::hasBackends() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool Digest::Builder::hasBackends() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::List< ::gooseberrypath::entry::wire::BackendUse,  ::capnp::Kind::STRUCT>::Reader Digest::Reader::getBackends() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::BackendUse,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline  ::capnp::List< ::gooseberrypath::entry::wire::BackendUse,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::getBackends() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::BackendUse,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline void Digest::Builder::setBackends( ::capnp::List< ::gooseberrypath::entry::wire::BackendUse,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::BackendUse,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::List< ::gooseberrypath::entry::wire::BackendUse,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::initBackends(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::BackendUse,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void Digest::Builder::adoptBackends(
     ::capnp::Orphan< ::capnp::List< ::gooseberrypath::entry::wire::BackendUse,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::BackendUse,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::List< ::gooseberrypath::entry::wire::BackendUse,  ::capnp::Kind::STRUCT>> Digest::Builder::disownBackends() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::BackendUse,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool Digest::Reader::hasTeams() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool Digest::Builder::hasTeams() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::List< ::gooseberrypath::entry::wire::TeamUse,  ::capnp::Kind::STRUCT>::Reader Digest::Reader::getTeams() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::TeamUse,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 inline  ::capnp::List< ::gooseberrypath::entry::wire::TeamUse,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::getTeams() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::TeamUse,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 inline void Digest::Builder::setTeams( ::capnp::List< ::gooseberrypath::entry::wire::TeamUse,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::TeamUse,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::List< ::gooseberrypath::entry::wire::TeamUse,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::initTeams(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::TeamUse,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
 inline void Digest::Builder::adoptTeams(
     ::capnp::Orphan< ::capnp::List< ::gooseberrypath::entry::wire::TeamUse,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::TeamUse,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::List< ::gooseberrypath::entry::wire::TeamUse,  ::capnp::Kind::STRUCT>> Digest::Builder::disownTeams() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::TeamUse,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
 inline bool Digest::Reader::hasUsage() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline bool Digest::Builder::hasUsage() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::List< ::gooseberrypath::entry::wire::UsageRow,  ::capnp::Kind::STRUCT>::Reader Digest::Reader::getUsage() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::UsageRow,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 inline  ::capnp::List< ::gooseberrypath::entry::wire::UsageRow,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::getUsage() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::UsageRow,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 inline void Digest::Builder::setUsage( ::capnp::List< ::gooseberrypath::entry::wire::UsageRow,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::UsageRow,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::List< ::gooseberrypath::entry::wire::UsageRow,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::initUsage(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::UsageRow,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
 inline void Digest::Builder::adoptUsage(
     ::capnp::Orphan< ::capnp::List< ::gooseberrypath::entry::wire::UsageRow,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::UsageRow,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::List< ::gooseberrypath::entry::wire::UsageRow,  ::capnp::Kind::STRUCT>> Digest::Builder::disownUsage() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::UsageRow,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
 inline bool Digest::Reader::hasPeers() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
 inline bool Digest::Builder::hasPeers() {
   return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Digest::Reader::getPeers() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Digest::Builder::getPeers() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 inline void Digest::Builder::setPeers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
 inline void Digest::Builder::setPeers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Digest::Builder::initPeers(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
 inline void Digest::Builder::adoptPeers(
     ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Digest::Builder::disownPeers() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
 inline bool Digest::Reader::hasLeaving() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
 inline bool Digest::Builder::hasLeaving() {
   return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Digest::Reader::getLeaving() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Digest::Builder::getLeaving() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 inline void Digest::Builder::setLeaving( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
 }
 inline void Digest::Builder::setLeaving(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Digest::Builder::initLeaving(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
 }
 inline void Digest::Builder::adoptLeaving(
     ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Digest::Builder::disownLeaving() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
 inline  ::uint64_t BackendUse::Reader::getBackend() const {
@@ -908,6 +1030,34 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t ServiceDemand::Reader::getService() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ServiceDemand::Builder::getService() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ServiceDemand::Builder::setService( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline double ServiceDemand::Reader::getTokensPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double ServiceDemand::Builder::getTokensPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ServiceDemand::Builder::setTokensPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t TeamUse::Reader::getTeam() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/entry/duty_state.cc
+++ b/entry/duty_state.cc
@@ -14,12 +14,15 @@
   for (const UsageRow& row : aState.counts) {
     counts.push_back({ row.window, row.daemon, row.team, row.count });
   }
-  return nlohmann::json{
-    { "holder", aState.holder },       { "incarnation", aState.incarnation },
+  auto needs = nlohmann::json::object();
+  for (const auto& [service, need] : aState.needs) {
+    needs[service] = { need.lasting, need.recent };
+  }
+  return nlohmann::json{ { "holder", aState.holder },       { "incarnation", aState.incarnation },
     { "token", aState.token },         { "renewal", aState.renewal },
     { "reports", std::move(reports) }, { "firstUnreported", aState.firstUnreported },
-    { "counts", std::move(counts) }
-  }.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    { "counts", std::move(counts) },
+                         { "needs", std::move(needs) } }.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 Result<DutyState> DecodeDutyState(std::string_view aText)
@@ -41,6 +44,9 @@
         { report.at("window").get<uint64_t>(),
           report.at("counts").get<std::map<std::string, uint64_t>>() });
     }
+    for (const auto& [service, need] : json.at("needs").items()) {
+      state.needs[service] = { need.at(0).get<double>(), need.at(1).get<double>() };
+    }
     for (const auto& row : json.at("counts")) {
       state.counts.push_back({ row.at(0).get<uint64_t>(), row.at(1).get<std::string>(),
                                row.at(2).get<std::string>(), row.at(3).get<uint64_t>() });
--- a/entry/duty_state.h
+++ b/entry/duty_state.h
@@ -41,6 +41,15 @@
   bool operator==(const FleetOrder&) const = default;
 };
 
+/// The number of engines that the load of a service keeps busy.
+struct ServiceNeed
+{
+  double lasting = 0; // follows the load slowly; ordinary backends are ordered by it
+  double recent = 0;  // follows a rise at once; reclaimable backends are ordered by it
+
+  bool operator==(const ServiceNeed&) const = default;
+};
+
 struct DutyState
 {
   std::string holder;               // name of the daemon's host; empty: never held
@@ -50,6 +59,7 @@
   std::vector<UsageReport> reports; // decided and not known to be delivered
   uint64_t firstUnreported = 0;     // windows before it have a report
   std::vector<UsageRow> counts;     // of windows without a report
+  std::map<std::string, ServiceNeed> needs; // by service
 
   bool operator==(const DutyState&) const = default;
 };
--- a/entry/duty_system.cc
+++ b/entry/duty_system.cc
@@ -1,6 +1,7 @@
 #include "entry/duty_system.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "entry/fleet_system.h"
 
@@ -34,6 +35,18 @@
 // With a daemon unheard, its counts may still come until this long after the end.
 constexpr WallTime kSettleTimeUnheard{ 5000 };
 
+// Reclaimable backends follow a rise of the load within the time that one takes to start.
+constexpr double kRecentRiseSeconds = 2;
+constexpr double kRecentFallSeconds = 12;
+
+// Ordinary backends are dear, and one that is let go too early costs a start.
+constexpr double kLastingRiseSeconds = 10;
+constexpr double kLastingFallSeconds = 25;
+
+// Before the first order the entries of all backends must have been read; each backend
+// writes its own about once a second.
+constexpr Duration kFleetKnownAfter = milliseconds(3500);
+
 // An order that was refused or not answered is repeated after this time.
 constexpr Duration kOrderRetry = milliseconds(2000);
 
@@ -339,9 +352,63 @@
   return fleets;
 }
 
+ServiceLoad DutySystem::LoadOf(const Service& aService) const
+{
+  ServiceLoad load{ .slots =
+                      aService.engine ? static_cast<double>(aService.engine->slots) : 1 };
+  if (const auto stats = world_.serviceStats.find(aService.name);
+      stats != world_.serviceStats.end()) {
+    load.tokensPerMs = stats->second.tokensPerMs;
+  }
+  if (const auto own = world_.demands.find(aService.name); own != world_.demands.end()) {
+    load.tokensPerSecond = own->second.PerSecond(world_.Now());
+  }
+  const uint64_t key = DigestKey(aService.name);
+  for (const auto& [host, peer] : world_.peers) {
+    for (const ServiceDemand& demand : peer.digest.demands) {
+      load.tokensPerSecond +=
+        peer.isHeard && demand.service == key ? demand.tokensPerSecond : 0;
+    }
+  }
+  for (const auto& [id, row] : world_.backends) {
+    if (row.entry.service == aService.name) {
+      // What waits beyond the slots is in the tokens that must be read.
+      const int64_t running =
+        std::clamp<int64_t>(world_.UseOf(row).inFlight, 0, row.entry.slots);
+      load.inFlight += static_cast<double>(running);
+    }
+  }
+  return load;
+}
+
+ServiceNeed DutySystem::UpdateNeed(const Service& aService,
+                                   std::span<const DataCentreFleet> aFleets)
+{
+  ServiceNeed& need = known_.needs[aService.name];
+  if (!hasLoad_) {
+    const double starting = NeedOfStartingFleet(aFleets);
+    need.lasting = std::max(need.lasting, starting);
+    need.recent = std::max(need.recent, starting);
+  }
+  const double measured = NeededEngines(LoadOf(aService));
+  hasLoad_ = hasLoad_ || measured > 0;
+  if (!hasLoad_) {
+    return need;
+  }
+  const double step = std::chrono::duration<double>(kCheckInterval).count();
+  const auto follow = [&](double& aNeed, double aRise, double aFall) {
+    aNeed += (measured - aNeed) * (1 - std::exp(-step / (measured > aNeed ? aRise : aFall)));
+  };
+  follow(need.lasting, kLastingRiseSeconds, kLastingFallSeconds);
+  follow(need.recent, kRecentRiseSeconds, kRecentFallSeconds);
+  return need;
+}
+
 void DutySystem::SendOrders()
 {
-  if (!MayAct() || !world_.options.ordersBackends || !world_.configuration) {
+  const bool isFleetKnown = world_.Now() - world_.started >= kFleetKnownAfter;
+  if (!MayAct() || !world_.options.ordersBackends || !world_.configuration ||
+      !isFleetKnown) {
     return;
   }
   for (const auto& [name, service] : world_.configuration->services) {
@@ -349,7 +416,8 @@
       continue;
     }
     const std::vector<DataCentreFleet> fleets = FleetsOf(service);
-    for (const FleetOrder& order : PlanFleet(service, fleets, FleetTarget{})) {
+    const ServiceNeed need = UpdateNeed(service, fleets);
+    for (const FleetOrder& order : PlanFleet(service, fleets, need)) {
       OrderRow& row = orders_[{ order.service, order.dataCentre, order.isReclaimable }];
       const bool isDone = row.isAccepted && row.count == order.count;
       if (row.isRunning || isDone || world_.Now() < row.retryAt) {
--- a/entry/duty_system.h
+++ b/entry/duty_system.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <tuple>
 
@@ -77,6 +78,11 @@
   void SendReports();
   void SendOrders();
   std::vector<DataCentreFleet> FleetsOf(const Service& aService) const;
+  ServiceLoad LoadOf(const Service& aService) const;
+
+  /// Takes the load into the smoothed need of the service and returns it.
+  ServiceNeed UpdateNeed(const Service& aService,
+                         std::span<const DataCentreFleet> aFleets);
 
   World& world_;
   DutyState known_;             // newest state that was read, written or heard of
@@ -92,6 +98,7 @@
   std::set<uint64_t> delivered_; // windows
   std::set<uint64_t> sending_;
   std::map<OrderKey, OrderRow> orders_;
+  bool hasLoad_ = false; // there were calls since the start
 };
 
 } // namespace gooseberrypath::entry
--- a/entry/fleet_plan.cc
+++ b/entry/fleet_plan.cc
@@ -1,33 +1,117 @@
 #include "entry/fleet_plan.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace gooseberrypath::entry {
 
+namespace {
+
+// Ordinary and reclaimable backends for each engine that the load keeps busy.
+constexpr double kOrdinaryShare = 0.7;
+constexpr double kReclaimableShare = 1.8;
+
+// With fewer backends than this for each busy engine, calls wait; ordinary ones are then
+// ordered in place of missing reclaimable ones.
+constexpr double kLeastShare = 1.6;
+
+// Token generation slows down well before all slots of an engine are taken.
+constexpr double kUsableSlots = 0.6;
+
+// Starting fleets are made for the busiest hours with room to spare.
+constexpr double kStartingShare = 2.8;
+
+uint32_t RoundUp(double aNumber)
+{
+  return static_cast<uint32_t>(std::ceil(std::max(aNumber, 0.0)));
+}
+
+double PriceOf(const Scaling& aScaling, const std::string& aDataCentre)
+{
+  const auto found = aScaling.prices.find(aDataCentre);
+  return found == aScaling.prices.end() ? 1 : found->second;
+}
+
+/// Spreads a number over the data centres, the remainder over the first of this order.
+std::vector<uint32_t> Spread(uint32_t aTotal, std::span<const size_t> aOrder)
+{
+  const auto parts = static_cast<uint32_t>(aOrder.size());
+  std::vector<uint32_t> counts(parts, aTotal / parts);
+  for (uint32_t i = 0; i < aTotal % parts; ++i) {
+    ++counts[aOrder[i]];
+  }
+  return counts;
+}
+
+/// Returns the indexes of the data centres, the cheapest first.
+std::vector<size_t> ByPrice(const Scaling& aScaling,
+                            std::span<const DataCentreFleet> aFleets)
+{
+  std::vector<size_t> order(aFleets.size());
+  for (size_t i = 0; i < order.size(); ++i) {
+    order[i] = i;
+  }
+  std::ranges::stable_sort(order, {}, [&](size_t aIndex) {
+    return PriceOf(aScaling, aFleets[aIndex].dataCentre);
+  });
+  return order;
+}
+
+} // namespace
+
+double NeededEngines(const ServiceLoad& aLoad)
+{
+  const double reading = aLoad.tokensPerSecond / (1000 * aLoad.tokensPerMs);
+  const double generating = aLoad.inFlight / (std::max(aLoad.slots, 1.0) * kUsableSlots);
+  return reading + generating;
+}
+
+double NeedOfStartingFleet(std::span<const DataCentreFleet> aFleets)
+{
+  uint32_t total = 0;
+  for (const DataCentreFleet& fleet : aFleets) {
+    total += fleet.ordinary + fleet.reclaimable;
+  }
+  return total / kStartingShare;
+}
+
 std::vector<FleetOrder> PlanFleet(const Service& aService,
                                   std::span<const DataCentreFleet> aFleets,
-                                  FleetTarget aTarget)
+                                  const ServiceNeed& aNeed)
 {
   std::vector<FleetOrder> orders;
-  if (!aService.scaling) {
+  if (!aService.scaling || aFleets.empty()) {
     return orders;
   }
   const Scaling& scaling = *aService.scaling;
-  const uint32_t total = std::clamp(aTarget.perDataCentre, scaling.min, scaling.max);
-  const uint32_t reclaimable = total - std::min(total, aTarget.ordinary);
+  const auto dataCentres = static_cast<uint32_t>(aFleets.size());
+  const uint32_t wantedOrdinary =
+    std::max(RoundUp(kOrdinaryShare * aNeed.lasting), scaling.min * dataCentres);
+  const uint32_t wantedReclaimable = RoundUp(kReclaimableShare * aNeed.recent);
+  uint32_t serving = 0;
   for (const DataCentreFleet& fleet : aFleets) {
-    // An ordinary backend is let go only when its reclaimable successor serves.
-    const uint32_t expected = std::min(reclaimable, fleet.reclaimable);
-    uint32_t ordinary = std::max(aTarget.ordinary, total - expected);
-    ordinary = std::min(ordinary, scaling.max - std::min(scaling.max, reclaimable));
-    orders.push_back({ .service = aService.name,
-                       .dataCentre = fleet.dataCentre,
-                       .isReclaimable = true,
-                       .count = reclaimable });
-    orders.push_back({ .service = aService.name,
-                       .dataCentre = fleet.dataCentre,
-                       .isReclaimable = false,
-                       .count = std::max(ordinary, scaling.min) });
+    serving += fleet.reclaimable;
+  }
+  const uint32_t needed = RoundUp(kLeastShare * aNeed.lasting);
+  const uint32_t ordinary =
+    std::max(wantedOrdinary, needed - std::min(needed, serving));
+
+  const std::vector<size_t> order = ByPrice(scaling, aFleets);
+  const auto reclaimableCounts = Spread(wantedReclaimable, order);
+  const auto ordinaryCounts = Spread(ordinary, order);
+  const uint32_t reserved = std::max(
+    scaling.min, RoundUp(scaling.max * kOrdinaryShare / (kOrdinaryShare + kReclaimableShare)));
+  for (size_t i = 0; i < aFleets.size(); ++i) {
+    const uint32_t reclaimable =
+      std::min(reclaimableCounts[i], scaling.max - std::min(scaling.max, reserved));
+    const uint32_t ordinaryCount =
+      std::clamp(ordinaryCounts[i], scaling.min, scaling.max - reclaimable);
+    for (const bool isReclaimable : { true, false }) {
+      orders.push_back({ .service = aService.name,
+                         .dataCentre = aFleets[i].dataCentre,
+                         .isReclaimable = isReclaimable,
+                         .count = isReclaimable ? reclaimable : ordinaryCount });
+    }
   }
   return orders;
 }
--- a/entry/fleet_plan.h
+++ b/entry/fleet_plan.h
@@ -1,9 +1,11 @@
-// Decides how many backends of a service each data centre should have, from what it has
-// and what the load needs. Reclaimable backends are cheap and may all go at once, so each
-// data centre keeps some ordinary ones, and ordinary ones replace reclaimable ones that
-// are not to be had.
+// Decides how many backends of a service each data centre should have, from what it has and
+// what the load needs.
 //
-//   std::vector<FleetOrder> orders = PlanFleet(service, fleets, { .perDataCentre = 3 });
+// Reclaimable backends are cheap, and all of a data centre may go at once. Ordinary ones
+// carry most of the load alone; reclaimable ones on top keep waiting times short. While
+// reclaimable ones are not to be had, ordinary ones replace as many as the load needs.
+//
+//   std::vector<FleetOrder> orders = PlanFleet(service, fleets, need);
 
 #ifndef ENTRY_FLEET_PLAN_H_
 #define ENTRY_FLEET_PLAN_H_
@@ -26,16 +28,25 @@
   uint32_t reclaimable = 0; // that serve
 };
 
-struct FleetTarget
+/// What the calls of a service ask of its engines.
+struct ServiceLoad
 {
-  uint32_t perDataCentre = 3; // backends in all
-  uint32_t ordinary = 1;      // of these, that are not reclaimable
+  double tokensPerSecond = 0; // prompt tokens that must be read
+  double tokensPerMs = 100;   // that one engine reads
+  double inFlight = 0;        // calls
+  double slots = 1;           // calls at once at one engine
 };
 
+/// Returns the number of engines that the load keeps busy all the time.
+double NeededEngines(const ServiceLoad& aLoad);
+
+/// Returns the need that a fleet of this size was made for; used before there is load.
+double NeedOfStartingFleet(std::span<const DataCentreFleet> aFleets);
+
 /// Returns the wanted number of each kind in each data centre, within the bounds.
 std::vector<FleetOrder> PlanFleet(const Service& aService,
                                   std::span<const DataCentreFleet> aFleets,
-                                  FleetTarget aTarget);
+                                  const ServiceNeed& aNeed);
 
 } // namespace gooseberrypath::entry
 
--- a/entry/peer_digest.cc
+++ b/entry/peer_digest.cc
@@ -36,6 +36,11 @@
     backends[i].setWaitingTokens(use.waitingTokens);
     backends[i].setKvTokens(use.kvTokens);
   }
+  auto demands = aInto.initDemands(aDigest.demands.size());
+  for (uint32_t i = 0; i < demands.size(); ++i) {
+    demands[i].setService(aDigest.demands[i].service);
+    demands[i].setTokensPerSecond(aDigest.demands[i].tokensPerSecond);
+  }
   auto teams = aInto.initTeams(aDigest.teams.size());
   for (uint32_t i = 0; i < teams.size(); ++i) {
     teams[i].setTeam(aDigest.teams[i].team);
@@ -66,8 +71,11 @@
                      .seesStore = aMessage.getSeesStore(),
                      .configVersion = aMessage.getConfigVersion(),
                      .dutyToken = aMessage.getDutyToken(),
-                     .dutyRenewal = aMessage.getDutyRenewal(),
-                     .demand = aMessage.getDemand() };
+                     .dutyRenewal = aMessage.getDutyRenewal() };
+  for (const auto demand : aMessage.getDemands()) {
+    digest.demands.push_back({ .service = demand.getService(),
+                               .tokensPerSecond = demand.getTokensPerSecond() });
+  }
   for (const auto use : aMessage.getBackends()) {
     digest.backends.push_back({ .backend = use.getBackend(),
                                 .inFlight = use.getInFlight(),
@@ -106,7 +114,6 @@
   message.setConfigVersion(aDigest.configVersion);
   message.setDutyToken(aDigest.dutyToken);
   message.setDutyRenewal(aDigest.dutyRenewal);
-  message.setDemand(aDigest.demand);
   FillLists(aDigest, message);
   const auto words = capnp::messageToFlatArray(builder);
   const auto bytes = words.asChars();
--- a/entry/peer_digest.h
+++ b/entry/peer_digest.h
@@ -32,6 +32,13 @@
   double admitted = 0; // in the unit of the team's limit
 };
 
+/// Prompt tokens a second that the sender gives the engines of a service to read.
+struct ServiceDemand
+{
+  uint64_t service = 0; // hash of the service's name
+  double tokensPerSecond = 0;
+};
+
 struct PeerDigest
 {
   std::string daemon;       // name of the sender's host
@@ -42,7 +49,7 @@
   uint64_t configVersion = 0;
   uint64_t dutyToken = 0;   // the sender holds the duties with this token; 0: it does not
   uint64_t dutyRenewal = 0; // its newest renewal
-  double demand = 0;        // tokens a second that model requests of the sender need
+  std::vector<ServiceDemand> demands;
   std::vector<BackendUse> backends;
   std::vector<TeamUse> teams;
   std::vector<UsageRow> usage;      // of the sender itself
--- a/entry/peer_system.cc
+++ b/entry/peer_system.cc
@@ -104,8 +104,11 @@
                      .configVersion =
                        world_.configuration ? world_.configuration->version : 0,
                      .dutyToken = world_.dutyToken,
-                     .dutyRenewal = world_.dutyRenewal,
-                     .demand = world_.demand };
+                     .dutyRenewal = world_.dutyRenewal };
+  for (const auto& [name, rate] : world_.demands) {
+    digest.demands.push_back({ .service = DigestKey(name),
+                               .tokensPerSecond = rate.PerSecond(world_.Now()) });
+  }
   for (const auto& [id, row] : world_.backends) {
     if (row.inFlight > 0) {
       digest.backends.push_back({ .backend = row.key,
--- a/entry/request_system.cc
+++ b/entry/request_system.cc
@@ -191,12 +191,15 @@
                                          .lastEvent = now,
                                          .expectedMs = aChoice.expectedMs,
                                          .waitingTokens = aChoice.missingTokens,
-                                         .kvTokens = aChoice.kvTokens });
+                                         .kvTokens = aChoice.kvTokens,
+                                         .beganIdle = aChoice.inFlight <= 1 &&
+                                                      aChoice.waitingTokens < 1 });
   backend.inFlight += 1;
   backend.waitingTokens += aChoice.missingTokens;
   backend.kvTokens += aChoice.kvTokens;
   world_.isDigestDue = true;
   if (row.call.model) {
+    world_.demands[row.service].Add(now, aChoice.missingTokens);
     world_.promptCache.Remember(now, backend.key, *row.call.model);
   }
   row.attempt = id;
@@ -659,7 +662,7 @@
   if (!aRunning.request.row->call.model) {
     stats.baseMs += kLearnWeight * (observedMs - stats.baseMs);
     stats.holdMs += kLearnWeight * (observedMs - stats.holdMs);
-  } else if (tokens > kLongPrompt && observedMs > stats.baseMs) {
+  } else if (tokens > kLongPrompt && attempt.beganIdle && observedMs > stats.baseMs) {
     const double rate = std::clamp(tokens / (observedMs - stats.baseMs / 2),
                                    kMinTokensPerMs, kMaxTokensPerMs);
     stats.tokensPerMs += kLearnWeight * (rate - stats.tokensPerMs);
--- a/entry/world.h
+++ b/entry/world.h
@@ -21,6 +21,7 @@
 #include "entry/prompt_cache.h"
 #include "entry/retry_budget.h"
 #include "entry/route_index.h"
+#include "entry/smoothed_rate.h"
 #include "entry/team_quota.h"
 #include "entry/usage_count.h"
 #include "gooseberrypath/errors.h"
@@ -124,6 +125,7 @@
   uint32_t waitingTokens = 0; // part of the backend's sum until the first event
   uint32_t kvTokens = 0;
   uint32_t inFlight = 1;
+  bool beganIdle = false; // the backend had next to nothing to do
   bool wasSent = false;
   bool hasEvents = false;
 };
@@ -185,7 +187,8 @@
   Table<std::string, TeamRow> teams;
   PromptCache promptCache{ {} };
   UsageCount usage;
-  double demand = 0;      // prompt tokens a second of own calls, smoothed
+  /// Prompt tokens that own calls give to engines, by service.
+  std::map<std::string, SmoothedRate, std::less<>> demands;
   uint64_t dutyToken = 0; // held with this token; 0: not held
   uint64_t dutyRenewal = 0;
 
