Read the store on a peer's word; small digests; sampled choice in large clusters

Usage goes to the holder of the duties only, keys are 32 bits, messages are packed, and a peer is unheard after three rounds at least. The configuration is read with a wait of 10 s on a connection that breaks when silent; the fleet is read less often with more daemons and at once when a peer has read a change. Beyond 16 daemons a call looks at its home engine and three random ones, because all would choose the same one between two digests.

--- a/entry/backend_choice.cc
+++ b/entry/backend_choice.cc
@@ -17,6 +17,32 @@
   std::vector<uint64_t> keys;
 };
 
+// Up to this many daemons, figures of the others are fresh enough for the best backend of
+// all. With more, all daemons would send to the same backend until the next digests, so
+// each one looks at its home and a few random ones.
+constexpr size_t kMaxDaemonsForAll = 16;
+constexpr size_t kSampledBackends = 4;
+
+/// Leaves the home of the call and a random sample. `aHome` follows its new place.
+void Sample(Candidates& aCandidates, size_t& aHome, std::mt19937_64& aRandom)
+{
+  if (aCandidates.rows.size() <= kSampledBackends) {
+    return;
+  }
+  const auto swap = [&](size_t aLeft, size_t aRight) {
+    std::swap(aCandidates.rows[aLeft], aCandidates.rows[aRight]);
+    std::swap(aCandidates.keys[aLeft], aCandidates.keys[aRight]);
+  };
+  swap(0, aHome);
+  aHome = 0;
+  for (size_t i = 1; i < kSampledBackends; ++i) {
+    std::uniform_int_distribution<size_t> place(i, aCandidates.rows.size() - 1);
+    swap(i, place(aRandom));
+  }
+  aCandidates.rows.resize(kSampledBackends);
+  aCandidates.keys.resize(kSampledBackends);
+}
+
 Candidates FindCandidates(const World& aWorld, const RequestRow& aRow, bool aAllowsTried)
 {
   Candidates found;
@@ -43,7 +69,7 @@
 
 } // namespace
 
-std::optional<BackendChoice> ChooseBackend(const World& aWorld, const RequestRow& aRow)
+std::optional<BackendChoice> ChooseBackend(World& aWorld, const RequestRow& aRow)
 {
   Candidates candidates = FindCandidates(aWorld, aRow, false);
   if (candidates.rows.empty()) {
@@ -53,7 +79,10 @@
     return std::nullopt;
   }
   const auto& demand = aRow.call.model;
-  const size_t home = demand ? HomeEngine(*demand, candidates.keys) : 0;
+  size_t home = demand ? HomeEngine(*demand, candidates.keys) : 0;
+  if (aWorld.DaemonCount() > kMaxDaemonsForAll) {
+    Sample(candidates, home, aWorld.random);
+  }
   const auto found = aWorld.serviceStats.find(aRow.service);
   const ServiceStats stats =
     found == aWorld.serviceStats.end() ? ServiceStats{} : found->second;
--- a/entry/backend_choice.h
+++ b/entry/backend_choice.h
@@ -24,7 +24,7 @@
 
 /// Returns the usable backend of the call's service with the lowest expected cost, or
 /// nothing. Backends that failed this call are only taken if there is no other one.
-std::optional<BackendChoice> ChooseBackend(const World& aWorld, const RequestRow& aRow);
+std::optional<BackendChoice> ChooseBackend(World& aWorld, const RequestRow& aRow);
 
 /// Picks the service of a call among those of its route, by weight and the id of the
 /// call.
--- a/entry/digest.capnp
+++ b/entry/digest.capnp
@@ -18,23 +18,24 @@
   usage @11 :List(UsageRow);
   peers @12 :List(Text);
   leaving @13 :List(Text);
+  fleetOffset @14 :UInt64;
 }
 
 struct BackendUse {
-  backend @0 :UInt64;
+  backend @0 :UInt32;
   inFlight @1 :UInt32;
   waitingTokens @2 :UInt32;
   kvTokens @3 :UInt32;
 }
 
 struct ServiceDemand {
-  service @0 :UInt64;
-  tokensPerSecond @1 :Float64;
+  service @0 :UInt32;
+  tokensPerSecond @1 :Float32;
 }
 
 struct TeamUse {
-  team @0 :UInt64;
-  admitted @1 :Float64;
+  team @0 :UInt32;
+  admitted @1 :UInt64;
 }
 
 struct UsageRow {
--- a/entry/digest.capnp.h
+++ b/entry/digest.capnp.h
@@ -37,7 +37,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d62b11838d606aca, 6, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(d62b11838d606aca, 7, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -52,7 +52,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ef4d759db683e31b, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(ef4d759db683e31b, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -67,7 +67,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(be805a84bfb43b31, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(be805a84bfb43b31, 1, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -158,6 +158,8 @@
   inline bool hasLeaving() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getLeaving() const;
 
+  inline  ::uint64_t getFleetOffset() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -258,6 +260,9 @@
   inline void adoptLeaving(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownLeaving();
 
+  inline  ::uint64_t getFleetOffset();
+  inline void setFleetOffset( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -301,7 +306,7 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getBackend() const;
+  inline  ::uint32_t getBackend() const;
 
   inline  ::uint32_t getInFlight() const;
 
@@ -337,8 +342,8 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getBackend();
-  inline void setBackend( ::uint64_t value);
+  inline  ::uint32_t getBackend();
+  inline void setBackend( ::uint32_t value);
 
   inline  ::uint32_t getInFlight();
   inline void setInFlight( ::uint32_t value);
@@ -392,9 +397,9 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getService() const;
+  inline  ::uint32_t getService() const;
 
-  inline double getTokensPerSecond() const;
+  inline float getTokensPerSecond() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -424,11 +429,11 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getService();
-  inline void setService( ::uint64_t value);
+  inline  ::uint32_t getService();
+  inline void setService( ::uint32_t value);
 
-  inline double getTokensPerSecond();
-  inline void setTokensPerSecond(double value);
+  inline float getTokensPerSecond();
+  inline void setTokensPerSecond(float value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -473,9 +478,9 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getTeam() const;
+  inline  ::uint32_t getTeam() const;
 
-  inline double getAdmitted() const;
+  inline  ::uint64_t getAdmitted() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -505,11 +510,11 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getTeam();
-  inline void setTeam( ::uint64_t value);
+  inline  ::uint32_t getTeam();
+  inline void setTeam( ::uint32_t value);
 
-  inline double getAdmitted();
-  inline void setAdmitted(double value);
+  inline  ::uint64_t getAdmitted();
+  inline void setAdmitted( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -974,115 +979,129 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t BackendUse::Reader::getBackend() const {
+inline  ::uint64_t Digest::Reader::getFleetOffset() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t BackendUse::Builder::getBackend() {
+inline  ::uint64_t Digest::Builder::getFleetOffset() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline void BackendUse::Builder::setBackend( ::uint64_t value) {
+inline void Digest::Builder::setFleetOffset( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t BackendUse::Reader::getBackend() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t BackendUse::Builder::getBackend() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void BackendUse::Builder::setBackend( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint32_t BackendUse::Reader::getInFlight() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
 inline  ::uint32_t BackendUse::Builder::getInFlight() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 inline void BackendUse::Builder::setInFlight( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint32_t BackendUse::Reader::getWaitingTokens() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
 inline  ::uint32_t BackendUse::Builder::getWaitingTokens() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 inline void BackendUse::Builder::setWaitingTokens( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint32_t BackendUse::Reader::getKvTokens() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
 inline  ::uint32_t BackendUse::Builder::getKvTokens() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 inline void BackendUse::Builder::setKvTokens( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t ServiceDemand::Reader::getService() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::uint32_t ServiceDemand::Reader::getService() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ServiceDemand::Builder::getService() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::uint32_t ServiceDemand::Builder::getService() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ServiceDemand::Builder::setService( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void ServiceDemand::Builder::setService( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline double ServiceDemand::Reader::getTokensPerSecond() const {
-  return _reader.getDataField<double>(
+inline float ServiceDemand::Reader::getTokensPerSecond() const {
+  return _reader.getDataField<float>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline double ServiceDemand::Builder::getTokensPerSecond() {
-  return _builder.getDataField<double>(
+inline float ServiceDemand::Builder::getTokensPerSecond() {
+  return _builder.getDataField<float>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void ServiceDemand::Builder::setTokensPerSecond(double value) {
-  _builder.setDataField<double>(
+inline void ServiceDemand::Builder::setTokensPerSecond(float value) {
+  _builder.setDataField<float>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t TeamUse::Reader::getTeam() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::uint32_t TeamUse::Reader::getTeam() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t TeamUse::Builder::getTeam() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::uint32_t TeamUse::Builder::getTeam() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void TeamUse::Builder::setTeam( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void TeamUse::Builder::setTeam( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline double TeamUse::Reader::getAdmitted() const {
-  return _reader.getDataField<double>(
+inline  ::uint64_t TeamUse::Reader::getAdmitted() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline double TeamUse::Builder::getAdmitted() {
-  return _builder.getDataField<double>(
+inline  ::uint64_t TeamUse::Builder::getAdmitted() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void TeamUse::Builder::setAdmitted(double value) {
-  _builder.setDataField<double>(
+inline void TeamUse::Builder::setAdmitted( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
--- a/entry/duty_system.cc
+++ b/entry/duty_system.cc
@@ -363,7 +363,7 @@
   if (const auto own = world_.demands.find(aService.name); own != world_.demands.end()) {
     load.tokensPerSecond = own->second.PerSecond(world_.Now());
   }
-  const uint64_t key = DigestKey(aService.name);
+  const uint32_t key = DigestKey(aService.name);
   for (const auto& [host, peer] : world_.peers) {
     for (const ServiceDemand& demand : peer.digest.demands) {
       load.tokensPerSecond +=
--- a/entry/fleet_system.cc
+++ b/entry/fleet_system.cc
@@ -67,9 +67,14 @@
   if (aEvent.isWhole) {
     RemoveMissing(aEvent);
   }
+  fleetChanged_ = false;
   for (const FleetChange& change : aEvent.changes) {
     std::visit([this](const auto& aOne) { Apply(aOne); }, change);
   }
+  if (fleetChanged_ && aEvent.next > world_.fleetOffset) {
+    world_.fleetOffset = aEvent.next;
+    world_.isDigestDue = true;
+  }
   world_.isFleetRead = true;
 }
 
@@ -110,6 +115,7 @@
     world_.isDigestDue = true;
   }
   if (isNew || isLeavingNow) {
+    fleetChanged_ = true;
     world_.Log(LogLevel::Info, aEntry.isLeaving ? "backend_leaving" : "backend_seen", {},
                { { "backend", aEntry.id },
                  { "service", aEntry.service },
@@ -126,6 +132,7 @@
   if (row == nullptr || row->removedAt) {
     return;
   }
+  fleetChanged_ = true;
   const TimePoint now = world_.Now();
   const auto regained = world_.storeRegained;
   if (!regained || *regained + kReturnTime <= now) {
--- a/entry/fleet_system.h
+++ b/entry/fleet_system.h
@@ -42,6 +42,7 @@
   void ApplyTeams();
 
   World& world_;
+  bool fleetChanged_ = false; // by the entries that are being read: one came or left
 };
 
 /// Tells whether the backend may get new calls now.
--- a/entry/messages.h
+++ b/entry/messages.h
@@ -37,6 +37,7 @@
 {
   std::vector<FleetChange> changes;
   bool isWhole = false;
+  uint64_t next = 0; // the offset behind what was read
 };
 
 /// The store answers again, or it does not answer.
@@ -270,6 +271,24 @@
   PeerDigest digest;
 };
 
+/// A peer has read the fleet up to a change at this offset.
+struct ReadFleet
+{
+  uint64_t offset = 0;
+};
+
+/// A peer has a newer configuration in force.
+struct ReadConfiguration
+{
+  uint64_t version = 0;
+};
+
+/// The number of daemons that read the store changed.
+struct SetReaders
+{
+  size_t count = 1;
+};
+
 struct ReadDutyState
 {};
 
@@ -304,7 +323,7 @@
 using Action =
   std::variant<AnswerWhole, AnswerStreamHead, AnswerStreamBytes, AnswerStreamEnd,
                AnswerAbort, SetCallerLimits, SetReady, CloseCallers, StartAttempt,
-               CancelAttempt, DropConnections, SendDigest, ReadDutyState, WriteDutyState,
+               CancelAttempt, DropConnections, SendDigest, ReadFleet, ReadConfiguration, SetReaders, ReadDutyState, WriteDutyState,
                SendUsage, SendOrder, WriteEvent, ExitProcess>;
 
 } // namespace gooseberrypath::entry
--- a/entry/peer_digest.cc
+++ b/entry/peer_digest.cc
@@ -1,11 +1,11 @@
 #include "entry/peer_digest.h"
 
-#include <cstring>
 #include <optional>
 
 #include <capnp/message.h>
-#include <capnp/serialize.h>
+#include <capnp/serialize-packed.h>
 #include <kj/exception.h>
+#include <kj/io.h>
 #include <xxhash.h>
 
 #include "entry/digest.capnp.h"
@@ -70,6 +70,7 @@
                      .isStopping = aMessage.getIsStopping(),
                      .seesStore = aMessage.getSeesStore(),
                      .configVersion = aMessage.getConfigVersion(),
+                     .fleetOffset = aMessage.getFleetOffset(),
                      .dutyToken = aMessage.getDutyToken(),
                      .dutyRenewal = aMessage.getDutyRenewal() };
   for (const auto demand : aMessage.getDemands()) {
@@ -112,22 +113,23 @@
   message.setIsStopping(aDigest.isStopping);
   message.setSeesStore(aDigest.seesStore);
   message.setConfigVersion(aDigest.configVersion);
+  message.setFleetOffset(aDigest.fleetOffset);
   message.setDutyToken(aDigest.dutyToken);
   message.setDutyRenewal(aDigest.dutyRenewal);
   FillLists(aDigest, message);
-  const auto words = capnp::messageToFlatArray(builder);
-  const auto bytes = words.asChars();
+  kj::VectorOutputStream packed;
+  capnp::writePackedMessage(packed, builder);
+  const auto bytes = packed.getArray().asChars();
   return { bytes.begin(), bytes.size() };
 }
 
 Result<PeerDigest> DecodeDigest(std::span<const char> aBytes)
 {
-  // The words must be aligned, which the bytes of a datagram need not be.
-  auto words = kj::heapArray<capnp::word>(aBytes.size() / sizeof(capnp::word));
-  std::memcpy(words.begin(), aBytes.data(), words.asBytes().size());
   std::optional<PeerDigest> digest;
   auto failure = kj::runCatchingExceptions([&] {
-    capnp::FlatArrayMessageReader reader(words);
+    kj::ArrayInputStream packed(
+      kj::ArrayPtr<const char>(aBytes.data(), aBytes.size()).asBytes());
+    capnp::PackedMessageReader reader(packed);
     digest = Read(reader.getRoot<wire::Digest>());
   });
   KJ_IF_MAYBE (problem, failure) {
@@ -141,9 +143,9 @@
   return *std::move(digest);
 }
 
-uint64_t DigestKey(std::string_view aName)
+uint32_t DigestKey(std::string_view aName)
 {
-  return XXH64(aName.data(), aName.size(), 0);
+  return XXH32(aName.data(), aName.size(), 0);
 }
 
 } // namespace gooseberrypath::entry
--- a/entry/peer_digest.h
+++ b/entry/peer_digest.h
@@ -19,7 +19,7 @@
 /// What the sender has running at one backend.
 struct BackendUse
 {
-  uint64_t backend = 0; // hash of the backend's id
+  uint32_t backend = 0; // hash of the backend's id
   uint32_t inFlight = 0;
   uint32_t waitingTokens = 0; // prompt tokens of calls without a first event
   uint32_t kvTokens = 0;      // memory that the calls are expected to need
@@ -28,15 +28,15 @@
 /// What the sender has admitted for a team since its start.
 struct TeamUse
 {
-  uint64_t team = 0;   // hash of the team's name
-  double admitted = 0; // in the unit of the team's limit
+  uint32_t team = 0;     // hash of the team's name
+  uint64_t admitted = 0; // in the unit of the team's limit
 };
 
 /// Prompt tokens a second that the sender gives the engines of a service to read.
 struct ServiceDemand
 {
-  uint64_t service = 0; // hash of the service's name
-  double tokensPerSecond = 0;
+  uint32_t service = 0; // hash of the service's name
+  float tokensPerSecond = 0;
 };
 
 struct PeerDigest
@@ -47,6 +47,7 @@
   bool isStopping = false;  // it takes no more calls
   bool seesStore = false;   // the platform's store answers it
   uint64_t configVersion = 0;
+  uint64_t fleetOffset = 0; // in the store, of the last backend that came or left
   uint64_t dutyToken = 0;   // the sender holds the duties with this token; 0: it does not
   uint64_t dutyRenewal = 0; // its newest renewal
   std::vector<ServiceDemand> demands;
@@ -64,7 +65,7 @@
 Result<PeerDigest> DecodeDigest(std::span<const char> aBytes);
 
 /// Returns the hash by which digests name backends and teams.
-uint64_t DigestKey(std::string_view aName);
+uint32_t DigestKey(std::string_view aName);
 
 } // namespace gooseberrypath::entry
 
--- a/entry/peer_system.cc
+++ b/entry/peer_system.cc
@@ -13,16 +13,17 @@
 // Without news a digest is sent as a sign of life.
 constexpr Duration kIdleInterval = std::chrono::milliseconds(500);
 
-// Usage and addresses go into every digest after this time only.
+// Usage goes to the holder of the duties, and addresses go into a digest, after this time.
 constexpr Duration kFullInterval = std::chrono::milliseconds(500);
 
-// Bytes a second that a daemon spends on digests: four fifths of the 25 KB/s that control
-// may cost on a host.
-constexpr double kBytesPerSecond = 20'000;
+// Bytes a second that a daemon spends on digests. Beyond some forty daemons the figures of
+// the others get older instead; docs/CAPACITY.md has the sizes.
+constexpr double kBytesPerSecond = 60'000;
 
-// A peer without a digest for this time is counted as unheard: two sign-of-life intervals
-// and a lost datagram.
+// A peer without a digest for this time, or for this many intervals, is counted as unheard:
+// two sign-of-life intervals and a lost datagram.
 constexpr Duration kUnheardAfter = std::chrono::milliseconds(1300);
+constexpr int kUnheardIntervals = 3;
 
 // A peer that stays unheard is forgotten: by then a restarted host is back.
 constexpr Duration kForgetAfter = std::chrono::seconds(20);
@@ -32,7 +33,8 @@
 
 constexpr Duration kCheckInterval = std::chrono::milliseconds(200);
 constexpr size_t kToldPeers = 4;   // addresses in a full digest
-constexpr size_t kHeadBytes = 200; // of a digest without lists, with UDP and IP headers
+constexpr size_t kHeadBytes = 130; // of a digest without lists, with UDP and IP headers
+constexpr uint64_t kToldWindows = 3; // of usage, before the current one
 
 } // namespace
 
@@ -84,16 +86,36 @@
   }
   world_.isDigestDue = false;
   SendDigest action{ .digest = MakeDigest(isFull) };
+  const std::string holder = isFull ? HolderAddress() : std::string();
   for (const auto& [address, learned] : world_.knownAddresses) {
-    action.to.push_back(address);
+    if (address != holder) {
+      action.to.push_back(address);
+    }
   }
   const PeerDigest& digest = action.digest;
-  lastSize_ = kHeadBytes + 24 * digest.backends.size() + 16 * digest.teams.size() +
-              40 * digest.usage.size() + 32 * digest.peers.size() +
-              16 * digest.leaving.size();
+  lastSize_ = kHeadBytes + 13 * digest.backends.size() + 12 * digest.teams.size() +
+              24 * digest.peers.size() + 16 * digest.leaving.size();
+  if (!holder.empty()) {
+    SendDigest withUsage{ .to = { holder }, .digest = digest };
+    // Counts of the last windows, because the newest digests may have been lost.
+    const uint64_t window = world_.usage.WindowAt(world_.WallNow());
+    withUsage.digest.usage = world_.usage.RowsOf(
+      world_.ProcessName(), window - std::min(window, kToldWindows));
+    world_.Emit(std::move(withUsage));
+  }
   world_.Emit(std::move(action));
 }
 
+std::string PeerSystem::HolderAddress() const
+{
+  for (const auto& [host, peer] : world_.peers) {
+    if (peer.digest.dutyToken != 0 && peer.isHeard) {
+      return peer.address;
+    }
+  }
+  return {};
+}
+
 PeerDigest PeerSystem::MakeDigest(bool aIsFull)
 {
   PeerDigest digest{ .daemon = world_.options.host,
@@ -103,11 +125,13 @@
                      .seesStore = world_.isStoreReachable,
                      .configVersion =
                        world_.configuration ? world_.configuration->version : 0,
+                     .fleetOffset = world_.fleetOffset,
                      .dutyToken = world_.dutyToken,
                      .dutyRenewal = world_.dutyRenewal };
   for (const auto& [name, rate] : world_.demands) {
     digest.demands.push_back({ .service = DigestKey(name),
-                               .tokensPerSecond = rate.PerSecond(world_.Now()) });
+                               .tokensPerSecond =
+                                 static_cast<float>(rate.PerSecond(world_.Now())) });
   }
   for (const auto& [id, row] : world_.backends) {
     if (row.inFlight > 0) {
@@ -124,13 +148,11 @@
   for (const auto& [name, row] : world_.teams) {
     if (row.quota.Admitted() > 0) {
       digest.teams.push_back(
-        { .team = DigestKey(name), .admitted = row.quota.Admitted() });
+        { .team = DigestKey(name),
+          .admitted = static_cast<uint64_t>(std::max(row.quota.Admitted(), 0.0)) });
     }
   }
   if (aIsFull) {
-    // Counts of the last windows, because the newest digests may have been lost.
-    const uint64_t window = world_.usage.WindowAt(world_.WallNow());
-    digest.usage = world_.usage.RowsOf(world_.ProcessName(), window > 3 ? window - 3 : 0);
     std::vector<std::string> known;
     for (const auto& [host, peer] : world_.peers) {
       if (peer.isHeard) {
@@ -178,6 +200,12 @@
     world_.Log(LogLevel::Info, "peer_heard", {},
                { { "peer", digest.daemon }, { "address", aEvent.from } });
   }
+  if (digest.fleetOffset > world_.fleetOffset) {
+    world_.Emit(ReadFleet{ digest.fleetOffset });
+  }
+  if (world_.configuration && digest.configVersion > world_.configuration->version) {
+    world_.Emit(ReadConfiguration{ digest.configVersion });
+  }
   TakeUse(*peer, digest);
   peer->address = aEvent.from;
   peer->digest = digest;
@@ -195,10 +223,10 @@
   }
   world_.usage.Merge(usage);
   for (auto& [name, row] : world_.teams) {
-    const uint64_t key = DigestKey(name);
+    const uint32_t key = DigestKey(name);
     const auto use = std::ranges::find(digest.teams, key, &TeamUse::team);
     if (use != digest.teams.end()) {
-      row.quota.CountPeer(world_.Now(), process, use->admitted);
+      row.quota.CountPeer(world_.Now(), process, static_cast<double>(use->admitted));
     }
   }
 }
@@ -225,9 +253,10 @@
 void PeerSystem::CheckSilence()
 {
   const TimePoint now = world_.Now();
+  const Duration unheardAfter = std::max(kUnheardAfter, kUnheardIntervals * Interval());
   std::vector<std::string> forgotten;
   for (auto& [host, peer] : world_.peers) {
-    if (peer.isHeard && peer.heard + kUnheardAfter <= now) {
+    if (peer.isHeard && peer.heard + unheardAfter <= now) {
       TakeUse(peer, PeerDigest{});
       peer.isHeard = false;
       peer.digest.backends.clear();
@@ -250,6 +279,10 @@
 
 void PeerSystem::UpdateShares()
 {
+  if (const size_t daemons = world_.DaemonCount(); daemons != toldDaemons_) {
+    toldDaemons_ = daemons;
+    world_.Emit(SetReaders{ daemons });
+  }
   size_t heard = 1;
   size_t serving = 1;
   for (const auto& [host, peer] : world_.peers) {
--- a/entry/peer_system.h
+++ b/entry/peer_system.h
@@ -34,6 +34,9 @@
   void Send();
   PeerDigest MakeDigest(bool aIsFull);
 
+  /// Returns the address of the peer that holds the duties, or nothing.
+  std::string HolderAddress() const;
+
   /// Returns the time between two digests, so that they stay within the byte budget.
   Duration Interval() const;
 
@@ -43,6 +46,7 @@
   uint64_t sequence_ = 0;
   size_t lastSize_ = 0; // estimated bytes of the last digest
   bool isTimerSet_ = false;
+  size_t toldDaemons_ = 1; // the count of the last SetReaders
 };
 
 } // namespace gooseberrypath::entry
--- a/entry/socket.cc
+++ b/entry/socket.cc
@@ -1,30 +1,15 @@
 #include "entry/socket.h"
 
-#include <algorithm>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
 #include <utility>
 
-namespace gooseberrypath::entry {
-
-namespace {
-
-/// Sets one socket option. A stream that is no socket, as in tests, has none.
-void SetOption(kj::AsyncIoStream& aStream, int aLevel, int aOption, int aValue)
-{
-  auto ignored = kj::runCatchingExceptions(
-    [&] { aStream.setsockopt(aLevel, aOption, &aValue, sizeof(aValue)); });
-  (void)ignored;
-}
+#include "gooseberrypath/http_io.h"
 
-} // namespace
+namespace gooseberrypath::entry {
 
 Socket::Socket(kj::Own<kj::AsyncIoStream> aStream, SocketOptions aOptions)
   : stream_(kj::mv(aStream))
   , options_(std::move(aOptions))
 {
-  SetOption(*stream_, IPPROTO_TCP, TCP_NODELAY, 1);
   // The loops begin in a fresh turn, when the owner is complete.
   // kj keeps a handler that is passed by name as a reference, so each one is made in
   // place.
@@ -38,13 +23,7 @@
 
 void Socket::SetSilenceLimit(std::chrono::milliseconds aLimit)
 {
-  const auto ms = static_cast<int>(aLimit.count());
-  const int seconds = std::max(1, ms / 2000);
-  SetOption(*stream_, SOL_SOCKET, SO_KEEPALIVE, 1);
-  SetOption(*stream_, IPPROTO_TCP, TCP_KEEPIDLE, seconds);
-  SetOption(*stream_, IPPROTO_TCP, TCP_KEEPINTVL, seconds);
-  SetOption(*stream_, IPPROTO_TCP, TCP_KEEPCNT, 2);
-  SetOption(*stream_, IPPROTO_TCP, TCP_USER_TIMEOUT, ms);
+  BreakWhenSilent(*stream_, aLimit);
 }
 
 kj::Promise<void> Socket::ReadLoop()
--- a/entry/store_port.cc
+++ b/entry/store_port.cc
@@ -1,5 +1,6 @@
 #include "entry/store_port.h"
 
+#include <algorithm>
 #include <memory>
 #include <ranges>
 #include <utility>
@@ -71,6 +72,40 @@
     .then([this] { return FollowConfig(); });
 }
 
+kj::Promise<void> StorePort::PauseFleet()
+{
+  auto asked = kj::newPromiseAndFulfiller<void>();
+  fleetAsked_ = kj::mv(asked.fulfiller);
+  const Duration pause =
+    std::max<Duration>(options_.fleetPause, options_.fleetPausePerDaemon * readers_);
+  return Pause(pause).exclusiveJoin(kj::mv(asked.promise));
+}
+
+void StorePort::Execute(const ReadFleet& aAction)
+{
+  const bool isKnown = fleetNext_ && *fleetNext_ >= aAction.offset;
+  if (!isKnown && fleetAsked_.get() != nullptr) {
+    fleetAsked_->fulfill();
+  }
+}
+
+void StorePort::Execute(const ReadConfiguration& aAction)
+{
+  // The long read should have brought it; its connection may be silent.
+  if (aAction.version <= configVersion_ || isReadingNewest_) {
+    return;
+  }
+  isReadingNewest_ = true;
+  tasks_.add(Pause(options_.configPause)
+               .then([this] { return calls_.Newest(platform::kConfigTopic); })
+               .then([this](const Result<platform::NewestRecords>& aNewest) {
+                 isReadingNewest_ = false;
+                 if (aNewest) {
+                   TakeConfig(aNewest->records);
+                 }
+               }));
+}
+
 kj::Promise<void> StorePort::FollowFleet()
 {
   if (!fleetNext_) {
@@ -81,8 +116,8 @@
           return Pause(options_.retryPause);
         }
         fleetNext_ = aNewest->end;
-        TakeFleet(aNewest->records, true);
-        return Pause(options_.fleetPause);
+        TakeFleet(aNewest->records, true, aNewest->end);
+        return PauseFleet();
       })
       .then([this] { return FollowFleet(); });
   }
@@ -97,8 +132,8 @@
         return kj::Promise<void>(kj::READY_NOW);
       }
       fleetNext_ = aRead->next;
-      TakeFleet(aRead->records, false);
-      return Pause(options_.fleetPause);
+      TakeFleet(aRead->records, false, aRead->next);
+      return PauseFleet();
     })
     .then([this] { return FollowFleet(); });
 }
@@ -141,6 +176,7 @@
       Warn("configuration_malformed", record.key, configuration.error().message);
       continue;
     }
+    configVersion_ = std::max(configVersion_, configuration->version);
     options_.sink(ConfigurationRead{
       std::make_shared<const Configuration>(*std::move(configuration)) });
     return;
@@ -148,9 +184,9 @@
 }
 
 void StorePort::TakeFleet(const std::vector<platform::KeyedRecord>& aRecords,
-                          bool aIsWhole)
+                          bool aIsWhole, uint64_t aNext)
 {
-  FleetRead read{ .isWhole = aIsWhole };
+  FleetRead read{ .isWhole = aIsWhole, .next = aNext };
   for (const platform::KeyedRecord& record : aRecords) {
     if (!record.value) {
       read.changes.emplace_back(BackendRemoved{ record.key });
--- a/entry/store_port.h
+++ b/entry/store_port.h
@@ -31,11 +31,14 @@
   std::string host;        // name of this daemon's host
   std::string peerAddress; // that other daemons shall use
   // A read of the configuration waits this long for a change.
-  Duration configWait = std::chrono::milliseconds(2000);
+  Duration configWait = std::chrono::seconds(10);
   // Pause after a changed configuration, so that many changes are read together.
   Duration configPause = std::chrono::milliseconds(200);
-  // Entries of backends change several times a second; they are gathered for this time.
+  // Entries of backends change several times a second; they are gathered for this time, or
+  // for as many times the pause for each daemon as there are daemons: the one that reads
+  // first tells the others of a change.
   Duration fleetPause = std::chrono::milliseconds(800);
+  Duration fleetPausePerDaemon = std::chrono::milliseconds(40);
   // Before a failed call is repeated.
   Duration retryPause = std::chrono::milliseconds(200);
 };
@@ -51,6 +54,9 @@
   /// Begins to follow, for ever.
   void Start();
 
+  void Execute(const ReadFleet& aAction);
+  void Execute(const ReadConfiguration& aAction);
+  void Execute(const SetReaders& aAction) { readers_ = aAction.count; }
   void Execute(const ReadDutyState& aAction);
   void Execute(const WriteDutyState& aAction);
 
@@ -61,11 +67,15 @@
   kj::Promise<void> FollowFleet();
   kj::Promise<void> Announce();
   void TakeConfig(const std::vector<platform::KeyedRecord>& aRecords);
-  void TakeFleet(const std::vector<platform::KeyedRecord>& aRecords, bool aIsWhole);
+  void TakeFleet(const std::vector<platform::KeyedRecord>& aRecords, bool aIsWhole,
+                 uint64_t aNext);
 
   /// Notes whether a call was answered and emits the change.
   void NoteAnswer(const std::string& aError);
   kj::Promise<void> Pause(Duration aTime);
+
+  /// Waits until the fleet is to be read again.
+  kj::Promise<void> PauseFleet();
   void Warn(std::string aEvent, std::string aKey, const std::string& aReason);
 
   StorePortOptions options_;
@@ -75,6 +85,10 @@
   platform::StoreClient calls_;
   std::optional<uint64_t> configNext_; // nothing: the newest records are read first
   std::optional<uint64_t> fleetNext_;
+  uint64_t configVersion_ = 0; // the newest one read
+  bool isReadingNewest_ = false;
+  size_t readers_ = 1;
+  kj::Own<kj::PromiseFulfiller<void>> fleetAsked_;
   std::optional<bool> isReachable_;
   int failures_ = 0;
   TaskErrors errors_;
--- a/entry/world.h
+++ b/entry/world.h
@@ -54,7 +54,7 @@
 struct BackendRow
 {
   BackendEntry entry;
-  uint64_t key = 0; // DigestKey of the id
+  uint32_t key = 0; // DigestKey of the id
   TimePoint firstSeen{};
   BackendHealth health;
   TimePoint avoidUntil{}; // it refused a connection
@@ -175,9 +175,10 @@
   std::optional<TimePoint> stopping; // since then
 
   Table<std::string, BackendRow> backends;
-  std::unordered_map<uint64_t, BackendUseSum> peerUse; // by key of the backend
+  std::unordered_map<uint32_t, BackendUseSum> peerUse; // by key of the backend
   Table<std::string, PeerRow> peers;                   // by host
   std::map<std::string, TimePoint> knownAddresses; // of peers, and when they were learned
+  uint64_t fleetOffset = 0; // in the store, of the last backend that came or left
   bool isDigestDue = false; // something changed that peers should know
 
   Table<ExchangeId, RequestRow> requests;
--- a/gooseberrypath/http_io.cc
+++ b/gooseberrypath/http_io.cc
@@ -5,7 +5,9 @@
 #include <array>
 #include <charconv>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <random>
+#include <sys/socket.h>
 #include <utility>
 
 #include <kj/debug.h>
@@ -110,6 +112,23 @@
   });
 }
 
+void BreakWhenSilent(kj::AsyncIoStream& aStream, std::chrono::milliseconds aLimit)
+{
+  const auto set = [&](int aLevel, int aOption, int aValue) {
+    auto ignored = kj::runCatchingExceptions(
+      [&] { aStream.setsockopt(aLevel, aOption, &aValue, sizeof(aValue)); });
+    (void)ignored;
+  };
+  const auto ms = static_cast<int>(aLimit.count());
+  constexpr int kMsPerProbe = 2000; // two probes, a whole second apart at least
+  const int seconds = std::max(1, ms / kMsPerProbe);
+  set(SOL_SOCKET, SO_KEEPALIVE, 1);
+  set(IPPROTO_TCP, TCP_KEEPIDLE, seconds);
+  set(IPPROTO_TCP, TCP_KEEPINTVL, seconds);
+  set(IPPROTO_TCP, TCP_KEEPCNT, 2);
+  set(IPPROTO_TCP, TCP_USER_TIMEOUT, ms);
+}
+
 Headers FromKj(const kj::HttpHeaders& aHeaders)
 {
   Headers result;
