--- a/entry/peer_system.cc
+++ b/entry/peer_system.cc
@@ -36,6 +36,12 @@
 constexpr size_t kHeadBytes = 130; // of a digest without lists, with UDP and IP headers
 constexpr uint64_t kToldWindows = 3; // of usage, before the current one
 
+/// Returns the name under which the sender counts usage.
+std::string ProcessOf(const PeerDigest& aDigest)
+{
+  return aDigest.daemon + "/" + std::to_string(aDigest.incarnation);
+}
+
 } // namespace
 
 void PeerSystem::Start()
@@ -216,7 +222,7 @@
   for (const std::string& address : digest.peers) {
     Learn(address);
   }
-  const std::string process = digest.daemon + "/" + std::to_string(digest.incarnation);
+  const std::string process = ProcessOf(digest);
   std::vector<UsageRow> usage = digest.usage;
   for (UsageRow& row : usage) {
     row.daemon = process;
@@ -226,7 +232,8 @@
     const uint32_t key = DigestKey(name);
     const auto use = std::ranges::find(digest.teams, key, &TeamUse::team);
     if (use != digest.teams.end()) {
-      row.quota.CountPeer(world_.Now(), process, static_cast<double>(use->admitted));
+      row.quota.CountPeer(world_.Now(), process, static_cast<double>(use->admitted),
+                          digest.incarnation < world_.options.incarnation);
     }
   }
 }
@@ -259,6 +266,10 @@
     if (peer.isHeard && peer.heard + unheardAfter <= now) {
       TakeUse(peer, PeerDigest{});
       peer.isHeard = false;
+      const std::string process = ProcessOf(peer.digest);
+      for (auto& [name, team] : world_.teams) {
+        team.quota.ForgetPeer(process);
+      }
       peer.digest.backends.clear();
       world_.Log(LogLevel::Warning, "peer_unheard", {}, { { "peer", host } });
     }
--- a/entry/team_quota.cc
+++ b/entry/team_quota.cc
@@ -59,12 +59,14 @@
   admitted_ -= aAmount;
 }
 
-void TeamQuota::CountPeer(TimePoint aNow, std::string_view aPeer, double aAdmitted)
+void TeamQuota::CountPeer(TimePoint aNow, std::string_view aPeer, double aAdmitted,
+                          bool aStartedBefore)
 {
   Fill(aNow);
-  double& known = peers_[std::string(aPeer)];
+  const double first = aStartedBefore ? aAdmitted : 0;
+  auto& known = peers_.try_emplace(std::string(aPeer), first).first->second;
   // A total may fall a little when a call is given back.
-  level_ = std::min(level_ - (aAdmitted - known), limit_.burst);
+  level_ = std::min(level_ - (aAdmitted - known.value_or(aAdmitted)), limit_.burst);
   known = aAdmitted;
 }
 
--- a/entry/team_quota.h
+++ b/entry/team_quota.h
@@ -6,11 +6,12 @@
 //   TeamQuota quota(now);
 //   quota.SetLimit(now, { .rate = 1000, .burst = 1000 });
 //   if (quota.TryAdmit(now, tokens)) { ... } else { quota.RefillTime(now); }
-//   quota.CountPeer(now, "d2/17", admittedByPeer);
+//   quota.CountPeer(now, "d2/17", admittedByPeer, startedBefore);
 
 #ifndef ENTRY_TEAM_QUOTA_H_
 #define ENTRY_TEAM_QUOTA_H_
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -67,8 +68,14 @@
   void Return(TimePoint aNow, double aAmount);
 
   /// Takes out what a peer admitted since its last digest. `aAdmitted` is its total since
-  /// the start of the process that `aPeer` names.
-  void CountPeer(TimePoint aNow, std::string_view aPeer, double aAdmitted);
+  /// the start of the process that `aPeer` names. The first total of a peer that started
+  /// before this daemon is only noted: it was admitted before this bucket was there.
+  void CountPeer(TimePoint aNow, std::string_view aPeer, double aAdmitted,
+                 bool aStartedBefore);
+
+  /// The peer is no longer heard; its next total is only noted. Meanwhile the bucket fills
+  /// without its share, so what it admits is already taken out.
+  void ForgetPeer(std::string_view aPeer) { peers_[std::string(aPeer)].reset(); }
 
   /// Returns the time until the bucket is not empty.
   Duration RefillTime(TimePoint aNow);
@@ -84,7 +91,8 @@
   double heardShare_ = 1;
   double admitted_ = 0;
   TimePoint filled_;
-  std::unordered_map<std::string, double> peers_;
+  /// Totals of the peers; nothing: the next one is only noted.
+  std::unordered_map<std::string, std::optional<double>> peers_;
 };
 
 } // namespace gooseberrypath::entry
--- a/entry/testing/decisions_test.cc
+++ b/entry/testing/decisions_test.cc
@@ -40,7 +40,7 @@
         for (size_t from = 0; from < quotas.size(); ++from) {
           if (to != from) {
             quotas[to].CountPeer(now, "d" + std::to_string(from),
-                                 quotas[from].Admitted());
+                                 quotas[from].Admitted(), false);
           }
         }
       }
@@ -79,6 +79,22 @@
   CHECK(AdmittedIn(8s, 8, Duration::zero(), 1.0 / 8) <= bursts + 8 * 1000 + 8 * 25);
 }
 
+TEST_CASE("Entry: totals that a peer reached before are no new debt", "[entry][quota]")
+{
+  // Guards against a restarted daemon that takes all that the others ever admitted for a
+  // debt and refuses a team that is far below its limit.
+  TeamQuota quota(kStart);
+  quota.SetLimit(kStart, { .rate = 100, .burst = 100 });
+  quota.CountPeer(kStart, "d2/1", 1e6, true);
+  CHECK(quota.TryAdmit(kStart, 1));
+  quota.CountPeer(kStart, "d2/1", 1e6 + 150, true);
+  CHECK_FALSE(quota.TryAdmit(kStart, 1));
+  // The same holds for a peer that was not heard for a while.
+  quota.ForgetPeer("d2/1");
+  quota.CountPeer(kStart + 1s, "d2/1", 1e6 + 5000, true);
+  CHECK(quota.TryAdmit(kStart + 1s, 1));
+}
+
 TEST_CASE("Entry: a limit that is lowered binds, and refill times are true", "[entry][quota]")
 {
   TeamQuota quota(kStart);
--- a/tests/pages_test.py
+++ b/tests/pages_test.py
@@ -6,7 +6,7 @@
 
 from deployment import DAEMON, ROOT, Deployment
 
-PAGE = (ROOT / "docs" / "operating.md").read_text(encoding="utf-8")
+PAGE = (ROOT / "docs" / "OPERATIONS.md").read_text(encoding="utf-8")
 
 
 class Pages(unittest.TestCase):
