Refuse calls whose first event is expected far beyond the objective; metrics port

A call is now refused at once, with the time at which it can be served, when the best engine is expected to begin after 1.3 times its objective (twice for the most urgent kind, which overtakes). Test: 'under overload late calls are refused and the others stay in time'.

--- a/entry/request_system.cc
+++ b/entry/request_system.cc
@@ -38,6 +38,11 @@
 constexpr double kHedgeFactor = 4;
 constexpr Duration kMinHedge = milliseconds(250);
 
+// Calls are taken while the expected first event is within this multiple of the objective.
+// The most urgent ones overtake others at the engines, so they begin earlier than expected.
+constexpr double kUrgentLateness = 2.0;
+constexpr double kOtherLateness = 1.3;
+
 // Weight of one observation in the learned figures of a service.
 constexpr double kLearnWeight = 0.05;
 
@@ -74,6 +79,15 @@
   return std::to_string(std::lround(aMs));
 }
 
+/// Returns the latest expected first event, from now, with which a call is still taken. A
+/// call that begins far beyond its objective helps its caller little and makes the calls
+/// behind it late as well.
+double LatestFirstEventMs(const RequestRow& aRow)
+{
+  const double factor = aRow.route->priority == 0 ? kUrgentLateness : kOtherLateness;
+  return factor * ToMs(aRow.route->objective);
+}
+
 uint32_t UrgencyOf(const RequestRow& aRow)
 {
   const bool hasTeamPriority = aRow.team != nullptr && aRow.team->priority;
@@ -168,11 +182,12 @@
     GiveUp(aRequest, Error{ ErrorKind::QueueTimeout, "there is no time left" }, {});
     return;
   }
-  if (row.sends == 0 && choice->expectedMs > ToMs(left)) {
-    GiveUp(aRequest,
-           Error{ ErrorKind::Overloaded, "all backends are busy for longer than the "
-                                         "caller waits" },
-           FromMs(choice->expectedMs / 2));
+  const double latestMs = std::min(ToMs(left), LatestFirstEventMs(row));
+  if (row.sends == 0 && choice->expectedMs > latestMs) {
+    const std::string reason = "the best backend is expected to begin in " +
+                               MsText(choice->expectedMs) + " ms, which is too late";
+    GiveUp(aRequest, Error{ ErrorKind::Overloaded, reason },
+           FromMs(choice->expectedMs - latestMs / 2));
     return;
   }
   StartAttemptAt(aRequest, *choice);
--- a/entry/serve_entry.cc
+++ b/entry/serve_entry.cc
@@ -124,6 +124,10 @@
                .timer = timer_,
                .address = aSettings.probeAddress,
                .renderMetrics = [this] { return RenderMetrics(); } })
+    , metrics_({ .network = aIo.provider->getNetwork(),
+                 .timer = timer_,
+                 .address = aSettings.metricsAddress,
+                 .renderMetrics = [this] { return RenderMetrics(); } })
   {
     if (!aSettings.cloudAddress.empty()) {
       cloud_.emplace(CloudPortOptions{ .network = aIo.provider->getNetwork(),
@@ -262,6 +266,7 @@
   std::optional<CloudPort> cloud_;
   DigestPort digests_;
   ProbePort probe_;
+  ProbePort metrics_;
 };
 
 } // namespace
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -17,7 +17,8 @@
   std::vector<std::string> dataCentres;
   std::string callerAddress;      // "IP:port", as all addresses
   std::string probeAddress;       // for the balancer's questions and the metrics
-  std::string peerAddress;        // for datagrams of other daemons
+  std::string peerAddress;   // for datagrams of other daemons
+  std::string metricsAddress;
   std::vector<std::string> seeds; // peer addresses of some daemons
   std::string storeAddress;
   std::string cloudAddress; // empty: there are no duties
--- a/entry/testing/request_system_test.cc
+++ b/entry/testing/request_system_test.cc
@@ -264,6 +264,38 @@
   CHECK(entry.GetWorld().backends.Find("booking1")->entry.isLeaving);
 }
 
+TEST_CASE("Entry: under overload late calls are refused and the others stay in time",
+          "[entry]")
+{
+  // Pattern: more prompts than the engines can read. Taking all makes every call late; the
+  // queue in front of each engine must stay within what the objective allows.
+  EntryFixture entry;
+  entry.Prepare();
+  const ModelDemand demand{ .promptTokens = 20'000,
+                            .maxOutputTokens = 400,
+                            .parts = { { 1, 500 }, { 2, 19'500 } } };
+  int taken = 0;
+  int refused = 0;
+  for (uint64_t i = 0; i < 40; ++i) {
+    ModelDemand own = demand;
+    own.parts.back().id = 100 + i;
+    entry.Arrive("plans", "k", own);
+    const auto answers = entry.Take<AnswerWhole>();
+    if (answers.empty()) {
+      ++taken;
+      continue;
+    }
+    ++refused;
+    CHECK(answers[0].status == 503);
+    CHECK_FALSE(FindHeader(answers[0].headers, "Retry-After").empty());
+  }
+  CHECK(taken >= 4);
+  CHECK(refused >= 20);
+  for (const auto& [id, row] : entry.GetWorld().backends) {
+    CHECK(row.waitingTokens <= 80 * 650 + 20'000); // 1.3 times the objective, at 80 a ms
+  }
+}
+
 TEST_CASE("Entry: a planned stop serves, then refuses, then exits", "[entry]")
 {
   // Guards against calls that are taken late in a stop and broken off by its end.
