--- a/entry/serve_entry.cc
+++ b/entry/serve_entry.cc
@@ -124,11 +124,8 @@
                .timer = timer_,
                .address = aSettings.probeAddress,
                .renderMetrics = [this] { return RenderMetrics(); } })
-    , metrics_({ .network = aIo.provider->getNetwork(),
-                 .timer = timer_,
-                 .address = aSettings.metricsAddress,
-                 .renderMetrics = [this] { return RenderMetrics(); } })
   {
+    OpenMetrics(aIo.provider->getNetwork());
     if (!aSettings.cloudAddress.empty()) {
       cloud_.emplace(CloudPortOptions{ .network = aIo.provider->getNetwork(),
                                        .timer = timer_,
@@ -169,6 +166,21 @@
   }
 
 private:
+  /// Serves the metrics on their own port. Calls are served without it as well.
+  void OpenMetrics(kj::Network& aNetwork)
+  {
+    auto failure = kj::runCatchingExceptions([&] {
+      metrics_.emplace(
+        ProbePortOptions{ .network = aNetwork,
+                          .timer = timer_,
+                          .address = settings_.metricsAddress,
+                          .renderMetrics = [this] { return RenderMetrics(); } });
+    });
+    KJ_IF_MAYBE (problem, failure) {
+      Log("metrics_unavailable", { { "reason", problem->getDescription().cStr() } });
+    }
+  }
+
   std::function<void(Event)> Sink()
   {
     return [this](Event aEvent) { daemon_->Post(std::move(aEvent)); };
@@ -266,7 +278,7 @@
   std::optional<CloudPort> cloud_;
   DigestPort digests_;
   ProbePort probe_;
-  ProbePort metrics_;
+  std::optional<ProbePort> metrics_; // nothing: its port is taken
 };
 
 } // namespace
--- /dev/null
+++ b/tests/platform_standin.py
@@ -0,0 +1,172 @@
+"""A small stand-in of the users' platform: its store with topics of keyed records, and
+backends that echo calls. It speaks the forms that platform/ decodes."""
+
+import base64
+import http.server
+import json
+import struct
+import threading
+import time
+import urllib.parse
+
+
+class Quiet(http.server.BaseHTTPRequestHandler):
+    """Answers on kept connections and logs nothing."""
+
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *_):
+        pass
+
+    def read_body(self):
+        return self.rfile.read(int(self.headers.get("Content-Length", 0)))
+
+    def answer(self, status, body, headers=()):
+        self.send_response(status)
+        for name, value in headers:
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+
+class Server:
+    """Runs a handler class on a free port; `state` is at hand as self.server.state."""
+
+    def __init__(self, handler, state):
+        self.server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), handler)
+        self.server.daemon_threads = True
+        # A caller that ends in the middle of a long read is no error of the stand-in.
+        self.server.handle_error = lambda *_: None
+        self.server.state = state
+        self.address = f"127.0.0.1:{self.server.server_address[1]}"
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def close(self):
+        self.server.shutdown()
+        self.server.server_close()
+
+
+class Store:
+    """Topics of keyed records. While `is_down`, every call is answered 503."""
+
+    def __init__(self):
+        self.lock = threading.Condition()
+        self.topics = {}
+        self.is_down = False
+        self.server = Server(StoreHandler, self)
+        self.address = self.server.address
+
+    def put(self, topic, key, value):
+        """Appends a record; a value of None drops the key. Returns the new end."""
+        with self.lock:
+            records = self.topics.setdefault(topic, [])
+            records.append((key, value))
+            self.lock.notify_all()
+            return len(records)
+
+    def put_config(self, config):
+        self.put("keyed.op", "config", json.dumps(config).encode())
+
+    def put_backend(self, name, address, state="ready", seq=1, service="shop"):
+        self.put("keyed.servers", name, json.dumps({
+            "service": service, "address": address, "zone": "a", "version": "v1",
+            "slots": 6, "state": state, "cold_left_ms": 0, "seq": seq}).encode())
+
+    def close(self):
+        self.server.close()
+
+
+class StoreHandler(Quiet):
+
+    def do_GET(self):
+        store = self.server.state
+        url = urllib.parse.urlsplit(self.path)
+        query = dict(urllib.parse.parse_qsl(url.query))
+        if store.is_down:
+            self.answer(503, b"")
+        elif url.path == "/api/log-newest":
+            self.newest(store, query["topic"])
+        else:
+            self.read(store, query)
+
+    def newest(self, store, topic):
+        with store.lock:
+            records = list(store.topics.get(topic, []))
+        newest = {key: (value, i) for i, (key, value) in enumerate(records)}
+        items = [{"key": key, "value": base64.b64encode(value).decode(), "offset": i}
+                 for key, (value, i) in newest.items() if value is not None]
+        body = {"items": items, "has_more": False, "end": len(records)}
+        self.answer(200, json.dumps(body).encode())
+
+    def read(self, store, query):
+        start = int(query["from"])
+        until = time.monotonic() + int(query.get("wait_ms", 0)) / 1000
+        with store.lock:
+            while len(store.topics.get(query["topic"], [])) <= start:
+                left = until - time.monotonic()
+                if left <= 0 or not store.lock.wait(left):
+                    break
+            records = list(store.topics.get(query["topic"], []))
+        body = struct.pack(">QQ", len(records), 0)
+        for key, value in records[start:]:
+            content = bytes([len(key)]) + key.encode() + (value or b"")
+            body += struct.pack(">I", len(content)) + content
+        self.answer(200, body)
+
+    def do_POST(self):
+        store = self.server.state
+        body = self.read_body()
+        query = dict(urllib.parse.parse_qsl(urllib.parse.urlsplit(self.path).query))
+        if store.is_down:
+            self.answer(503, b"")
+            return
+        content = body[4:]
+        key = content[1:1 + content[0]].decode()
+        value = content[1 + content[0]:] or None
+        with store.lock:
+            end = len(store.topics.setdefault(query["topic"], []))
+            if "at" in query and int(query["at"]) != end:
+                self.answer(412, json.dumps({"end": end}).encode())
+                return
+            store.put(query["topic"], key, value)
+        self.answer(200, json.dumps({"offset": end, "end": end + 1}).encode())
+
+
+class Backend:
+    """A backend that answers each call with its method, target and body."""
+
+    def __init__(self, name, delay=0):
+        self.name = name
+        self.delay = delay
+        self.runs = []
+        self.headers = []
+        self.server = Server(BackendHandler, self)
+        self.address = self.server.address
+
+    def close(self):
+        self.server.close()
+
+
+class BackendHandler(Quiet):
+
+    def do_GET(self):
+        self.run_call()
+
+    def do_POST(self):
+        self.run_call()
+
+    def run_call(self):
+        backend = self.server.state
+        body = self.read_body()
+        request = self.headers["Gooseberrypath-Request-Id"]
+        echo = [("Gooseberrypath-Request-Id", request),
+                ("Gooseberrypath-Instance-Id", backend.name)]
+        if self.headers["Gooseberrypath-Expect-Instance"] != backend.name:
+            self.answer(421, b"", echo)
+            return
+        backend.runs.append(request)
+        backend.headers.append(dict(self.headers))
+        time.sleep(backend.delay)
+        text = f"{self.command} {self.path} ".encode() + body
+        self.answer(200, text, echo + [("Gooseberrypath-Response-Stamp", "s")])
