--- a/entry/duty_state.cc
+++ b/entry/duty_state.cc
@@ -18,11 +18,12 @@
   for (const auto& [service, need] : aState.needs) {
     needs[service] = { need.lasting, need.recent };
   }
-  return nlohmann::json{ { "holder", aState.holder },       { "incarnation", aState.incarnation },
+  return nlohmann::json{
+    { "holder", aState.holder },       { "incarnation", aState.incarnation },
     { "token", aState.token },         { "renewal", aState.renewal },
     { "reports", std::move(reports) }, { "firstUnreported", aState.firstUnreported },
-    { "counts", std::move(counts) },
-                         { "needs", std::move(needs) } }.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    { "counts", std::move(counts) },   { "needs", std::move(needs) }
+  }.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 Result<DutyState> DecodeDutyState(std::string_view aText)
--- a/entry/duty_system.cc
+++ b/entry/duty_system.cc
@@ -397,7 +397,8 @@
   }
   const double step = std::chrono::duration<double>(kCheckInterval).count();
   const auto follow = [&](double& aNeed, double aRise, double aFall) {
-    aNeed += (measured - aNeed) * (1 - std::exp(-step / (measured > aNeed ? aRise : aFall)));
+    aNeed +=
+      (measured - aNeed) * (1 - std::exp(-step / (measured > aNeed ? aRise : aFall)));
   };
   follow(need.lasting, kLastingRiseSeconds, kLastingFallSeconds);
   follow(need.recent, kRecentRiseSeconds, kRecentFallSeconds);
--- a/entry/fleet_plan.cc
+++ b/entry/fleet_plan.cc
@@ -93,14 +93,14 @@
     serving += fleet.reclaimable;
   }
   const uint32_t needed = RoundUp(kLeastShare * aNeed.lasting);
-  const uint32_t ordinary =
-    std::max(wantedOrdinary, needed - std::min(needed, serving));
+  const uint32_t ordinary = std::max(wantedOrdinary, needed - std::min(needed, serving));
 
   const std::vector<size_t> order = ByPrice(scaling, aFleets);
   const auto reclaimableCounts = Spread(wantedReclaimable, order);
   const auto ordinaryCounts = Spread(ordinary, order);
-  const uint32_t reserved = std::max(
-    scaling.min, RoundUp(scaling.max * kOrdinaryShare / (kOrdinaryShare + kReclaimableShare)));
+  const uint32_t reserved =
+    std::max(scaling.min, RoundUp(scaling.max * kOrdinaryShare /
+                                  (kOrdinaryShare + kReclaimableShare)));
   for (size_t i = 0; i < aFleets.size(); ++i) {
     const uint32_t reclaimable =
       std::min(reclaimableCounts[i], scaling.max - std::min(scaling.max, reserved));
--- a/entry/fleet_plan.h
+++ b/entry/fleet_plan.h
@@ -1,5 +1,5 @@
-// Decides how many backends of a service each data centre should have, from what it has and
-// what the load needs.
+// Decides how many backends of a service each data centre should have, from what it has
+// and what the load needs.
 //
 // Reclaimable backends are cheap, and all of a data centre may go at once. Ordinary ones
 // carry most of the load alone; reclaimable ones on top keep waiting times short. While
--- a/entry/messages.h
+++ b/entry/messages.h
@@ -323,8 +323,9 @@
 using Action =
   std::variant<AnswerWhole, AnswerStreamHead, AnswerStreamBytes, AnswerStreamEnd,
                AnswerAbort, SetCallerLimits, SetReady, CloseCallers, StartAttempt,
-               CancelAttempt, DropConnections, SendDigest, ReadFleet, ReadConfiguration, SetReaders, ReadDutyState, WriteDutyState,
-               SendUsage, SendOrder, WriteEvent, ExitProcess>;
+               CancelAttempt, DropConnections, SendDigest, ReadFleet, ReadConfiguration,
+               SetReaders, ReadDutyState, WriteDutyState, SendUsage, SendOrder,
+               WriteEvent, ExitProcess>;
 
 } // namespace gooseberrypath::entry
 
--- a/entry/peer_digest.cc
+++ b/entry/peer_digest.cc
@@ -74,8 +74,8 @@
                      .dutyToken = aMessage.getDutyToken(),
                      .dutyRenewal = aMessage.getDutyRenewal() };
   for (const auto demand : aMessage.getDemands()) {
-    digest.demands.push_back({ .service = demand.getService(),
-                               .tokensPerSecond = demand.getTokensPerSecond() });
+    digest.demands.push_back(
+      { .service = demand.getService(), .tokensPerSecond = demand.getTokensPerSecond() });
   }
   for (const auto use : aMessage.getBackends()) {
     digest.backends.push_back({ .backend = use.getBackend(),
--- a/entry/peer_system.cc
+++ b/entry/peer_system.cc
@@ -13,15 +13,16 @@
 // Without news a digest is sent as a sign of life.
 constexpr Duration kIdleInterval = std::chrono::milliseconds(500);
 
-// Usage goes to the holder of the duties, and addresses go into a digest, after this time.
+// Usage goes to the holder of the duties, and addresses go into a digest, after this
+// time.
 constexpr Duration kFullInterval = std::chrono::milliseconds(500);
 
-// Bytes a second that a daemon spends on digests. Beyond some forty daemons the figures of
-// the others get older instead; docs/CAPACITY.md has the sizes.
+// Bytes a second that a daemon spends on digests. Beyond some forty daemons the figures
+// of the others get older instead; docs/CAPACITY.md has the sizes.
 constexpr double kBytesPerSecond = 60'000;
 
-// A peer without a digest for this time, or for this many intervals, is counted as unheard:
-// two sign-of-life intervals and a lost datagram.
+// A peer without a digest for this time, or for this many intervals, is counted as
+// unheard: two sign-of-life intervals and a lost datagram.
 constexpr Duration kUnheardAfter = std::chrono::milliseconds(1300);
 constexpr int kUnheardIntervals = 3;
 
@@ -32,8 +33,8 @@
 constexpr Duration kTellRemoved = std::chrono::seconds(3);
 
 constexpr Duration kCheckInterval = std::chrono::milliseconds(200);
-constexpr size_t kToldPeers = 4;   // addresses in a full digest
-constexpr size_t kHeadBytes = 130; // of a digest without lists, with UDP and IP headers
+constexpr size_t kToldPeers = 4;     // addresses in a full digest
+constexpr size_t kHeadBytes = 130;   // of a digest without lists, with UDP and IP headers
 constexpr uint64_t kToldWindows = 3; // of usage, before the current one
 
 /// Returns the name under which the sender counts usage.
@@ -105,8 +106,8 @@
     SendDigest withUsage{ .to = { holder }, .digest = digest };
     // Counts of the last windows, because the newest digests may have been lost.
     const uint64_t window = world_.usage.WindowAt(world_.WallNow());
-    withUsage.digest.usage = world_.usage.RowsOf(
-      world_.ProcessName(), window - std::min(window, kToldWindows));
+    withUsage.digest.usage =
+      world_.usage.RowsOf(world_.ProcessName(), window - std::min(window, kToldWindows));
     world_.Emit(std::move(withUsage));
   }
   world_.Emit(std::move(action));
@@ -135,9 +136,9 @@
                      .dutyToken = world_.dutyToken,
                      .dutyRenewal = world_.dutyRenewal };
   for (const auto& [name, rate] : world_.demands) {
-    digest.demands.push_back({ .service = DigestKey(name),
-                               .tokensPerSecond =
-                                 static_cast<float>(rate.PerSecond(world_.Now())) });
+    digest.demands.push_back(
+      { .service = DigestKey(name),
+        .tokensPerSecond = static_cast<float>(rate.PerSecond(world_.Now())) });
   }
   for (const auto& [id, row] : world_.backends) {
     if (row.inFlight > 0) {
--- a/entry/request_system.cc
+++ b/entry/request_system.cc
@@ -38,8 +38,9 @@
 constexpr double kHedgeFactor = 4;
 constexpr Duration kMinHedge = milliseconds(250);
 
-// Calls are taken while the expected first event is within this multiple of the objective.
-// The most urgent ones overtake others at the engines, so they begin earlier than expected.
+// Calls are taken while the expected first event is within this multiple of the
+// objective. The most urgent ones overtake others at the engines, so they begin earlier
+// than expected.
 constexpr double kUrgentLateness = 2.0;
 constexpr double kOtherLateness = 1.3;
 
@@ -199,16 +200,16 @@
   BackendRow& backend = *world_.backends.Find(aChoice.id);
   const AttemptId id = world_.NewId<AttemptId>();
   const TimePoint now = world_.Now();
-  world_.attempts.Insert(id, AttemptRow{ .exchange = aRequest.id,
-                                         .backend = aChoice.id,
-                                         .started = now,
-                                         .sent = now,
-                                         .lastEvent = now,
-                                         .expectedMs = aChoice.expectedMs,
-                                         .waitingTokens = aChoice.missingTokens,
-                                         .kvTokens = aChoice.kvTokens,
-                                         .beganIdle = aChoice.inFlight <= 1 &&
-                                                      aChoice.waitingTokens < 1 });
+  world_.attempts.Insert(
+    id, AttemptRow{ .exchange = aRequest.id,
+                    .backend = aChoice.id,
+                    .started = now,
+                    .sent = now,
+                    .lastEvent = now,
+                    .expectedMs = aChoice.expectedMs,
+                    .waitingTokens = aChoice.missingTokens,
+                    .kvTokens = aChoice.kvTokens,
+                    .beganIdle = aChoice.inFlight <= 1 && aChoice.waitingTokens < 1 });
   backend.inFlight += 1;
   backend.waitingTokens += aChoice.missingTokens;
   backend.kvTokens += aChoice.kvTokens;
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -15,8 +15,8 @@
   std::string host; // name of this host
   std::string dataCentre;
   std::vector<std::string> dataCentres;
-  std::string callerAddress;      // "IP:port", as all addresses
-  std::string probeAddress;       // for the balancer's questions and the metrics
+  std::string callerAddress; // "IP:port", as all addresses
+  std::string probeAddress;  // for the balancer's questions and the metrics
   std::string peerAddress;   // for datagrams of other daemons
   std::string metricsAddress;
   std::vector<std::string> seeds; // peer addresses of some daemons
--- a/entry/store_port.cc
+++ b/entry/store_port.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <memory>
-#include <ranges>
 #include <utility>
 
 #include "gooseberrypath/http_io.h"
@@ -168,7 +167,8 @@
 void StorePort::TakeConfig(const std::vector<platform::KeyedRecord>& aRecords)
 {
   // Only the last version matters; the ones before it were in force for no time.
-  for (const platform::KeyedRecord& record : std::views::reverse(aRecords)) {
+  for (size_t i = aRecords.size(); i-- > 0;) {
+    const platform::KeyedRecord& record = aRecords[i];
     if (record.key != platform::kConfigKey || !record.value) {
       continue;
     }
--- a/entry/store_port.h
+++ b/entry/store_port.h
@@ -34,9 +34,9 @@
   Duration configWait = std::chrono::seconds(10);
   // Pause after a changed configuration, so that many changes are read together.
   Duration configPause = std::chrono::milliseconds(200);
-  // Entries of backends change several times a second; they are gathered for this time, or
-  // for as many times the pause for each daemon as there are daemons: the one that reads
-  // first tells the others of a change.
+  // Entries of backends change several times a second; they are gathered for this time,
+  // or for as many times the pause for each daemon as there are daemons: the one that
+  // reads first tells the others of a change.
   Duration fleetPause = std::chrono::milliseconds(800);
   Duration fleetPausePerDaemon = std::chrono::milliseconds(40);
   // After a peer's word, so that one read brings the changes of several backends. That a
--- a/entry/team_quota.h
+++ b/entry/team_quota.h
@@ -73,8 +73,8 @@
   void CountPeer(TimePoint aNow, std::string_view aPeer, double aAdmitted,
                  bool aStartedBefore);
 
-  /// The peer is no longer heard; its next total is only noted. Meanwhile the bucket fills
-  /// without its share, so what it admits is already taken out.
+  /// The peer is no longer heard; its next total is only noted. Meanwhile the bucket
+  /// fills without its share, so what it admits is already taken out.
   void ForgetPeer(std::string_view aPeer) { peers_[std::string(aPeer)].reset(); }
 
   /// Returns the time until the bucket is not empty.
--- a/entry/testing/decisions_test.cc
+++ b/entry/testing/decisions_test.cc
@@ -39,8 +39,8 @@
       for (size_t to = 0; to < quotas.size(); ++to) {
         for (size_t from = 0; from < quotas.size(); ++from) {
           if (to != from) {
-            quotas[to].CountPeer(now, "d" + std::to_string(from),
-                                 quotas[from].Admitted(), false);
+            quotas[to].CountPeer(now, "d" + std::to_string(from), quotas[from].Admitted(),
+                                 false);
           }
         }
       }
@@ -95,7 +95,8 @@
   CHECK(quota.TryAdmit(kStart + 1s, 1));
 }
 
-TEST_CASE("Entry: a limit that is lowered binds, and refill times are true", "[entry][quota]")
+TEST_CASE("Entry: a limit that is lowered binds, and refill times are true",
+          "[entry][quota]")
 {
   TeamQuota quota(kStart);
   CHECK(quota.TryAdmit(kStart, 1e9)); // no limit yet
--- a/entry/testing/duty_simulation.h
+++ b/entry/testing/duty_simulation.h
@@ -115,11 +115,14 @@
     TimePoint at{};
     size_t host = 0;
     uint64_t incarnation = 0;
-    std::function<void()> effect;   // at the store or the cloud
-    std::function<Event()> answer;  // made after the effect; null: the answer is lost
+    std::function<void()> effect;  // at the store or the cloud
+    std::function<Event()> answer; // made after the effect; null: the answer is lost
   };
 
-  bool Chance(double aShare) { return std::uniform_real_distribution<>(0, 1)(random_) < aShare; }
+  bool Chance(double aShare)
+  {
+    return std::uniform_real_distribution<>(0, 1)(random_) < aShare;
+  }
 
   Duration Between(int aFirstMs, int aLastMs)
   {
@@ -184,7 +187,8 @@
       Host& host = hosts_[one.host];
       if (one.answer && host.incarnation == one.incarnation) {
         if (host.pausedUntil > now_) {
-          pending_.push_back({ host.pausedUntil, one.host, one.incarnation, {}, one.answer });
+          pending_.push_back(
+            { host.pausedUntil, one.host, one.incarnation, {}, one.answer });
         } else {
           Post(host, one.answer());
         }
@@ -246,8 +250,8 @@
   {
     for (Host& other : hosts_) {
       const bool isLost = Chance(0.05) || aHost.cutUntil > now_ || other.cutUntil > now_;
-      const bool isAsked = aAction.to.end() !=
-                           std::find(aAction.to.begin(), aAction.to.end(), other.name);
+      const bool isAsked =
+        aAction.to.end() != std::find(aAction.to.begin(), aAction.to.end(), other.name);
       if (&other != &aHost && !isLost && (isAsked || aAction.digest.sequence <= 2)) {
         Later(other, Between(1, 60), {}, [digest = aAction.digest, from = aHost.name] {
           return Event(DigestReceived{ from, digest });
@@ -297,8 +301,9 @@
   void Execute(Host& aHost, const SendUsage& aAction)
   {
     if (aHost.cutUntil > now_) {
-      Later(aHost, Between(200, 1200), {},
-            [aAction] { return Event(UsageSent{ aAction.report.window, false }); });
+      Later(aHost, Between(200, 1200), {}, [aAction] {
+        return Event(UsageSent{ aAction.report.window, false });
+      });
       return;
     }
     const bool isAnswered = !Chance(0.1);
--- a/entry/testing/duty_system_test.cc
+++ b/entry/testing/duty_system_test.cc
@@ -76,7 +76,7 @@
       naiveBroken += naive.Violations() > 0 ? 1 : 0;
     }
   }
-  CHECK(calls > 150 * 8); // most windows are reported in spite of the faults
+  CHECK(calls > 1200); // 8 of a run's windows on average
   CHECK(naiveBroken > 20);
 }
 
@@ -87,8 +87,9 @@
   EntryOptions options{ .host = "d2", .peerAddress = "d2", .reportsUsage = true };
   EntryFixture entry(options);
   entry.Prepare();
-  const DutyState held{ .holder = "d1", .incarnation = 1, .token = 4, .renewal = 9,
-                        .firstUnreported = 1 };
+  const DutyState held{
+    .holder = "d1", .incarnation = 1, .token = 4, .renewal = 9, .firstUnreported = 1
+  };
   entry.Advance(300ms);
   entry.Post(DutyStateRead{ .isRead = true, .text = EncodeDutyState(held), .end = 9 });
   CHECK(entry.Take<WriteDutyState>().empty());
@@ -98,7 +99,8 @@
     entry.Advance(100ms);
     waited += 100ms;
     if (!entry.Take<ReadDutyState>().empty()) {
-      entry.Post(DutyStateRead{ .isRead = true, .text = EncodeDutyState(held), .end = 9 });
+      entry.Post(
+        DutyStateRead{ .isRead = true, .text = EncodeDutyState(held), .end = 9 });
     }
     writes = entry.Take<WriteDutyState>();
   }
--- a/entry/testing/request_system_test.cc
+++ b/entry/testing/request_system_test.cc
@@ -147,7 +147,8 @@
   for (int i = 0; i < 20; ++i) {
     entry.Arrive("pickups");
     const StartAttempt first = entry.Sent();
-    entry.Post(AttemptAnswered{ first.attempt, { .status = 421, .isOtherBackend = true } });
+    entry.Post(
+      AttemptAnswered{ first.attempt, { .status = 421, .isOtherBackend = true } });
     const StartAttempt second = entry.Sent();
     if (!second.backend.empty()) {
       ++repeats;
@@ -290,8 +291,8 @@
 TEST_CASE("Entry: under overload late calls are refused and the others stay in time",
           "[entry]")
 {
-  // Pattern: more prompts than the engines can read. Taking all makes every call late; the
-  // queue in front of each engine must stay within what the objective allows.
+  // Pattern: more prompts than the engines can read. Taking all makes every call late;
+  // the queue in front of each engine must stay within what the objective allows.
   EntryFixture entry;
   entry.Prepare();
   const ModelDemand demand{ .promptTokens = 20'000,
--- a/entry/world.h
+++ b/entry/world.h
@@ -101,8 +101,8 @@
   TimePoint arrived{};
   TimePoint due{}; // the final answer
   RequestStage stage = RequestStage::Choosing;
-  AttemptId attempt;              // the running one; 0: none
-  uint32_t sends = 0; // attempts that may have reached the backend they were meant for
+  AttemptId attempt;     // the running one; 0: none
+  uint32_t sends = 0;    // attempts that may have reached the backend they were meant for
   uint32_t arrivals = 0; // attempts that may have reached any backend
   bool mayHaveRun = false;        // some backend may have run it
   BackendHead streamHead{};       // of the first engine, sent with the first event
--- a/gooseberrypath/http_io.h
+++ b/gooseberrypath/http_io.h
@@ -42,8 +42,8 @@
                                                 const std::string& aAddress,
                                                 Duration aTimeout);
 
-/// Lets a connection break when its peer is silent for this time: unacknowledged bytes, or
-/// no answer to keep-alive probes. A stream that is no socket is left as it is.
+/// Lets a connection break when its peer is silent for this time: unacknowledged bytes,
+/// or no answer to keep-alive probes. A stream that is no socket is left as it is.
 void BreakWhenSilent(kj::AsyncIoStream& aStream, std::chrono::milliseconds aLimit);
 
 /// Appends the fields of a received head.
