Configuration: count daemons that were never heard as missing

Cause: the test paused daemon d2 before daemon d0 had heard of it. In 25 starts d0 had not heard of a peer 13 times when the set-up was done (a scratch program over tests/deployment.py). d0 then never lists d2, and, which is a fault of the product, it reports a write as in force on 2 of 2 daemons with nothing missing. Ruled out: a suspicion time that is too long, and pauses of d0 that move the time at which it heard its peers; with d2 heard, it is named after 3 s.

Now a seed that was never heard counts as missing under its address. The new virtual-time test and the new process test failed before ("1 == 2", an empty list). The paused test waits until the daemon is heard; what it checks is unchanged.

--- a/gooseberrypath/config_status.cc
+++ b/gooseberrypath/config_status.cc
@@ -76,6 +76,11 @@
   for (const auto& [daemon, row] : aWorld.members) {
     add(daemon, row.digest.appliedConfig);
   }
+  // A daemon that was never heard may serve with an older version.
+  for (const std::string& address : SeedsNeverHeard(aWorld)) {
+    ++result.daemons;
+    result.missing.push_back(address);
+  }
   return result;
 }
 
--- a/gooseberrypath/testing/config_test.cc
+++ b/gooseberrypath/testing/config_test.cc
@@ -412,6 +412,21 @@
   CHECK(cluster.LastReply(0)["resources"][0]["status"]["inForceOn"] == 3);
 }
 
+TEST_CASE("A daemon that was never heard is missing from what is in force", "[config]")
+{
+  // Guards against "in force everywhere" while a daemon hangs since its start.
+  CoreOptions options;
+  Cluster cluster(2, 1, options);
+  cluster.nodes[1].isCut = true;
+  cluster.Run(2s);
+  cluster.Post(0, TeamWrite(1, std::nullopt));
+  cluster.Run(1s);
+  const auto written = cluster.LastReply(0)["inForce"];
+  CHECK(written["applied"] == 1);
+  CHECK(written["daemons"] == 2);
+  CHECK(written["missing"] == nlohmann::json::array({ Cluster::Address(1) }));
+}
+
 TEST_CASE("A waiting read is answered by a change or by the end of its wait", "[config]")
 {
   Cluster cluster(1);
--- a/tests/config_test.py
+++ b/tests/config_test.py
@@ -95,6 +95,8 @@
     def test_paused_daemon_is_named_and_catches_up(self):
         """Guards against a version that is reported as in force where it is not."""
         version, _, _ = read_team(self.d, 0)
+        # Only a daemon that was heard has a name; the next test pauses one before.
+        wait_for(lambda: len(status(self.d, 0)["daemons"]) == 3, "all daemons to be heard")
         self.d.daemons[2].signal(signal.SIGSTOP)
         self.assertEqual(self.write(0, 11, version)[0], 0)
         wait_for(lambda: any(one["daemon"] == "d2" and not one["reachable"]
@@ -105,5 +107,23 @@
         self.assertEqual(read_team(self.d, 2)[1], 11)
 
 
+class PausedAtStart(unittest.TestCase):
+    def test_daemon_that_was_never_heard_is_missing(self):
+        """Guards against "in force everywhere" while a daemon hangs since its start."""
+        d = Deployment(engines=1, services=1, daemons=3)
+        self.addCleanup(d.close)
+        d.daemons[2].signal(signal.SIGSTOP)
+        d.wait_until_ready(0)
+        d.wait_until_ready(1)
+        wait_for(lambda: len(status(d, 0)["daemons"]) == 2, "the other daemon to be heard")
+        code, out, errors = d.client("apply", "-f", "-", text=json.dumps(team(11)))
+        self.assertEqual(code, 0, out + errors)
+        never_heard = f"127.0.0.1:{d.daemon_ports[2][1]}"
+        wait_for(lambda: read_team(d, 0)[2] == [never_heard], "the running daemon to apply it")
+        d.daemons[2].signal(signal.SIGCONT)
+        wait_for(lambda: read_team(d, 0)[2] == [], "the daemon to be heard")
+        wait_for(lambda: read_team(d, 2)[1] == 11, "the daemon to catch up")
+
+
 if __name__ == "__main__":
     unittest.main(verbosity=2)
