Entry daemon: a program of its own without log4cplus

A trial build that marks each destroyed part shows ports and event loop gone within 6 ms of "exiting". The rest of the exit hung: log4cplus starts four threads when it is loaded and joins them in a static destructor. The daemon had 5 threads and did not use it. Ruled out: each port, the event loop, static destructors of this project (there are none that wait).

--- a/entry/serve_entry.cc
+++ b/entry/serve_entry.cc
@@ -1,7 +1,6 @@
 #include "entry/serve_entry.h"
 
 #include <csignal>
-#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <optional>
@@ -297,8 +296,18 @@
   kj::AsyncIoContext io = kj::setupAsyncIo();
   EntryServer server(aSettingsPath, *settings, io);
   server.Run(io);
-  // The process holds nothing that must be written, and the platform waits for its end.
-  std::_Exit(0);
+  return 0;
+}
+
+int CheckEntrySettings(const std::string& aSettingsPath)
+{
+  const auto settings = ReadSettings(aSettingsPath);
+  if (!settings) {
+    std::cerr << settings.error().message << '\n';
+    return 2;
+  }
+  std::cout << "the settings are valid\n";
+  return 0;
 }
 
 } // namespace gooseberrypath::entry
--- a/entry/serve_entry.h
+++ b/entry/serve_entry.h
@@ -11,6 +11,9 @@
 /// settings file is missing or malformed.
 int RunEntry(const std::string& aSettingsPath);
 
+/// Reads the settings file without serving. Returns the exit code as RunEntry() does.
+int CheckEntrySettings(const std::string& aSettingsPath);
+
 } // namespace gooseberrypath::entry
 
 #endif // ENTRY_SERVE_ENTRY_H_
--- a/gooseberrypath/config_status.h
+++ b/gooseberrypath/config_status.h
@@ -15,8 +15,9 @@
 namespace gooseberrypath {
 
 /// Which daemons have applied a version. A daemon that is out of reach counts as missing
-/// unless it said before that it has applied the version: it may still serve. A daemon that
-/// was never heard counts as missing under its seed address, since its name is not known.
+/// unless it said before that it has applied the version: it may still serve. A daemon
+/// that was never heard counts as missing under its seed address, since its name is not
+/// known.
 struct InForce
 {
   size_t applied = 0;
--- a/gooseberrypath/main.cc
+++ b/gooseberrypath/main.cc
@@ -7,12 +7,10 @@
 #include <string_view>
 #include <vector>
 
-#include "entry/serve_entry.h"
 #include "gooseberrypath/client.h"
 #include "gooseberrypath/serve.h"
 #include "gooseberrypath/settings.h"
 #include "gooseberrypath/tracing.h"
-#include "platform/settings_file.h"
 
 namespace {
 
@@ -24,7 +22,6 @@
   R"(usage: gooseberrypath COMMAND [OPTION...]
 
   serve                         run a daemon with the product's own interface
-  entry [SETTINGS]              run an entry daemon on the platform
   apply -f FILE|-               create or replace resources
   get [KIND [NAME]]             print resources
   watch [KIND [NAME]]           print changes of resources
@@ -77,10 +74,6 @@
   if (command == "serve") {
     return Serve(aArgs.subspan(1));
   }
-  if (command == "entry") {
-    const bool hasPath = aArgs.size() > 1;
-    return entry::RunEntry(hasPath ? aArgs[1] : platform::SettingsPath());
-  }
   if (command == "trace") {
     return RunTrace(aArgs.subspan(1), std::cout, std::cerr);
   }
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -19,6 +19,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 BUILD = pathlib.Path(os.environ.get("BUILD_DIR", ROOT / "build")).resolve()
 DAEMON = BUILD / "gooseberrypath"
+ENTRY = BUILD / "gooseberrypath-entry"
 STANDINS = BUILD / "gooseberrypath-standins"
 START_TIMEOUT_S = 20
 WAIT_STEP_S = 0.02
--- a/tests/entry_test.py
+++ b/tests/entry_test.py
@@ -8,7 +8,7 @@
 import tempfile
 import unittest
 
-from deployment import DAEMON, START_TIMEOUT_S, free_ports, http_call, wait_for
+from deployment import ENTRY, START_TIMEOUT_S, free_ports, http_call, wait_for
 from platform_standin import Backend, Store
 
 
@@ -41,7 +41,7 @@
             f"port_range={peer},{peer}", f"platform.address={store.address}",
             "bounds.grace_s=8", ""]), encoding="utf-8")
         self.log = open(pathlib.Path(self.folder.name) / "log", "w+", encoding="utf-8")
-        self.process = subprocess.Popen([DAEMON, "entry", str(path)], stdout=self.log)
+        self.process = subprocess.Popen([ENTRY, str(path)], stdout=self.log)
 
     def close(self):
         if self.process.poll() is None:
@@ -141,11 +141,18 @@
         self.assertEqual(daemon.process.wait(START_TIMEOUT_S), 0)
         self.assertEqual(self.runs(), 1)
 
+    def test_a_daemon_has_a_single_thread(self):
+        """Guards against libraries that start threads: joining them at exit outlasted the
+        grace time on the bench, and their stacks cost memory."""
+        daemon = self.start()
+        wait_for(lambda: daemon.status() == 200, "readiness")
+        self.assertEqual(len(os.listdir(f"/proc/{daemon.process.pid}/task")), 1)
+
     def test_a_settings_file_without_a_needed_line_is_refused_by_name(self):
         with tempfile.NamedTemporaryFile("w", suffix=".conf") as file:
             file.write("node=d1\n")
             file.flush()
-            done = subprocess.run([DAEMON, "entry", file.name], capture_output=True,
+            done = subprocess.run([ENTRY, file.name], capture_output=True,
                                   text=True, check=False, env=os.environ)
         self.assertEqual(done.returncode, 2)
         self.assertIn("setting \"", done.stderr)
