Choice: two random sound backends for plain calls at many daemons

Pattern: 74 daemons, 5 booking backends of 6 slots, calls of 60 ms, digests every 0.7 s. Backends that fail are left out of the sample.

--- a/entry/backend_choice.cc
+++ b/entry/backend_choice.cc
@@ -19,28 +19,63 @@
 
 // Up to this many daemons, figures of the others are fresh enough for the best backend of
 // all. With more, all daemons would send to the same backend until the next digests, so
-// each one looks at its home and a few random ones.
+// each one looks at a few random ones, and at the home of a prompt.
 constexpr size_t kMaxDaemonsForAll = 16;
-constexpr size_t kSampledBackends = 4;
+constexpr size_t kSampledEngines = 4;
+// Plain calls are shorter than the time between two digests: the figures of the others
+// tell little, and a larger sample only makes more daemons take the same backend.
+constexpr size_t kSampledPlain = 2;
 
-/// Leaves the home of the call and a random sample. `aHome` follows its new place.
-void Sample(Candidates& aCandidates, size_t& aHome, std::mt19937_64& aRandom)
+// Recent failures or slowness beyond these make a backend unsound: a small sample must
+// not consist of such ones while others could serve.
+constexpr double kUnsoundFailures = 0.3;
+constexpr double kUnsoundSlowness = 3;
+
+bool IsSound(const BackendRow& aBackend, TimePoint aNow)
+{
+  return aBackend.health.FailureShare(aNow) < kUnsoundFailures &&
+         aBackend.health.Slowness(aNow) < kUnsoundSlowness;
+}
+
+/// Leaves the sound backends, or all if none is sound.
+void KeepSound(Candidates& aCandidates, TimePoint aNow)
 {
-  if (aCandidates.rows.size() <= kSampledBackends) {
+  Candidates sound;
+  for (size_t i = 0; i < aCandidates.rows.size(); ++i) {
+    if (IsSound(*aCandidates.rows[i].second, aNow)) {
+      sound.rows.push_back(aCandidates.rows[i]);
+      sound.keys.push_back(aCandidates.keys[i]);
+    }
+  }
+  if (!sound.rows.empty()) {
+    aCandidates = std::move(sound);
+  }
+}
+
+/// Leaves a random sample of the size, which includes the home of the call if there is
+/// one. `aHome` follows its new place.
+void Sample(Candidates& aCandidates, std::optional<size_t>& aHome, size_t aSize,
+            std::mt19937_64& aRandom)
+{
+  if (aCandidates.rows.size() <= aSize) {
     return;
   }
   const auto swap = [&](size_t aLeft, size_t aRight) {
     std::swap(aCandidates.rows[aLeft], aCandidates.rows[aRight]);
     std::swap(aCandidates.keys[aLeft], aCandidates.keys[aRight]);
   };
-  swap(0, aHome);
-  aHome = 0;
-  for (size_t i = 1; i < kSampledBackends; ++i) {
-    std::uniform_int_distribution<size_t> place(i, aCandidates.rows.size() - 1);
-    swap(i, place(aRandom));
+  size_t chosen = 0;
+  if (aHome) {
+    swap(0, *aHome);
+    aHome = 0;
+    chosen = 1;
   }
-  aCandidates.rows.resize(kSampledBackends);
-  aCandidates.keys.resize(kSampledBackends);
+  for (; chosen < aSize; ++chosen) {
+    std::uniform_int_distribution<size_t> place(chosen, aCandidates.rows.size() - 1);
+    swap(chosen, place(aRandom));
+  }
+  aCandidates.rows.resize(aSize);
+  aCandidates.keys.resize(aSize);
 }
 
 Candidates FindCandidates(const World& aWorld, const RequestRow& aRow, bool aAllowsTried)
@@ -79,9 +114,15 @@
     return std::nullopt;
   }
   const auto& demand = aRow.call.model;
-  size_t home = demand ? HomeEngine(*demand, candidates.keys) : 0;
+  std::optional<size_t> home;
+  if (demand) {
+    home = HomeEngine(*demand, candidates.keys);
+  }
   if (aWorld.DaemonCount() > kMaxDaemonsForAll) {
-    Sample(candidates, home, aWorld.random);
+    if (!demand) {
+      KeepSound(candidates, aWorld.Now());
+    }
+    Sample(candidates, home, demand ? kSampledEngines : kSampledPlain, aWorld.random);
   }
   const auto found = aWorld.serviceStats.find(aRow.service);
   const ServiceStats stats =
