Quota: a daemon's own share decides between two digests

Cause: with 74 daemons a digest goes out every 0.7 s.

Below the level that all daemons may be asked for between two digests, each admits from a bucket of its own, which fills with its share of the recently admitted calls and slows down while the shared bucket is in debt. A new process of a peer starts with a total of its own.

--- a/entry/peer_system.cc
+++ b/entry/peer_system.cc
@@ -213,6 +213,9 @@
   if (world_.configuration && digest.configVersion > world_.configuration->version) {
     world_.Emit(ReadConfiguration{ digest.configVersion });
   }
+  if (peer->digest.incarnation != digest.incarnation) {
+    ForgetUse(*peer); // the totals of a new process start anew
+  }
   TakeUse(*peer, digest);
   peer->address = aEvent.from;
   peer->digest = digest;
@@ -258,6 +261,14 @@
   add(aDigest.backends, 1);
 }
 
+void PeerSystem::ForgetUse(const PeerRow& aPeer)
+{
+  const std::string process = ProcessOf(aPeer.digest);
+  for (auto& [name, team] : world_.teams) {
+    team.quota.ForgetPeer(process);
+  }
+}
+
 void PeerSystem::CheckSilence()
 {
   const TimePoint now = world_.Now();
@@ -267,10 +278,7 @@
     if (peer.isHeard && peer.heard + unheardAfter <= now) {
       TakeUse(peer, PeerDigest{});
       peer.isHeard = false;
-      const std::string process = ProcessOf(peer.digest);
-      for (auto& [name, team] : world_.teams) {
-        team.quota.ForgetPeer(process);
-      }
+      ForgetUse(peer);
       peer.digest.backends.clear();
       world_.Log(LogLevel::Warning, "peer_unheard", {}, { { "peer", host } });
     }
@@ -303,6 +311,7 @@
     serving += counts ? 1 : 0;
   }
   for (auto& [name, row] : world_.teams) {
+    row.quota.SetNewsInterval(Interval());
     row.quota.SetHeardShare(world_.Now(),
                             static_cast<double>(heard) / static_cast<double>(serving));
   }
--- a/entry/peer_system.h
+++ b/entry/peer_system.h
@@ -28,6 +28,9 @@
   void Learn(const std::string& aAddress);
   void TakeUse(PeerRow& aPeer, const PeerDigest& aDigest);
 
+  /// Leaves the totals of the peer's process out of the teams' quotas.
+  void ForgetUse(const PeerRow& aPeer);
+
   /// Notices peers that fell silent.
   void CheckSilence();
   void UpdateShares();
--- a/entry/team_quota.cc
+++ b/entry/team_quota.cc
@@ -11,6 +11,15 @@
 constexpr double kOvershootShare = 0.5;
 constexpr double kSlackShare = 0.6;
 
+// The part of a daemon's share that follows its recent calls. The rest is divided evenly,
+// so that a daemon which had no calls can admit its first ones.
+constexpr double kLearnedShare = 0.8;
+
+// A debt of the shared bucket is paid back within about this time, well inside a window.
+constexpr double kPaybackSeconds = 2;
+constexpr double kLeastPace = 0.1;
+constexpr double kMostPace = 1.5;
+
 } // namespace
 
 QuotaLimit EnforcedLimit(QuotaLimit aLimit, const QuotaTolerance& aTolerance)
@@ -33,6 +42,7 @@
   const bool isFirst = limit_.rate <= 0;
   limit_ = aLimit;
   level_ = isFirst ? limit_.burst : std::min(level_, limit_.burst);
+  ownLevel_ = std::min(isFirst ? limit_.burst : ownLevel_, limit_.burst);
 }
 
 void TeamQuota::SetHeardShare(TimePoint aNow, double aShare)
@@ -41,14 +51,43 @@
   heardShare_ = std::clamp(aShare, 0.0, 1.0);
 }
 
+double TeamQuota::OwnShare(TimePoint aNow) const
+{
+  const auto heard = std::ranges::count_if(
+    peers_, [](const auto& aPeer) { return aPeer.second.has_value(); });
+  const double even = 1.0 / static_cast<double>(heard + 1);
+  const double own = ownAdmitted_.PerSecond(aNow);
+  const double all = own + peersAdmitted_.PerSecond(aNow);
+  const double learned = all > 0 ? std::clamp(own / all, 0.0, 1.0) : even;
+  return kLearnedShare * learned + (1 - kLearnedShare) * even;
+}
+
+double TeamQuota::OwnRate(TimePoint aNow) const
+{
+  const double pace = 1 + level_ / (limit_.rate * kPaybackSeconds);
+  return limit_.rate * OwnShare(aNow) * std::clamp(pace, kLeastPace, kMostPace);
+}
+
+double TeamQuota::AskedMeanwhile(TimePoint aNow) const
+{
+  const double seconds = std::chrono::duration<double>(newsInterval_).count();
+  return asked_.PerSecond(aNow) / OwnShare(aNow) * seconds;
+}
+
 bool TeamQuota::TryAdmit(TimePoint aNow, double aAmount)
 {
   Fill(aNow);
-  if (limit_.rate > 0 && level_ <= 0) {
+  asked_.Add(aNow, aAmount);
+  // The level is uncertain by what others may have been asked for since they were heard.
+  const double uncertain = AskedMeanwhile(aNow);
+  const bool isOwnAllowed = ownLevel_ > 0 && level_ > -uncertain;
+  if (limit_.rate > 0 && level_ <= uncertain && !isOwnAllowed) {
     return false;
   }
   level_ -= aAmount;
+  ownLevel_ = std::max(ownLevel_ - aAmount, -aAmount);
   admitted_ += aAmount;
+  ownAdmitted_.Add(aNow, aAmount);
   return true;
 }
 
@@ -56,7 +95,9 @@
 {
   Fill(aNow);
   level_ = std::min(level_ + aAmount, limit_.burst);
+  ownLevel_ = std::min(ownLevel_ + aAmount, limit_.burst);
   admitted_ -= aAmount;
+  ownAdmitted_.Add(aNow, -aAmount);
 }
 
 void TeamQuota::CountPeer(TimePoint aNow, std::string_view aPeer, double aAdmitted,
@@ -66,19 +107,25 @@
   const double first = aStartedBefore ? aAdmitted : 0;
   auto& known = peers_.try_emplace(std::string(aPeer), first).first->second;
   // A total may fall a little when a call is given back.
-  level_ = std::min(level_ - (aAdmitted - known.value_or(aAdmitted)), limit_.burst);
+  const double admitted = aAdmitted - known.value_or(aAdmitted);
+  level_ = std::min(level_ - admitted, limit_.burst);
+  peersAdmitted_.Add(aNow, admitted);
   known = aAdmitted;
 }
 
 Duration TeamQuota::RefillTime(TimePoint aNow)
 {
   Fill(aNow);
-  const double rate = limit_.rate * heardShare_;
-  if (level_ > 0 || rate <= 0) {
+  if (limit_.rate <= 0 || heardShare_ <= 0) {
     return Duration::zero();
   }
+  const double uncertain = AskedMeanwhile(aNow);
+  const double sharedRate = limit_.rate * heardShare_;
+  const double untilShared = std::max(0.0, uncertain - level_) / sharedRate;
+  const double untilOwn = std::max({ 0.0, (-uncertain - level_) / sharedRate,
+                                     -ownLevel_ / (OwnRate(aNow) * heardShare_) });
   return std::chrono::duration_cast<Duration>(
-    std::chrono::duration<double>(-level_ / rate));
+    std::chrono::duration<double>(std::min(untilShared, untilOwn)));
 }
 
 void TeamQuota::Fill(TimePoint aNow)
@@ -87,6 +134,9 @@
   filled_ = std::max(filled_, aNow);
   if (limit_.rate > 0 && seconds > 0) {
     level_ = std::min(limit_.burst, level_ + seconds * limit_.rate * heardShare_);
+    const double ownBurst = limit_.burst * OwnShare(aNow);
+    const double filled = ownLevel_ + seconds * OwnRate(aNow) * heardShare_;
+    ownLevel_ = std::min(ownBurst, filled);
   }
 }
 
--- a/entry/team_quota.h
+++ b/entry/team_quota.h
@@ -3,6 +3,10 @@
 // when their digests arrive. What was admitted meanwhile is a debt that later calls wait
 // for, so the error does not add up.
 //
+// While the shared bucket holds more than all daemons may admit until they hear of each
+// other, it alone decides. Below that, a daemon admits from a bucket of its own, which
+// fills with its share of the team's recent calls and slows down while there is a debt.
+//
 //   TeamQuota quota(now);
 //   quota.SetLimit(now, { .rate = 1000, .burst = 1000 });
 //   if (quota.TryAdmit(now, tokens)) { ... } else { quota.RefillTime(now); }
@@ -16,6 +20,7 @@
 #include <string_view>
 #include <unordered_map>
 
+#include "entry/smoothed_rate.h"
 #include "gooseberrypath/types.h"
 
 namespace gooseberrypath::entry {
@@ -61,7 +66,11 @@
   /// others may admit too, so the bucket fills with this share of the rate.
   void SetHeardShare(TimePoint aNow, double aShare);
 
-  /// Admits the amount if the bucket is not empty; the rest becomes a debt.
+  /// Sets the time between two digests of a peer. Calls that are admitted meanwhile are
+  /// not in the shared bucket yet.
+  void SetNewsInterval(Duration aInterval) { newsInterval_ = aInterval; }
+
+  /// Admits the amount if a bucket allows it; what the bucket lacks becomes a debt.
   bool TryAdmit(TimePoint aNow, double aAmount);
 
   /// Gives back what was admitted and not used.
@@ -77,7 +86,7 @@
   /// fills without its share, so what it admits is already taken out.
   void ForgetPeer(std::string_view aPeer) { peers_[std::string(aPeer)].reset(); }
 
-  /// Returns the time until the bucket is not empty.
+  /// Returns the time until a call is likely to be admitted.
   Duration RefillTime(TimePoint aNow);
 
   /// Returns the total that this daemon admitted.
@@ -86,8 +95,22 @@
 private:
   void Fill(TimePoint aNow);
 
+  /// Returns this daemon's part of what all daemons admitted recently, 0 to 1.
+  double OwnShare(TimePoint aNow) const;
+
+  /// Returns the rate at which the own bucket fills.
+  double OwnRate(TimePoint aNow) const;
+
+  /// Returns what all daemons may be asked for between two digests.
+  double AskedMeanwhile(TimePoint aNow) const;
+
   QuotaLimit limit_;
-  double level_ = 0;
+  double level_ = 0; // of the shared bucket
+  double ownLevel_ = 0;
+  SmoothedRate asked_; // of this daemon, admitted or not
+  SmoothedRate ownAdmitted_;
+  SmoothedRate peersAdmitted_;
+  Duration newsInterval_{};
   double heardShare_ = 1;
   double admitted_ = 0;
   TimePoint filled_;
