Hold first calls until the store is read; gather fleet changes longer

(1) After the loss of power on all hosts the daemons are back at 52.7 s and refuse calls for about 100 ms, until they have read the configuration, with Retry-After 0.4 s: callers of the whole outage arrive then and have one retry. Now calls wait for the first reading for at most 250 ms from the start; then they are refused as before (test of both; the test of the refusal now waits those 250 ms). They gather for 20 ms for each daemon now, 2 s at most; that a backend leaves is in the peers' word, so only new backends are known later (read_pace, test).

--- a/entry/request_system.cc
+++ b/entry/request_system.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
+#include <utility>
 
 #include "entry/backend_choice.h"
 #include "entry/call_intake.h"
@@ -24,6 +25,10 @@
 // A caller of a call without a deadline is expected to wait as long as its route allows.
 constexpr Duration kNoPatience = std::chrono::hours(1);
 
+// A daemon that has started has read the store about 100 ms later. Its first callers wait
+// this long for it, which is shorter than any Retry-After that would be true.
+constexpr Duration kStartWait = milliseconds(250);
+
 // Retry-After when there is no backend: one arrives with the next entries.
 constexpr Duration kNoBackendRetry = milliseconds(400);
 
@@ -125,20 +130,54 @@
                   .backend = world_.backends.Find(attempt->backend) };
 }
 
+void RequestSystem::Start()
+{
+  world_.timers.SubscribeAt(world_.started + kStartWait, [](TimePoint) {});
+}
+
 void RequestSystem::Handle(const CallArrived& aEvent)
 {
   world_.counters.Add(EntryCounter::CallsArrived);
   RequestRow& row = world_.requests.Insert(
     aEvent.exchange, RequestRow{ .call = aEvent.call, .arrived = aEvent.call.started });
-  const Request request{ aEvent.exchange, &row };
+  if (IsStarting()) {
+    world_.Log(LogLevel::Info, "held", row.call.requestId,
+               { { "reason", "the store has not been read yet" } });
+    held_.push_back(aEvent.exchange);
+    return;
+  }
+  Admit({ aEvent.exchange, &row });
+}
+
+bool RequestSystem::IsStarting() const
+{
+  const bool isRead = world_.configuration && world_.isFleetRead;
+  return !isRead && world_.Now() < world_.started + kStartWait;
+}
+
+void RequestSystem::Run()
+{
+  if (held_.empty() || IsStarting()) {
+    return;
+  }
+  for (const ExchangeId id : std::exchange(held_, {})) {
+    if (RequestRow* row = world_.requests.Find(id)) {
+      Admit({ id, row });
+    }
+  }
+}
+
+void RequestSystem::Admit(Request aRequest)
+{
+  RequestRow& row = *aRequest.row;
   if (RefusesNewCalls(world_)) {
-    AnswerError(request, Error{ ErrorKind::Draining, "the daemon stops" },
+    AnswerError(aRequest, Error{ ErrorKind::Draining, "the daemon stops" },
                 kElsewhereRetry);
     return;
   }
   const auto intake = CheckCall(world_, row.call);
   if (!intake) {
-    AnswerError(request, intake.error(),
+    AnswerError(aRequest, intake.error(),
                 intake.error().kind == ErrorKind::NotReady ? kNoBackendRetry
                                                            : Duration{});
     return;
@@ -153,7 +192,7 @@
     TeamRow* team = world_.teams.Find(row.team->name);
     if (team != nullptr && !team->quota.TryAdmit(world_.Now(), intake->quotaAmount)) {
       AnswerError(
-        request,
+        aRequest,
         Error{ ErrorKind::RateLimited, "team " + row.team->name +
                                          " is over its limit of " +
                                          MsText(row.team->ratePerSecond) + " a second" },
@@ -164,8 +203,8 @@
     world_.isDigestDue = true;
   }
   row.dueTimer = world_.timers.SubscribeAt(
-    row.due, [this, id = aEvent.exchange](TimePoint) { OnDue(id); });
-  Dispatch(request);
+    row.due, [this, id = aRequest.id](TimePoint) { OnDue(id); });
+  Dispatch(aRequest);
 }
 
 void RequestSystem::Dispatch(Request aRequest)
--- a/entry/request_system.h
+++ b/entry/request_system.h
@@ -6,6 +6,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "entry/world.h"
 
@@ -19,8 +20,10 @@
   {
   }
 
-  void Start() {}
-  void Run() {}
+  void Start();
+
+  /// Takes up calls that waited for the first reading of the store.
+  void Run();
 
   void Handle(const CallArrived& aEvent);
   void Handle(const CallerGone& aEvent);
@@ -51,6 +54,12 @@
 
   std::optional<Running> FindRunning(AttemptId aId);
 
+  /// Tells whether the store has not been read yet and soon will be.
+  bool IsStarting() const;
+
+  /// Checks a call and sends it on, or refuses it.
+  void Admit(Request aRequest);
+
   /// Chooses a backend and starts an attempt, or ends the request.
   void Dispatch(Request aRequest);
   void StartAttemptAt(Request aRequest, const struct BackendChoice& aChoice);
@@ -80,6 +89,7 @@
   double AgeMs(const RequestRow& aRow) const;
 
   World& world_;
+  std::vector<ExchangeId> held_; // calls that wait for the first reading of the store
 };
 
 } // namespace gooseberrypath::entry
--- a/entry/store_port.cc
+++ b/entry/store_port.cc
@@ -4,6 +4,7 @@
 #include <memory>
 #include <utility>
 
+#include "entry/read_pace.h"
 #include "gooseberrypath/http_io.h"
 #include "platform/resource_format.h"
 
@@ -75,10 +76,9 @@
 {
   auto asked = kj::newPromiseAndFulfiller<void>();
   fleetAsked_ = kj::mv(asked.fulfiller);
-  const Duration pause =
-    std::max<Duration>(options_.fleetPause, options_.fleetPausePerDaemon * readers_);
-  return Pause(pause).exclusiveJoin(
-    asked.promise.then([this] { return Pause(options_.fleetGather); }));
+  return Pause(FleetPause(readers_)).exclusiveJoin(asked.promise.then([this] {
+    return Pause(FleetGather(readers_));
+  }));
 }
 
 void StorePort::Execute(const ReadFleet& aAction)
--- a/entry/store_port.h
+++ b/entry/store_port.h
@@ -34,14 +34,6 @@
   Duration configWait = std::chrono::seconds(10);
   // Pause after a changed configuration, so that many changes are read together.
   Duration configPause = std::chrono::milliseconds(200);
-  // Entries of backends change several times a second; they are gathered for this time,
-  // or for as many times the pause for each daemon as there are daemons: the one that
-  // reads first tells the others of a change.
-  Duration fleetPause = std::chrono::milliseconds(800);
-  Duration fleetPausePerDaemon = std::chrono::milliseconds(40);
-  // After a peer's word, so that one read brings the changes of several backends. That a
-  // backend leaves is in the peer's word itself.
-  Duration fleetGather = std::chrono::milliseconds(500);
   // Before a failed call is repeated.
   Duration retryPause = std::chrono::milliseconds(200);
 };
--- a/entry/testing/request_system_test.cc
+++ b/entry/testing/request_system_test.cc
@@ -14,10 +14,35 @@
   // Guards against 401 or 404 for calls that the configuration allows.
   EntryFixture entry;
   entry.Arrive("status");
+  entry.Advance(250ms);
   const auto answers = entry.Take<AnswerWhole>();
   REQUIRE(answers.size() == 1);
   CHECK(answers[0].status == 503);
   CHECK_FALSE(FindHeader(answers[0].headers, "Retry-After").empty());
+  // Later calls do not wait: the store may be out of reach for long.
+  entry.Arrive("status");
+  CHECK(entry.LastStatus() == 503);
+}
+
+TEST_CASE("Entry: calls at the start wait for the first reading of the store", "[entry]")
+{
+  // Guards against refusals in the first 100 ms after a loss of power on all hosts, when
+  // the callers of the whole outage come back at once.
+  EntryFixture entry;
+  const ExchangeId served = entry.Arrive("status");
+  const ExchangeId left = entry.Arrive("status");
+  entry.Advance(100ms);
+  CHECK(entry.Take<AnswerWhole>().empty());
+  entry.Post(CallerGone{ left });
+  entry.Prepare();
+  const auto started = entry.Take<StartAttempt>();
+  REQUIRE(started.size() == 1);
+  entry.Post(AttemptSent{ started[0].attempt });
+  entry.Answer(started[0], 200);
+  const auto answers = entry.Take<AnswerWhole>();
+  REQUIRE(answers.size() == 1);
+  CHECK(answers[0].exchange == served);
+  CHECK(answers[0].status == 200);
 }
 
 TEST_CASE("Entry: routes and keys of the configuration in force decide", "[entry]")
