--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -48,12 +48,16 @@
 
 
 class Store:
-    """Topics of keyed records. While `is_down`, every call is answered 503."""
+    """Topics of keyed records. While `is_down`, every call is answered 503; `delay` in
+    seconds precedes each answer; while `loses_answers`, writes are done and not answered."""
 
     def __init__(self):
         self.lock = threading.Condition()
         self.topics = {}
+        self.first = {}  # offsets below these are no longer kept
         self.is_down = False
+        self.delay = 0
+        self.loses_answers = False
         self.server = Server(StoreHandler, self)
         self.address = self.server.address
 
@@ -65,6 +69,12 @@
             self.lock.notify_all()
             return len(records)
 
+    def forget_history(self):
+        """Drops all records but the newest of each key for readers from old offsets."""
+        with self.lock:
+            self.first = {topic: len(records) for topic, records in self.topics.items()}
+            self.lock.notify_all()
+
     def put_config(self, config):
         self.put("keyed.op", "config", json.dumps(config).encode())
 
@@ -83,6 +93,7 @@
         store = self.server.state
         url = urllib.parse.urlsplit(self.path)
         query = dict(urllib.parse.parse_qsl(url.query))
+        time.sleep(store.delay)
         if store.is_down:
             self.answer(503, b"")
         elif url.path == "/api/log-newest":
@@ -101,6 +112,9 @@
 
     def read(self, store, query):
         start = int(query["from"])
+        if start < store.first.get(query["topic"], 0):
+            self.answer(410, b"")
+            return
         until = time.monotonic() + int(query.get("wait_ms", 0)) / 1000
         with store.lock:
             while len(store.topics.get(query["topic"], [])) <= start:
@@ -118,6 +132,7 @@
         store = self.server.state
         body = self.read_body()
         query = dict(urllib.parse.parse_qsl(urllib.parse.urlsplit(self.path).query))
+        time.sleep(store.delay)
         if store.is_down:
             self.answer(503, b"")
             return
@@ -130,6 +145,9 @@
                 self.answer(412, json.dumps({"end": end}).encode())
                 return
             store.put(query["topic"], key, value)
+        if store.loses_answers:
+            self.close_connection = True
+            return
         self.answer(200, json.dumps({"offset": end, "end": end + 1}).encode())
 
 
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomised soak of the entry daemon with faults from outside; see soak.py."""
