--- a/entry/call_end.cc
+++ b/entry/call_end.cc
@@ -86,8 +86,8 @@
 {
   RequestRow& row = *aRequest.row;
   if (!row.headSent) {
-    world_.Emit(AnswerStreamHead{ aRequest.id, row.streamHead.status,
-                                  row.streamHead.headers });
+    world_.Emit(
+      AnswerStreamHead{ aRequest.id, row.streamHead.status, row.streamHead.headers });
   }
   world_.Emit(AnswerStreamEnd{ aRequest.id });
   world_.counters.Add(EntryCounter::CallsAnswered);
--- a/entry/call_end.h
+++ b/entry/call_end.h
@@ -30,8 +30,8 @@
   /// not run is given back to the team.
   void WithError(Request aRequest, const Error& aError, Duration aRetryAfter = {});
 
-  /// Ends a call that no backend can serve: with the error if it certainly has not run, as
-  /// failed if it may have run, and by breaking off a stream that has begun.
+  /// Ends a call that no backend can serve: with the error if it certainly has not run,
+  /// as failed if it may have run, and by breaking off a stream that has begun.
   void Unserved(Request aRequest, const Error& aNotRun, Duration aRetryAfter);
 
   /// Passes a backend's whole answer on.
--- a/entry/duty_system.cc
+++ b/entry/duty_system.cc
@@ -32,8 +32,8 @@
 // its end. Counts that a daemon tells later hold all of the window.
 constexpr WallTime kSettleTime{ 1600 };
 
-// Without the counts of a daemon, a report waits until this long after the window's end. It
-// is late after 10 s; the rest is for a slow store and a slow cloud API.
+// Without the counts of a daemon, a report waits until this long after the window's end.
+// It is late after 10 s; the rest is for a slow store and a slow cloud API.
 constexpr WallTime kLatestReport{ 6000 };
 
 // Reclaimable backends follow a rise of the load within the time that one takes to start.
--- a/entry/request_system.cc
+++ b/entry/request_system.cc
@@ -132,14 +132,14 @@
   RequestRow& row = *aRequest.row;
   if (RefusesNewCalls(world_)) {
     end_.WithError(aRequest, Error{ ErrorKind::Draining, "the daemon stops" },
-                kElsewhereRetry);
+                   kElsewhereRetry);
     return;
   }
   const auto intake = CheckCall(world_, row.call);
   if (!intake) {
     end_.WithError(aRequest, intake.error(),
-                intake.error().kind == ErrorKind::NotReady ? kNoBackendRetry
-                                                           : Duration{});
+                   intake.error().kind == ErrorKind::NotReady ? kNoBackendRetry
+                                                              : Duration{});
     return;
   }
   row.configuration = intake->configuration;
@@ -173,13 +173,15 @@
   row.stage = RequestStage::Choosing;
   const auto choice = ChooseBackend(world_, row);
   if (!choice) {
-    end_.Unserved(aRequest, Error{ ErrorKind::NoBackend, "no backend serves this route now" },
-           kNoBackendRetry);
+    end_.Unserved(aRequest,
+                  Error{ ErrorKind::NoBackend, "no backend serves this route now" },
+                  kNoBackendRetry);
     return;
   }
   const Duration left = row.due - world_.Now();
   if (left < kMinTimeLeft) {
-    end_.Unserved(aRequest, Error{ ErrorKind::QueueTimeout, "there is no time left" }, {});
+    end_.Unserved(aRequest, Error{ ErrorKind::QueueTimeout, "there is no time left" },
+                  {});
     return;
   }
   const double latestMs = std::min(ToMs(left), LatestFirstEventMs(row));
@@ -187,7 +189,7 @@
     const std::string reason = "the best backend is expected to begin in " +
                                MsText(choice->expectedMs) + " ms, which is too late";
     end_.Unserved(aRequest, Error{ ErrorKind::Overloaded, reason },
-           FromMs(choice->expectedMs - latestMs / 2));
+                  FromMs(choice->expectedMs - latestMs / 2));
     return;
   }
   StartAttemptAt(aRequest, *choice);
@@ -269,9 +271,10 @@
   ForgetAttempt(aEvent.attempt);
   constexpr size_t kMaxConnects = 5; // backends that are tried without a connection
   if (row.tried.size() >= kMaxConnects) {
-    end_.Unserved(running->request,
-           Error{ ErrorKind::NoBackend, "no backend could be reached: " + aEvent.reason },
-           kNoBackendRetry);
+    end_.Unserved(
+      running->request,
+      Error{ ErrorKind::NoBackend, "no backend could be reached: " + aEvent.reason },
+      kNoBackendRetry);
     return;
   }
   Dispatch(running->request);
@@ -340,7 +343,7 @@
   if (isMalformed) {
     ForgetAttempt(aEvent.attempt);
     end_.WithError(running->request,
-                Error{ ErrorKind::BackendFailed, "the answer was malformed" });
+                   Error{ ErrorKind::BackendFailed, "the answer was malformed" });
     return;
   }
   const std::string backend = running->attempt->backend;
@@ -488,8 +491,8 @@
   }
   Cancel(*row);
   if (wasSent && !row->headSent) {
-    end_.WithError(request,
-                Error{ ErrorKind::DeadlineExceeded, "no answer came within the time" });
+    end_.WithError(
+      request, Error{ ErrorKind::DeadlineExceeded, "no answer came within the time" });
     return;
   }
   end_.Unserved(request, Error{ ErrorKind::QueueTimeout, "there is no time left" }, {});
--- a/entry/testing/duty_system_test.cc
+++ b/entry/testing/duty_system_test.cc
@@ -165,11 +165,10 @@
   const auto run = [&](Duration aTime, const std::vector<UsageRow>& aUsage) {
     for (Duration done{}; done < aTime; done += 100ms) {
       entry.Advance(100ms);
-      entry.Post(DigestReceived{ .from = "d2:1",
-                                 .digest = { .daemon = "d2",
-                                             .incarnation = 1,
-                                             .sequence = ++sequence,
-                                             .usage = aUsage } });
+      entry.Post(DigestReceived{
+        .from = "d2:1",
+        .digest = {
+          .daemon = "d2", .incarnation = 1, .sequence = ++sequence, .usage = aUsage } });
       for ([[maybe_unused]] const auto& read : entry.Take<ReadDutyState>()) {
         entry.Post(DutyStateRead{ .isRead = true, .end = end });
       }
--- a/entry/world.h
+++ b/entry/world.h
@@ -81,7 +81,7 @@
   PeerDigest digest; // the newest
   TimePoint heard{};
   bool isHeard = false; // a digest came in the last second
-  WallTime toldUsage{};  // when its last digest with counts of usage came
+  WallTime toldUsage{}; // when its last digest with counts of usage came
 };
 
 enum class RequestStage : uint8_t
