--- a/entry/duty_system.cc
+++ b/entry/duty_system.cc
@@ -25,6 +25,13 @@
 constexpr Duration kSilence = milliseconds(1300);
 constexpr Duration kReadInterval = milliseconds(600);
 
+// A holder that hears less than half of the daemons for this time is cut off from them:
+// it knows neither their counts nor their load, and lets another daemon take the duties.
+constexpr Duration kIsolatedTime = milliseconds(1500);
+
+// A daemon that is cut off itself leaves a free duty to the others for this time.
+constexpr Duration kIsolatedDelay = milliseconds(4000);
+
 // When the duty is free, daemons try one after the other, so that writes rarely collide.
 constexpr Duration kTakeStagger = milliseconds(300);
 
@@ -82,8 +89,13 @@
     }
     return;
   }
+  NoteIsolation();
   if (IsHolder()) {
-    if (world_.Now() >= renewAt_) {
+    const bool isCutOff =
+      isolatedSince_ && world_.Now() - *isolatedSince_ >= kIsolatedTime;
+    if (isCutOff && !keepsIsolated_) {
+      Release();
+    } else if (world_.Now() >= renewAt_) {
       Renew();
     }
     SendReports();
@@ -96,6 +108,24 @@
   }
 }
 
+void DutySystem::NoteIsolation()
+{
+  size_t known = 0;
+  size_t heard = 0;
+  for (const auto& [host, peer] : world_.peers) {
+    known += 1;
+    heard += peer.isHeard ? 1 : 0;
+  }
+  // With a single other daemon, its end and a cut look the same.
+  const bool isIsolated = known >= 2 && 2 * heard < known;
+  if (!isIsolated) {
+    isolatedSince_.reset();
+    keepsIsolated_ = false;
+  } else if (!isolatedSince_) {
+    isolatedSince_ = world_.Now();
+  }
+}
+
 void DutySystem::Read()
 {
   if (!isReading_) {
@@ -183,7 +213,8 @@
     const bool canTake = peer.isHeard && peer.digest.seesStore && !peer.digest.isStopping;
     before += canTake && host < world_.options.host ? 1 : 0;
   }
-  return kTakeStagger * std::min<size_t>(before, 3);
+  const Duration delay = isolatedSince_ ? kIsolatedDelay : Duration{};
+  return delay + kTakeStagger * std::min<size_t>(before, 3);
 }
 
 void DutySystem::WriteNext(DutyState aNext, uint64_t aEnd)
@@ -260,7 +291,7 @@
   end_ = aEvent.end;
   lastSign_ = world_.Now();
   if (known_.holder.empty()) {
-    Lose("the daemon stops");
+    Lose(world_.stopping ? "the daemon stops" : "most other daemons are not heard");
     return;
   }
   leaseUntil_ = write.began + world_.options.leaseTime - kActMargin;
@@ -270,6 +301,7 @@
     delivered_.clear();
     sending_.clear();
     orders_.clear();
+    keepsIsolated_ = isolatedSince_.has_value(); // nobody else took them
     world_.counters.Add(EntryCounter::DutiesTaken);
     world_.Log(LogLevel::Info, "duties_taken", {},
                { { "token", std::to_string(known_.token) },
--- a/entry/duty_system.h
+++ b/entry/duty_system.h
@@ -60,6 +60,9 @@
   };
 
   void Check();
+
+  /// Notes whether this daemon hears less than half of the others.
+  void NoteIsolation();
   bool IsHolder() const;
   bool MayAct() const;
   bool MayTake(const DutyState& aState) const;
@@ -106,6 +109,8 @@
   std::set<uint64_t> sending_;
   std::map<OrderKey, OrderRow> orders_;
   bool hasLoad_ = false; // there were calls since the start
+  std::optional<TimePoint> isolatedSince_;
+  bool keepsIsolated_ = false; // took the duties while cut off, because nobody else did
 };
 
 } // namespace gooseberrypath::entry
--- a/entry/testing/duty_system_test.cc
+++ b/entry/testing/duty_system_test.cc
@@ -193,4 +193,45 @@
   CHECK(reports.size() == 2);
 }
 
+TEST_CASE("Entry: a holder that is cut off from the others lets the duties go",
+          "[entry][duty]")
+{
+  // Guards against a holder that reaches the store but no other daemon: it reported 363
+  // of 5,262 calls and ordered backends for its own load only.
+  EntryFixture entry({ .host = "d1", .reportsUsage = true });
+  entry.Prepare();
+  uint64_t end = 0;
+  uint64_t sequence = 0;
+  std::string state;
+  const auto run = [&](Duration aTime, bool aIsHeard) {
+    for (Duration done{}; done < aTime; done += 100ms) {
+      entry.Advance(100ms);
+      ++sequence;
+      for (const std::string daemon : { "d2", "d3", "d4" }) {
+        if (aIsHeard || daemon == "d4") {
+          entry.Post(DigestReceived{
+            .from = daemon + ":1",
+            .digest = { .daemon = daemon, .incarnation = 1, .sequence = sequence } });
+        }
+      }
+      for ([[maybe_unused]] const auto& read : entry.Take<ReadDutyState>()) {
+        entry.Post(DutyStateRead{ .isRead = true, .text = state, .end = end });
+      }
+      for (const WriteDutyState& write : entry.Take<WriteDutyState>()) {
+        state = write.text;
+        entry.Post(DutyStateWritten{ .outcome = WriteOutcome::Written, .end = ++end });
+      }
+    }
+  };
+  run(5s, true);
+  CHECK(entry.GetWorld().dutyToken == 1);
+  run(4s, false); // d2 and d3 are no longer heard
+  CHECK(entry.GetWorld().dutyToken == 0);
+  // Nobody takes the duties: then a daemon that is cut off is better than none.
+  run(8s, false);
+  CHECK(entry.GetWorld().dutyToken == 2);
+  run(4s, false);
+  CHECK(entry.GetWorld().dutyToken == 2);
+}
+
 } // namespace gooseberrypath::entry
