Fleet plan: where no reclaimable backends come, ordinary ones follow the recent load

Pattern: the load rises while reclaimable backends are not to be had. Ordinary ones followed the lasting need (10 s) in the belief that reclaimable ones take up a rise (2 s). An order that was refused with 409 or whose backends are overdue now marks its data centre: the others get its share of the reclaimable ones, and ordinary ones follow the recent need in proportion. The test fails on the plan before (32 instead of 80).

--- a/entry/duty_system.cc
+++ b/entry/duty_system.cc
@@ -55,6 +55,9 @@
 // writes its own about once a second.
 constexpr Duration kFleetKnownAfter = milliseconds(3500);
 
+// Status of an order when no backends are to be had.
+constexpr int kNoneAvailable = 409;
+
 // An order that was refused or not answered is repeated after this time.
 constexpr Duration kOrderRetry = milliseconds(2000);
 
@@ -394,6 +397,7 @@
       }
       (row.entry.isReclaimable ? fleet.reclaimable : fleet.ordinary) += 1;
     }
+    fleet.lacksReclaimable = LacksReclaimable(aService, fleet);
     fleets.push_back(std::move(fleet));
   }
   return fleets;
@@ -452,17 +456,22 @@
   return need;
 }
 
-bool DutySystem::IsOverdue(const OrderRow& aRow, const FleetOrder& aOrder,
-                           const Service& aService,
-                           std::span<const DataCentreFleet> aFleets) const
+bool DutySystem::IsOverdue(const OrderRow& aRow, const Service& aService,
+                           uint32_t aServing) const
+{
+  const Duration wait = aService.scaling->boot + kBootMargin;
+  return aServing < aRow.count && world_.Now() - aRow.sent >= wait;
+}
+
+bool DutySystem::LacksReclaimable(const Service& aService,
+                                  const DataCentreFleet& aFleet) const
 {
-  if (world_.Now() - aRow.sent < aService.scaling->boot + kBootMargin) {
+  const auto found = orders_.find({ aService.name, aFleet.dataCentre, true });
+  if (found == orders_.end() || aFleet.reclaimable >= found->second.count) {
     return false;
   }
-  const auto fleet =
-    std::ranges::find(aFleets, aOrder.dataCentre, &DataCentreFleet::dataCentre);
-  const uint32_t serving = aOrder.isReclaimable ? fleet->reclaimable : fleet->ordinary;
-  return serving < aOrder.count;
+  const OrderRow& row = found->second;
+  return row.isDenied || IsOverdue(row, aService, aFleet.reclaimable);
 }
 
 void DutySystem::SendOrders()
@@ -480,12 +489,18 @@
     const ServiceNeed need = UpdateNeed(service, fleets);
     for (const FleetOrder& order : PlanFleet(service, fleets, need)) {
       OrderRow& row = orders_[{ order.service, order.dataCentre, order.isReclaimable }];
-      const bool isDone = row.isAccepted && row.count == order.count &&
-                          !IsOverdue(row, order, service, fleets);
+      const auto fleet =
+        std::ranges::find(fleets, order.dataCentre, &DataCentreFleet::dataCentre);
+      const uint32_t serving = order.isReclaimable ? fleet->reclaimable : fleet->ordinary;
+      const bool isDone =
+        row.isAccepted && row.count == order.count && !IsOverdue(row, service, serving);
       if (row.isRunning || isDone || world_.Now() < row.retryAt) {
         continue;
       }
-      row = OrderRow{ .count = order.count, .isRunning = true, .sent = world_.Now() };
+      row = OrderRow{ .count = order.count,
+                      .isDenied = row.isDenied,
+                      .isRunning = true,
+                      .sent = world_.Now() };
       world_.counters.Add(EntryCounter::OrdersSent);
       world_.Emit(SendOrder{ world_.dutyToken, order });
     }
@@ -498,6 +513,7 @@
   OrderRow& row = orders_[{ order.service, order.dataCentre, order.isReclaimable }];
   row.isRunning = false;
   row.isAccepted = aEvent.status == 200;
+  row.isDenied = aEvent.status == kNoneAvailable;
   row.retryAt = row.isAccepted ? TimePoint{} : world_.Now() + kOrderRetry;
   world_.Log(LogLevel::Info, "backends_ordered", {},
              { { "service", order.service },
--- a/entry/duty_system.h
+++ b/entry/duty_system.h
@@ -47,6 +47,7 @@
   {
     uint32_t count = 0;
     bool isAccepted = false;
+    bool isDenied = false;  // none were to be had
     bool isRunning = false; // its answer is awaited
     TimePoint sent{};
     TimePoint retryAt{}; // not sent again before
@@ -84,8 +85,10 @@
   void SendReports();
 
   /// Tells whether backends that were ordered should serve by now and do not.
-  bool IsOverdue(const OrderRow& aRow, const FleetOrder& aOrder, const Service& aService,
-                 std::span<const DataCentreFleet> aFleets) const;
+  bool IsOverdue(const OrderRow& aRow, const Service& aService, uint32_t aServing) const;
+
+  /// Tells whether reclaimable backends that were ordered there are not to be had.
+  bool LacksReclaimable(const Service& aService, const DataCentreFleet& aFleet) const;
   void SendOrders();
   std::vector<DataCentreFleet> FleetsOf(const Service& aService) const;
   ServiceLoad LoadOf(const Service& aService) const;
--- a/entry/fleet_plan.cc
+++ b/entry/fleet_plan.cc
@@ -57,6 +57,32 @@
   return order;
 }
 
+/// Spreads the reclaimable backends over the data centres that have some. The others get
+/// their even share, so that their return is noticed.
+std::vector<uint32_t> SpreadReclaimable(uint32_t aTotal, std::span<const size_t> aOrder,
+                                        std::span<const DataCentreFleet> aFleets)
+{
+  std::vector<uint32_t> counts = Spread(aTotal, aOrder);
+  const auto having = static_cast<uint32_t>(
+    std::ranges::count(aFleets, false, &DataCentreFleet::lacksReclaimable));
+  for (size_t i = 0; i < aFleets.size(); ++i) {
+    if (!aFleets[i].lacksReclaimable) {
+      counts[i] = std::max(counts[i], (aTotal + having - 1) / having);
+    }
+  }
+  return counts;
+}
+
+/// Returns the need that ordinary backends must cover where no reclaimable ones come.
+/// They follow the load slowly elsewhere, because reclaimable ones take up a rise.
+double NeedOfAll(const ServiceNeed& aNeed, std::span<const DataCentreFleet> aFleets)
+{
+  const auto lacking = static_cast<double>(
+    std::ranges::count(aFleets, true, &DataCentreFleet::lacksReclaimable));
+  const double share = lacking / static_cast<double>(aFleets.size());
+  return aNeed.lasting + share * std::max(0.0, aNeed.recent - aNeed.lasting);
+}
+
 } // namespace
 
 double NeededEngines(const ServiceLoad& aLoad)
@@ -92,11 +118,11 @@
   for (const DataCentreFleet& fleet : aFleets) {
     serving += fleet.reclaimable;
   }
-  const uint32_t needed = RoundUp(kLeastShare * aNeed.lasting);
+  const uint32_t needed = RoundUp(kLeastShare * NeedOfAll(aNeed, aFleets));
   const uint32_t ordinary = std::max(wantedOrdinary, needed - std::min(needed, serving));
 
   const std::vector<size_t> order = ByPrice(scaling, aFleets);
-  const auto reclaimableCounts = Spread(wantedReclaimable, order);
+  const auto reclaimableCounts = SpreadReclaimable(wantedReclaimable, order, aFleets);
   const auto ordinaryCounts = Spread(ordinary, order);
   const uint32_t reserved =
     std::max(scaling.min, RoundUp(scaling.max * kOrdinaryShare /
--- a/entry/fleet_plan.h
+++ b/entry/fleet_plan.h
@@ -24,8 +24,9 @@
 struct DataCentreFleet
 {
   std::string dataCentre;
-  uint32_t ordinary = 0;    // that serve
-  uint32_t reclaimable = 0; // that serve
+  uint32_t ordinary = 0;         // that serve
+  uint32_t reclaimable = 0;      // that serve
+  bool lacksReclaimable = false; // ordered ones are refused or do not come
 };
 
 /// What the calls of a service ask of its engines.
--- a/entry/testing/decisions_test.cc
+++ b/entry/testing/decisions_test.cc
@@ -310,6 +310,31 @@
   }
 }
 
+TEST_CASE("Entry: where no reclaimable backends come, ordinary ones follow the load",
+          "[entry][plan]")
+{
+  // Pattern: the load rises while reclaimable backends are not to be had. Guards against
+  // ordinary ones that follow a load which reclaimable ones should have taken up.
+  const Service service{ .name = "assistant",
+                         .scaling = Scaling{ .min = 1, .max = 200 } };
+  std::vector<DataCentreFleet> fleets{ { .dataCentre = "c1" }, { .dataCentre = "c2" } };
+  const auto countOf = [&](bool aIsReclaimable, const std::string& aDataCentre) {
+    uint32_t count = 0;
+    for (const FleetOrder& order : PlanFleet(service, fleets, { 20, 50 })) {
+      const bool isMeant =
+        order.isReclaimable == aIsReclaimable && order.dataCentre == aDataCentre;
+      count += isMeant ? order.count : 0;
+    }
+    return count;
+  };
+  CHECK(countOf(false, "c1") + countOf(false, "c2") == 32); // 1.6 for the lasting need
+  // One has some: it gets the share of the other one too.
+  fleets[0].lacksReclaimable = true;
+  CHECK(countOf(true, "c2") > countOf(true, "c1"));
+  fleets[1].lacksReclaimable = true;
+  CHECK(countOf(false, "c1") + countOf(false, "c2") == 80); // 1.6 for the recent need
+}
+
 TEST_CASE("Entry: the need counts reading and generating", "[entry][plan]")
 {
   CHECK(NeededEngines({ .tokensPerSecond = 200'000, .tokensPerMs = 100 }) == Approx(2));
