Usage: counts of daemons that hear no holder go through the store

A daemon that hears no holder leaves its counts of the last windows in the store 1.6 s after a window's end; the holder asks there 3.5 s after it, if counts are missing. The test fails without the change (no write).

Logs: orders name the need, caller_gone the objective of its route.

--- a/entry/duty_state.cc
+++ b/entry/duty_state.cc
@@ -4,26 +4,68 @@
 
 namespace gooseberrypath::entry {
 
+namespace {
+
+using nlohmann::json;
+
+json RowsToJson(std::span<const UsageRow> aRows)
+{
+  auto rows = json::array();
+  for (const UsageRow& row : aRows) {
+    rows.push_back({ row.window, row.daemon, row.team, row.count });
+  }
+  return rows;
+}
+
+std::vector<UsageRow> RowsFromJson(const json& aRows)
+{
+  std::vector<UsageRow> rows;
+  for (const json& row : aRows) {
+    rows.push_back({ row.at(0).get<uint64_t>(), row.at(1).get<std::string>(),
+                     row.at(2).get<std::string>(), row.at(3).get<uint64_t>() });
+  }
+  return rows;
+}
+
+std::string Dump(const json& aJson)
+{
+  return aJson.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+} // namespace
+
+std::string EncodeUsage(std::span<const UsageRow> aRows)
+{
+  return Dump(RowsToJson(aRows));
+}
+
+Result<std::vector<UsageRow>> DecodeUsage(std::string_view aText)
+{
+  try {
+    return RowsFromJson(json::parse(aText));
+  } catch (const json::exception& problem) {
+    return MakeError(ErrorKind::BadRequest, problem.what());
+  }
+}
+
 std::string EncodeDutyState(const DutyState& aState)
 {
-  auto reports = nlohmann::json::array();
+  auto reports = json::array();
   for (const UsageReport& report : aState.reports) {
     reports.push_back({ { "window", report.window }, { "counts", report.counts } });
   }
-  auto counts = nlohmann::json::array();
-  for (const UsageRow& row : aState.counts) {
-    counts.push_back({ row.window, row.daemon, row.team, row.count });
-  }
-  auto needs = nlohmann::json::object();
+  auto needs = json::object();
   for (const auto& [service, need] : aState.needs) {
     needs[service] = { need.lasting, need.recent };
   }
-  return nlohmann::json{
-    { "holder", aState.holder },       { "incarnation", aState.incarnation },
-    { "token", aState.token },         { "renewal", aState.renewal },
-    { "reports", std::move(reports) }, { "firstUnreported", aState.firstUnreported },
-    { "counts", std::move(counts) },   { "needs", std::move(needs) }
-  }.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return Dump(json{ { "holder", aState.holder },
+                    { "incarnation", aState.incarnation },
+                    { "token", aState.token },
+                    { "renewal", aState.renewal },
+                    { "reports", std::move(reports) },
+                    { "firstUnreported", aState.firstUnreported },
+                    { "counts", RowsToJson(aState.counts) },
+                    { "needs", std::move(needs) } });
 }
 
 Result<DutyState> DecodeDutyState(std::string_view aText)
@@ -34,26 +76,23 @@
   // The text was written by a daemon of this version or another one, so a field of an
   // unexpected type is an error and not a bug.
   try {
-    const auto json = nlohmann::json::parse(aText);
-    DutyState state{ .holder = json.at("holder").get<std::string>(),
-                     .incarnation = json.at("incarnation").get<uint64_t>(),
-                     .token = json.at("token").get<uint64_t>(),
-                     .renewal = json.at("renewal").get<uint64_t>(),
-                     .firstUnreported = json.at("firstUnreported").get<uint64_t>() };
-    for (const auto& report : json.at("reports")) {
+    const auto root = json::parse(aText);
+    DutyState state{ .holder = root.at("holder").get<std::string>(),
+                     .incarnation = root.at("incarnation").get<uint64_t>(),
+                     .token = root.at("token").get<uint64_t>(),
+                     .renewal = root.at("renewal").get<uint64_t>(),
+                     .firstUnreported = root.at("firstUnreported").get<uint64_t>() };
+    for (const auto& report : root.at("reports")) {
       state.reports.push_back(
         { report.at("window").get<uint64_t>(),
           report.at("counts").get<std::map<std::string, uint64_t>>() });
     }
-    for (const auto& [service, need] : json.at("needs").items()) {
+    for (const auto& [service, need] : root.at("needs").items()) {
       state.needs[service] = { need.at(0).get<double>(), need.at(1).get<double>() };
     }
-    for (const auto& row : json.at("counts")) {
-      state.counts.push_back({ row.at(0).get<uint64_t>(), row.at(1).get<std::string>(),
-                               row.at(2).get<std::string>(), row.at(3).get<uint64_t>() });
-    }
+    state.counts = RowsFromJson(root.at("counts"));
     return state;
-  } catch (const nlohmann::json::exception& problem) {
+  } catch (const json::exception& problem) {
     return MakeError(ErrorKind::BadRequest, problem.what());
   }
 }
--- a/entry/duty_state.h
+++ b/entry/duty_state.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -64,6 +65,12 @@
   bool operator==(const DutyState&) const = default;
 };
 
+/// Returns the JSON text of counts.
+std::string EncodeUsage(std::span<const UsageRow> aRows);
+
+/// Parses the text. Fails with BadRequest.
+Result<std::vector<UsageRow>> DecodeUsage(std::string_view aText);
+
 /// Returns the JSON text of the state.
 std::string EncodeDutyState(const DutyState& aState);
 
--- a/entry/duty_system.cc
+++ b/entry/duty_system.cc
@@ -43,6 +43,11 @@
 // It is late after 10 s; the rest is for a slow store and a slow cloud API.
 constexpr WallTime kLatestReport{ 6000 };
 
+// A daemon that hears no holder leaves its counts in the store; the holder asks for them
+// this long after a window's end, if counts are still missing.
+constexpr WallTime kStoredUsageTime{ 3500 };
+constexpr uint64_t kStoredWindows = 4;
+
 // Reclaimable backends follow a rise of the load within the time that one takes to start.
 constexpr double kRecentRiseSeconds = 2;
 constexpr double kRecentFallSeconds = 12;
@@ -101,10 +106,12 @@
     } else if (world_.Now() >= renewAt_) {
       Renew();
     }
+    AskForStoredUsage();
     SendReports();
     SendOrders();
     return;
   }
+  StoreOwnUsage();
   const bool isDue = world_.Now() - lastSign_ >= kSilence || !hasRead_;
   if (world_.configuration && isDue && world_.Now() - lastRead_ >= kReadInterval) {
     Read();
@@ -336,10 +343,69 @@
   if (now < end + kSettleTime) {
     return false;
   }
-  const bool isTold = std::ranges::all_of(world_.peers, [&](const auto& aItem) {
-    return aItem.second.toldUsage >= end + kSettleTime;
+  return IsTold(aWindow) || now >= end + kLatestReport;
+}
+
+bool DutySystem::IsTold(uint64_t aWindow) const
+{
+  const WallTime complete = world_.usage.EndOf(aWindow) + kSettleTime;
+  return std::ranges::all_of(
+    world_.peers, [&](const auto& aItem) { return aItem.second.toldUsage >= complete; });
+}
+
+void DutySystem::StoreOwnUsage()
+{
+  const uint64_t current = world_.usage.WindowAt(world_.WallNow() - kSettleTime);
+  if (!world_.options.reportsUsage || current == 0 || storedWindow_ >= current - 1) {
+    return;
+  }
+  const bool isHolderHeard = std::ranges::any_of(world_.peers, [](const auto& aItem) {
+    return aItem.second.isHeard && aItem.second.digest.dutyToken != 0;
   });
-  return isTold || now >= end + kLatestReport;
+  if (isHolderHeard) {
+    return; // digests bring the counts to the holder
+  }
+  storedWindow_ = current - 1;
+  const auto rows = world_.usage.RowsOf(world_.ProcessName(),
+                                        current - std::min(current, kStoredWindows));
+  if (std::ranges::find(rows, storedWindow_, &UsageRow::window) == rows.end()) {
+    return;
+  }
+  world_.Log(LogLevel::Info, "usage_stored", {},
+             { { "window", std::to_string(storedWindow_) },
+               { "reason", "no holder of the duties is heard" } });
+  world_.Emit(WriteUsage{ EncodeUsage(rows) });
+}
+
+void DutySystem::AskForStoredUsage()
+{
+  const uint64_t window = known_.firstUnreported;
+  const bool isDue = world_.WallNow() >= world_.usage.EndOf(window) + kStoredUsageTime;
+  if (!world_.options.reportsUsage || !isDue || askedWindow_ >= window ||
+      IsTold(window)) {
+    return;
+  }
+  askedWindow_ = window;
+  world_.Emit(ReadUsage{});
+}
+
+void DutySystem::Handle(const UsageRead& aEvent)
+{
+  size_t rows = 0;
+  for (const std::string& text : aEvent.texts) {
+    const auto counts = DecodeUsage(text);
+    if (!counts) {
+      world_.Log(LogLevel::Error, "usage_malformed", {},
+                 { { "reason", counts.error().message } });
+      continue;
+    }
+    rows += counts->size();
+    world_.usage.Merge(*counts);
+  }
+  world_.Log(LogLevel::Info, "usage_collected", {},
+             { { "daemons", std::to_string(aEvent.texts.size()) },
+               { "rows", std::to_string(rows) },
+               { "window", std::to_string(askedWindow_) } });
 }
 
 void DutySystem::DecideReports(DutyState& aState)
@@ -515,11 +581,14 @@
   row.isAccepted = aEvent.status == 200;
   row.isDenied = aEvent.status == kNoneAvailable;
   row.retryAt = row.isAccepted ? TimePoint{} : world_.Now() + kOrderRetry;
+  const ServiceNeed& need = known_.needs[order.service];
   world_.Log(LogLevel::Info, "backends_ordered", {},
              { { "service", order.service },
                { "data_centre", order.dataCentre },
                { "reclaimable", order.isReclaimable ? "yes" : "no" },
                { "count", std::to_string(order.count) },
+               { "need_lasting", std::to_string(need.lasting) },
+               { "need_recent", std::to_string(need.recent) },
                { "status", std::to_string(aEvent.status) } });
 }
 
--- a/entry/duty_system.h
+++ b/entry/duty_system.h
@@ -37,6 +37,7 @@
   void Handle(const DutyStateRead& aEvent);
   void Handle(const DutyStateWritten& aEvent);
   void Handle(const UsageSent& aEvent);
+  void Handle(const UsageRead& aEvent);
   void Handle(const OrderSent& aEvent);
 
 private:
@@ -80,6 +81,15 @@
   /// Tells whether the counts of a window are complete, or cannot be waited for.
   bool IsSettled(uint64_t aWindow) const;
 
+  /// Leaves the counts of the last windows in the store while no holder is heard.
+  void StoreOwnUsage();
+
+  /// Asks the store for counts that a settled window still lacks.
+  void AskForStoredUsage();
+
+  /// Tells whether all known daemons have told their counts of a window.
+  bool IsTold(uint64_t aWindow) const;
+
   /// Adds the reports of windows that are over and settled.
   void DecideReports(DutyState& aState);
   void SendReports();
@@ -108,6 +118,8 @@
   std::optional<Write> writing_;
   TimePoint leaseUntil_{};
   TimePoint renewAt_{};
+  uint64_t storedWindow_ = 0;    // up to here, own counts are in the store
+  uint64_t askedWindow_ = 0;     // up to here, the store was asked for counts
   std::set<uint64_t> delivered_; // windows
   std::set<uint64_t> sending_;
   std::map<OrderKey, OrderRow> orders_;
--- a/entry/messages.h
+++ b/entry/messages.h
@@ -163,6 +163,12 @@
   bool isAccepted = false;
 };
 
+/// The counts that daemons left in the store, one text each.
+struct UsageRead
+{
+  std::vector<std::string> texts;
+};
+
 struct OrderSent
 {
   FleetOrder order;
@@ -177,7 +183,8 @@
   std::variant<ConfigurationRead, FleetRead, StoreReachable, RecordIgnored, CallArrived,
                CallerGone, AttemptNotSent, AttemptSent, AttemptAnswered, StreamStarted,
                StreamEvents, StreamEnded, AttemptBroken, DigestReceived, PeersListed,
-               DutyStateRead, DutyStateWritten, UsageSent, OrderSent, StopRequested>;
+               DutyStateRead, DutyStateWritten, UsageSent, UsageRead, OrderSent,
+               StopRequested>;
 
 // Actions towards callers.
 
@@ -299,6 +306,15 @@
   uint64_t at = 0;
 };
 
+/// Leaves this daemon's counts in the store, in place of its earlier ones.
+struct WriteUsage
+{
+  std::string text;
+};
+
+struct ReadUsage
+{};
+
 struct SendUsage
 {
   uint64_t token = 0; // fencing token
@@ -324,8 +340,8 @@
   std::variant<AnswerWhole, AnswerStreamHead, AnswerStreamBytes, AnswerStreamEnd,
                AnswerAbort, SetCallerLimits, SetReady, CloseCallers, StartAttempt,
                CancelAttempt, DropConnections, SendDigest, ReadFleet, ReadConfiguration,
-               SetReaders, ReadDutyState, WriteDutyState, SendUsage, SendOrder,
-               WriteEvent, ExitProcess>;
+               SetReaders, ReadDutyState, WriteDutyState, WriteUsage, ReadUsage,
+               SendUsage, SendOrder, WriteEvent, ExitProcess>;
 
 } // namespace gooseberrypath::entry
 
--- a/entry/request_system.cc
+++ b/entry/request_system.cc
@@ -533,8 +533,10 @@
     return;
   }
   world_.counters.Add(EntryCounter::CallersGone);
+  const Duration objective = row->route != nullptr ? row->route->objective : Duration{};
   world_.Log(LogLevel::Info, "caller_gone", row->call.requestId,
              { { "ms", MsText(ToMs(world_.Now() - row->arrived)) },
+               { "objective_ms", MsText(ToMs(objective)) },
                { "sends", std::to_string(row->sends) } });
   Cancel(*row);
   end_.Forget({ aEvent.exchange, row });
--- a/entry/store_port.cc
+++ b/entry/store_port.cc
@@ -264,4 +264,31 @@
                }));
 }
 
+void StorePort::Execute(const WriteUsage& aAction)
+{
+  tasks_.add(
+    calls_.Append(platform::kUsageTopic, { options_.host, aAction.text }, std::nullopt)
+      .then([this](const Result<platform::AppendResult>& aWritten) {
+        if (!aWritten) {
+          Warn("usage_unwritten", options_.host, aWritten.error().message);
+        }
+      }));
+}
+
+void StorePort::Execute(const ReadUsage&)
+{
+  tasks_.add(calls_.Newest(platform::kUsageTopic)
+               .then([this](Result<platform::NewestRecords> aNewest) {
+                 if (!aNewest) {
+                   Warn("usage_unread", options_.host, aNewest.error().message);
+                   return;
+                 }
+                 UsageRead event;
+                 for (platform::KeyedRecord& record : aNewest->records) {
+                   event.texts.push_back(std::move(record.value).value_or("[]"));
+                 }
+                 options_.sink(std::move(event));
+               }));
+}
+
 } // namespace gooseberrypath::entry
--- a/entry/store_port.h
+++ b/entry/store_port.h
@@ -54,6 +54,8 @@
   void Execute(const SetReaders& aAction) { readers_ = aAction.count; }
   void Execute(const ReadDutyState& aAction);
   void Execute(const WriteDutyState& aAction);
+  void Execute(const WriteUsage& aAction);
+  void Execute(const ReadUsage& aAction);
 
   const TaskErrors& Errors() const { return errors_; }
 
--- a/entry/testing/duty_system_test.cc
+++ b/entry/testing/duty_system_test.cc
@@ -234,4 +234,48 @@
   CHECK(entry.GetWorld().dutyToken == 2);
 }
 
+TEST_CASE("Entry: counts of a daemon that is cut off reach the holder through the store",
+          "[entry][duty]")
+{
+  // Guards against reports without the calls of daemons that reach the store and no
+  // holder.
+  const EntryOptions options{ .host = "d2", .reportsUsage = true };
+  EntryFixture cut(options);
+  cut.Prepare();
+  // The fixture starts at 100 s of the wall clock, where window 20 begins.
+  cut.Arrive("status");
+  cut.Answer(cut.Sent(), 200);
+  const DutyState held{ .holder = "d1", .token = 1, .renewal = 1, .firstUnreported = 20 };
+  cut.Post(DutyStateRead{ .isRead = true, .text = EncodeDutyState(held), .end = 1 });
+  cut.Advance(5s + 2s);
+  const auto written = cut.Take<WriteUsage>();
+  REQUIRE(written.size() == 1); // once a window
+
+  EntryFixture holder({ .host = "d1", .reportsUsage = true });
+  holder.Prepare();
+  holder.Post(DigestReceived{
+    .from = "d2:1", .digest = { .daemon = "d2", .incarnation = 1, .sequence = 1 } });
+  uint64_t end = 0;
+  std::vector<UsageReport> reports;
+  for (Duration done{}; done < 12s; done += 100ms) {
+    holder.Advance(100ms);
+    for ([[maybe_unused]] const auto& read : holder.Take<ReadDutyState>()) {
+      holder.Post(DutyStateRead{ .isRead = true, .end = end });
+    }
+    for ([[maybe_unused]] const auto& write : holder.Take<WriteDutyState>()) {
+      holder.Post(DutyStateWritten{ .outcome = WriteOutcome::Written, .end = ++end });
+    }
+    for ([[maybe_unused]] const auto& read : holder.Take<ReadUsage>()) {
+      holder.Post(UsageRead{ .texts = { written[0].text, "no JSON" } });
+    }
+    for (const SendUsage& sent : holder.Take<SendUsage>()) {
+      reports.push_back(sent.report);
+      holder.Post(UsageSent{ .window = sent.report.window, .isAccepted = true });
+    }
+  }
+  REQUIRE_FALSE(reports.empty());
+  CHECK(reports[0].window == 20);
+  CHECK(reports[0].counts.at("acme") == 1);
+}
+
 } // namespace gooseberrypath::entry
