Orders: wait until the starting fleet is known

The fleet now counts as known when no backend was new for a reading and a heartbeat. The test fails on the old plan.

--- a/entry/duty_system.cc
+++ b/entry/duty_system.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "entry/fleet_system.h"
+#include "entry/read_pace.h"
 
 namespace gooseberrypath::entry {
 
@@ -56,9 +57,10 @@
 constexpr double kLastingRiseSeconds = 10;
 constexpr double kLastingFallSeconds = 25;
 
-// Before the first order the entries of all backends must have been read; each backend
-// writes its own about once a second.
+// Before the first order the entries of all backends must have been read: the fleet is
+// known when no backend was new for a reading and a heartbeat of theirs.
 constexpr Duration kFleetKnownAfter = milliseconds(3500);
+constexpr Duration kBackendHeartbeat = milliseconds(1000);
 
 // Status of an order when no backends are to be had.
 constexpr int kNoneAvailable = 409;
@@ -540,11 +542,26 @@
   return row.isDenied || IsOverdue(row, aService, aFleet.reclaimable);
 }
 
+bool DutySystem::IsFleetKnown()
+{
+  if (isFleetKnown_) {
+    return true;
+  }
+  const TimePoint now = world_.Now();
+  if (world_.backends.Size() != seenBackends_) {
+    seenBackends_ = world_.backends.Size();
+    fleetChangedAt_ = now;
+  }
+  const Duration settled = FleetPause(world_.DaemonCount()) + kBackendHeartbeat;
+  isFleetKnown_ =
+    now - world_.started >= kFleetKnownAfter && now - fleetChangedAt_ >= settled;
+  return isFleetKnown_;
+}
+
 void DutySystem::SendOrders()
 {
-  const bool isFleetKnown = world_.Now() - world_.started >= kFleetKnownAfter;
   if (!MayAct() || !world_.options.ordersBackends || !world_.configuration ||
-      !isFleetKnown) {
+      !IsFleetKnown()) {
     return;
   }
   for (const auto& [name, service] : world_.configuration->services) {
--- a/entry/duty_system.h
+++ b/entry/duty_system.h
@@ -99,6 +99,9 @@
 
   /// Tells whether reclaimable backends that were ordered there are not to be had.
   bool LacksReclaimable(const Service& aService, const DataCentreFleet& aFleet) const;
+
+  /// Tells whether the backends that were there at the start have been read.
+  bool IsFleetKnown();
   void SendOrders();
   std::vector<DataCentreFleet> FleetsOf(const Service& aService) const;
   ServiceLoad LoadOf(const Service& aService) const;
@@ -124,6 +127,9 @@
   std::set<uint64_t> sending_;
   std::map<OrderKey, OrderRow> orders_;
   bool hasLoad_ = false; // there were calls since the start
+  bool isFleetKnown_ = false;
+  size_t seenBackends_ = 0; // when the fleet changed last, before it was known
+  TimePoint fleetChangedAt_{};
   std::optional<TimePoint> isolatedSince_;
   bool keepsIsolated_ = false; // took the duties while cut off, because nobody else did
 };
--- a/entry/testing/duty_system_test.cc
+++ b/entry/testing/duty_system_test.cc
@@ -278,4 +278,44 @@
   CHECK(reports[0].counts.at("acme") == 1);
 }
 
+TEST_CASE("Entry: the first order waits until the starting fleet is known",
+          "[entry][duty]")
+{
+  // Guards against a plan for half of the starting fleet, whose other entries are read a
+  // few seconds later: it let ordinary backends go that the first calls needed.
+  EntryFixture entry({ .host = "d1",
+                       .dataCentre = "c1",
+                       .dataCentres = { "c1" },
+                       .ordersBackends = true });
+  Configuration configuration = TestConfiguration();
+  configuration.services["assistant"].scaling =
+    Scaling{ .min = 1, .max = 40, .boot = 4s };
+  entry.Prepare(configuration);
+  uint64_t end = 0;
+  std::vector<FleetOrder> orders;
+  for (int second = 0; second < 9; ++second) {
+    if (second < 5) {
+      for (int i = 0; i < 4; ++i) { // 22 backends with the two of the fixture
+        entry.AddBackend("a" + std::to_string(4 * second + i), "assistant");
+      }
+    }
+    for (int step = 0; step < 10; ++step) {
+      entry.Advance(100ms);
+      for ([[maybe_unused]] const auto& read : entry.Take<ReadDutyState>()) {
+        entry.Post(DutyStateRead{ .isRead = true, .end = end });
+      }
+      for ([[maybe_unused]] const auto& write : entry.Take<WriteDutyState>()) {
+        entry.Post(DutyStateWritten{ .outcome = WriteOutcome::Written, .end = ++end });
+      }
+      for (const SendOrder& order : entry.Take<SendOrder>()) {
+        orders.push_back(order.order);
+      }
+    }
+  }
+  REQUIRE_FALSE(orders.empty());
+  // A fleet of 22 is made for a need of 10: 1.8 reclaimable backends for each.
+  CHECK(orders[0].isReclaimable);
+  CHECK(orders[0].count == 18);
+}
+
 } // namespace gooseberrypath::entry
