--- a/entry/duty_system.cc
+++ b/entry/duty_system.cc
@@ -504,10 +504,10 @@
                                    std::span<const DataCentreFleet> aFleets)
 {
   ServiceNeed& need = known_.needs[aService.name];
-  if (!hasLoad_) {
+  if (need == ServiceNeed{}) {
+    // Only the fleet before the first order tells the need; later it holds what was ordered.
     const double starting = NeedOfStartingFleet(aFleets);
-    need.lasting = std::max(need.lasting, starting);
-    need.recent = std::max(need.recent, starting);
+    need = ServiceNeed{ .lasting = starting, .recent = starting };
   }
   const double measured = NeededEngines(LoadOf(aService));
   hasLoad_ = hasLoad_ || measured > 0;
--- a/entry/testing/duty_system_test.cc
+++ b/entry/testing/duty_system_test.cc
@@ -1,5 +1,7 @@
 #include "entry/duty_system.h"
 
+#include <utility>
+
 #include <catch2/catch.hpp>
 
 #include "entry/testing/duty_simulation.h"
@@ -316,6 +318,30 @@
   // A fleet of 22 is made for a need of 10: 1.8 reclaimable backends for each.
   CHECK(orders[0].isReclaimable);
   CHECK(orders[0].count == 18);
+
+  // Guards against a need that grows with the backends that were ordered for it.
+  for (const FleetOrder& order : std::exchange(orders, {})) {
+    entry.Post(OrderSent{ .order = order, .status = 200 });
+  }
+  for (int i = 0; i < 18; ++i) {
+    BackendEntry entered = EntryFixture::Entry("r" + std::to_string(i), "assistant");
+    entered.isReclaimable = true;
+    entry.Post(FleetRead{ .changes = { entered } });
+  }
+  for (int step = 0; step < 40; ++step) {
+    entry.Advance(100ms);
+    for ([[maybe_unused]] const auto& write : entry.Take<WriteDutyState>()) {
+      entry.Post(DutyStateWritten{ .outcome = WriteOutcome::Written, .end = ++end });
+    }
+    for (const SendOrder& order : entry.Take<SendOrder>()) {
+      orders.push_back(order.order);
+      entry.Post(OrderSent{ .order = order.order, .status = 200 });
+    }
+  }
+  for (const FleetOrder& order : orders) {
+    INFO((order.isReclaimable ? "reclaimable " : "ordinary ") << order.count);
+    CHECK(order.count <= 18);
+  }
 }
 
 } // namespace gooseberrypath::entry
