--- a/entry/duty_system.cc
+++ b/entry/duty_system.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "entry/duration_text.h"
 #include "entry/fleet_system.h"
 #include "entry/read_pace.h"
 
@@ -490,7 +491,8 @@
     }
   }
   for (const auto& [id, row] : world_.backends) {
-    if (row.entry.service == aService.name) {
+    // Calls at backends that are gone only wait for their connections to break.
+    if (row.entry.service == aService.name && !row.removedAt) {
       // What waits beyond the slots is in the tokens that must be read.
       const int64_t running =
         std::clamp<int64_t>(world_.UseOf(row).inFlight, 0, row.entry.slots);
@@ -599,6 +601,11 @@
   row.isDenied = aEvent.status == kNoneAvailable;
   row.retryAt = row.isAccepted ? TimePoint{} : world_.Now() + kOrderRetry;
   const ServiceNeed& need = known_.needs[order.service];
+  ServiceLoad load;
+  if (const auto service = world_.configuration->services.find(order.service);
+      service != world_.configuration->services.end()) {
+    load = LoadOf(service->second);
+  }
   world_.Log(LogLevel::Info, "backends_ordered", {},
              { { "service", order.service },
                { "data_centre", order.dataCentre },
@@ -606,6 +613,9 @@
                { "count", std::to_string(order.count) },
                { "need_lasting", std::to_string(need.lasting) },
                { "need_recent", std::to_string(need.recent) },
+               { "prompt_tokens_per_s", MsText(load.tokensPerSecond) },
+               { "read_tokens_per_ms", MsText(load.tokensPerMs) },
+               { "in_flight", MsText(load.inFlight) },
                { "status", std::to_string(aEvent.status) } });
 }
 
--- a/entry/fleet_plan.cc
+++ b/entry/fleet_plan.cc
@@ -9,14 +9,14 @@
 
 // Ordinary and reclaimable backends for each engine that the load keeps busy.
 constexpr double kOrdinaryShare = 0.7;
-constexpr double kReclaimableShare = 1.8;
+constexpr double kReclaimableShare = 3.0;
 
 // With fewer backends than this for each busy engine, calls wait; ordinary ones are then
 // ordered in place of missing reclaimable ones.
-constexpr double kLeastShare = 1.6;
+constexpr double kLeastShare = 2.2;
 
 // Token generation slows down well before all slots of an engine are taken.
-constexpr double kUsableSlots = 0.6;
+constexpr double kUsableSlots = 0.7;
 
 // Starting fleets are made for the busiest hours with room to spare.
 constexpr double kStartingShare = 2.2;
@@ -83,13 +83,29 @@
   return aNeed.lasting + share * std::max(0.0, aNeed.recent - aNeed.lasting);
 }
 
+/// Returns the reclaimable backends that ordinary ones need not replace. Where some do
+/// not come, more may soon be taken away, and an ordinary backend takes seconds to start:
+/// then those of the largest data centre do not count.
+uint32_t ReliableReclaimable(std::span<const DataCentreFleet> aFleets)
+{
+  uint32_t serving = 0;
+  uint32_t largest = 0;
+  bool isScarce = false;
+  for (const DataCentreFleet& fleet : aFleets) {
+    serving += fleet.reclaimable;
+    largest = std::max(largest, fleet.reclaimable);
+    isScarce = isScarce || fleet.lacksReclaimable;
+  }
+  return isScarce ? serving - largest : serving;
+}
+
 } // namespace
 
 double NeededEngines(const ServiceLoad& aLoad)
 {
   const double reading = aLoad.tokensPerSecond / (1000 * aLoad.tokensPerMs);
   const double generating = aLoad.inFlight / (std::max(aLoad.slots, 1.0) * kUsableSlots);
-  return reading + generating;
+  return std::max(reading, generating);
 }
 
 double NeedOfStartingFleet(std::span<const DataCentreFleet> aFleets)
@@ -114,12 +130,9 @@
   const uint32_t wantedOrdinary =
     std::max(RoundUp(kOrdinaryShare * aNeed.lasting), scaling.min * dataCentres);
   const uint32_t wantedReclaimable = RoundUp(kReclaimableShare * aNeed.recent);
-  uint32_t serving = 0;
-  for (const DataCentreFleet& fleet : aFleets) {
-    serving += fleet.reclaimable;
-  }
+  const uint32_t reliable = ReliableReclaimable(aFleets);
   const uint32_t needed = RoundUp(kLeastShare * NeedOfAll(aNeed, aFleets));
-  const uint32_t ordinary = std::max(wantedOrdinary, needed - std::min(needed, serving));
+  const uint32_t ordinary = std::max(wantedOrdinary, needed - std::min(needed, reliable));
 
   const std::vector<size_t> order = ByPrice(scaling, aFleets);
   const auto reclaimableCounts = SpreadReclaimable(wantedReclaimable, order, aFleets);
--- a/entry/fleet_plan.h
+++ b/entry/fleet_plan.h
@@ -38,7 +38,8 @@
   double slots = 1;           // calls at once at one engine
 };
 
-/// Returns the number of engines that the load keeps busy all the time.
+/// Returns the number of engines that the load keeps busy all the time. An engine reads
+/// prompts and generates tokens in the same steps, so the larger of both decides.
 double NeededEngines(const ServiceLoad& aLoad);
 
 /// Returns the need that a fleet of this size was made for; used before there is load.
--- a/entry/request_system.cc
+++ b/entry/request_system.cc
@@ -209,8 +209,7 @@
                     .lastEvent = now,
                     .expectedMs = aChoice.expectedMs,
                     .waitingTokens = aChoice.missingTokens,
-                    .kvTokens = aChoice.kvTokens,
-                    .beganIdle = aChoice.inFlight <= 1 && aChoice.waitingTokens < 1 });
+                    .kvTokens = aChoice.kvTokens });
   backend.inFlight += 1;
   backend.waitingTokens += aChoice.missingTokens;
   backend.kvTokens += aChoice.kvTokens;
@@ -594,8 +593,7 @@
     return;
   }
   stats.NoteFirstEvent({ .tokens = static_cast<double>(attempt.waitingTokens),
-                         .observedMs = observedMs,
-                         .beganIdle = attempt.beganIdle });
+                         .observedMs = observedMs });
 }
 
 } // namespace gooseberrypath::entry
--- a/entry/service_stats.h
+++ b/entry/service_stats.h
@@ -1,7 +1,7 @@
 // What is learned about the backends of a service from the calls that they serve.
 //
 //   ServiceStats stats;
-//   stats.NoteFirstEvent({ .tokens = 6000, .observedMs = 80, .beganIdle = true });
+//   stats.NoteFirstEvent({ .tokens = 6000, .observedMs = 80 });
 //   stats.tokensPerMs;
 
 #ifndef ENTRY_SERVICE_STATS_H_
@@ -12,14 +12,13 @@
 /// The first event of a model call.
 struct ObservedStart
 {
-  double tokens = 0;      // of the prompt, that the engine had to read
-  double observedMs = 0;  // from the sending to the first event
-  bool beganIdle = false; // the engine had next to nothing to do
+  double tokens = 0;     // of the prompt, that the engine had to read
+  double observedMs = 0; // from the sending to the first event
 };
 
 struct ServiceStats
 {
-  double tokensPerMs = 80; // prompt tokens; before anything was observed
+  double tokensPerMs = 80; // prompt tokens that an engine reads when no others wait
   double baseMs = 60;      // to the first event of an empty prompt
   double holdMs = 800;     // how long a call keeps its slot
 
