--- a/entry/fleet_system.cc
+++ b/entry/fleet_system.cc
@@ -58,6 +58,8 @@
     TeamRow* row = world_.teams.Find(team.name);
     if (row == nullptr) {
       row = &world_.teams.Insert(team.name, TeamRow{ .quota = TeamQuota(world_.Now()) });
+      row->quota.SetDaemons(world_.DaemonCount());
+      row->quota.SetNewsInterval(world_.newsInterval);
     }
     const QuotaLimit limit{ .rate = team.ratePerSecond, .burst = team.burst };
     row->quota.SetLimit(world_.Now(), EnforcedLimit(limit, world_.options.quotaTolerance,
--- a/entry/peer_system.cc
+++ b/entry/peer_system.cc
@@ -185,6 +185,7 @@
     Learn(address);
   }
   world_.isDigestDue = true;
+  UpdateShares();
 }
 
 void PeerSystem::Handle(const DigestReceived& aEvent)
@@ -306,18 +307,22 @@
     toldDaemons_ = daemons;
     world_.Emit(SetReaders{ daemons });
   }
-  size_t heard = 1;
+  size_t fresh = 1;
   size_t serving = 1;
+  // Without news a digest still comes as a sign of life.
+  const Duration freshTime = FreshTime(std::max(Interval(), kIdleInterval));
   for (const auto& [host, peer] : world_.peers) {
     const bool counts = !peer.digest.isStopping;
-    heard += counts && peer.isHeard ? 1 : 0;
+    fresh += counts && peer.heard + freshTime >= world_.Now() ? 1 : 0;
     serving += counts ? 1 : 0;
   }
+  serving = std::max(serving, world_.DaemonCount());
   world_.newsInterval = Interval();
   for (auto& [name, row] : world_.teams) {
+    row.quota.SetDaemons(serving);
     row.quota.SetNewsInterval(world_.newsInterval);
     row.quota.SetHeardShare(world_.Now(),
-                            static_cast<double>(heard) / static_cast<double>(serving));
+                            static_cast<double>(fresh) / static_cast<double>(serving));
   }
 }
 
--- a/entry/team_quota.cc
+++ b/entry/team_quota.cc
@@ -18,6 +18,10 @@
 // so that a daemon which had no calls can admit its first ones.
 constexpr double kLearnedShare = 0.8;
 
+// A daemon's own bucket holds this multiple of its share of the burst: calls come in
+// clumps, and a single long prompt may need more than the share.
+constexpr double kOwnBurstShare = 2;
+
 // A debt of the shared bucket is paid back within about this time, well inside a window.
 constexpr double kPaybackSeconds = 2;
 constexpr double kLeastPace = 0.1;
@@ -26,6 +30,13 @@
 // Digests come more often than shares change.
 constexpr Duration kShareInterval = std::chrono::milliseconds(200);
 
+// A daemon that hears fewer than this share of the others does not know how full the
+// shared bucket is, and admits from its own one only.
+constexpr double kLeastHeardShare = 0.9;
+
+// A digest on its way and the wait of a busy daemon.
+constexpr Duration kLeastLateness = std::chrono::milliseconds(250);
+
 } // namespace
 
 QuotaLimit EnforcedLimit(QuotaLimit aLimit, const QuotaTolerance& aTolerance,
@@ -42,6 +53,11 @@
   return { .rate = aLimit.rate * (1 + overshoot) + slackRate, .burst = aLimit.burst };
 }
 
+Duration FreshTime(Duration aNewsInterval)
+{
+  return aNewsInterval + std::max(aNewsInterval / 2, kLeastLateness);
+}
+
 void TeamQuota::SetLimit(TimePoint aNow, QuotaLimit aLimit)
 {
   if (aLimit == limit_) {
@@ -51,7 +67,7 @@
   const bool isFirst = limit_.rate <= 0;
   limit_ = aLimit;
   level_ = isFirst ? limit_.burst : std::min(level_, limit_.burst);
-  ownLevel_ = std::min(isFirst ? limit_.burst : ownLevel_, limit_.burst);
+  ownLevel_ = isFirst ? limit_.burst * EvenShare() : std::min(ownLevel_, limit_.burst);
 }
 
 void TeamQuota::SetHeardShare(TimePoint aNow, double aShare)
@@ -62,24 +78,41 @@
 
 void TeamQuota::UpdateShare(TimePoint aNow)
 {
+  const double even = EvenShare();
+  if (heardShare_ < kLeastHeardShare) {
+    // What the others are asked for is not known, so each daemon keeps to an even part.
+    ownShare_ = even;
+    hasShare_ = false;
+    return;
+  }
   if (hasShare_ && aNow - shareUpdated_ < kShareInterval) {
     return;
   }
   hasShare_ = true;
   shareUpdated_ = aNow;
-  const auto heard = std::ranges::count_if(
-    peers_, [](const auto& aPeer) { return aPeer.second.has_value(); });
-  const double even = 1.0 / static_cast<double>(heard + 1);
   const double own = ownAdmitted_.PerSecond(aNow);
   const double all = own + peersAdmitted_.PerSecond(aNow);
   const double learned = all > 0 ? std::clamp(own / all, 0.0, 1.0) : even;
   ownShare_ = kLearnedShare * learned + (1 - kLearnedShare) * even;
 }
 
+size_t TeamQuota::HeardPeers() const
+{
+  return static_cast<size_t>(std::ranges::count_if(
+    peers_, [](const auto& aPeer) { return aPeer.second.has_value(); }));
+}
+
+double TeamQuota::EvenShare() const
+{
+  return 1.0 / static_cast<double>(std::max(HeardPeers() + 1, daemons_));
+}
+
 double TeamQuota::OwnRate() const
 {
   const double pace = 1 + level_ / (limit_.rate * kPaybackSeconds);
-  return limit_.rate * ownShare_ * std::clamp(pace, kLeastPace, kMostPace);
+  // A daemon that does not hear the others knows of no surplus that it might use.
+  const double mostPace = heardShare_ < kLeastHeardShare ? 1 : kMostPace;
+  return limit_.rate * ownShare_ * std::clamp(pace, kLeastPace, mostPace);
 }
 
 double TeamQuota::AdmittedMeanwhile(TimePoint aNow) const
@@ -95,7 +128,8 @@
   // The level is uncertain by what others may have been asked for since they were heard.
   const double uncertain = AdmittedMeanwhile(aNow);
   const bool isOwnAllowed = ownLevel_ > 0 && level_ > -uncertain;
-  if (limit_.rate > 0 && level_ <= uncertain && !isOwnAllowed) {
+  const bool isSharedAllowed = heardShare_ >= kLeastHeardShare && level_ > uncertain;
+  if (limit_.rate > 0 && !isSharedAllowed && !isOwnAllowed) {
     return false;
   }
   level_ -= aAmount;
@@ -135,9 +169,11 @@
   }
   const double uncertain = AdmittedMeanwhile(aNow);
   const double sharedRate = limit_.rate * heardShare_;
-  const double untilShared = std::max(0.0, uncertain - level_) / sharedRate;
-  const double untilOwn = std::max(
-    { 0.0, (-uncertain - level_) / sharedRate, -ownLevel_ / (OwnRate() * heardShare_) });
+  const double untilOwn =
+    std::max({ 0.0, (-uncertain - level_) / sharedRate, -ownLevel_ / OwnRate() });
+  const double untilShared = heardShare_ >= kLeastHeardShare
+                               ? std::max(0.0, uncertain - level_) / sharedRate
+                               : untilOwn;
   return std::chrono::duration_cast<Duration>(
     std::chrono::duration<double>(std::min(untilShared, untilOwn)));
 }
@@ -149,8 +185,8 @@
   filled_ = std::max(filled_, aNow);
   if (limit_.rate > 0 && seconds > 0) {
     level_ = std::min(limit_.burst, level_ + seconds * limit_.rate * heardShare_);
-    const double ownBurst = limit_.burst * ownShare_;
-    const double filled = ownLevel_ + seconds * OwnRate() * heardShare_;
+    const double ownBurst = kOwnBurstShare * limit_.burst * ownShare_;
+    const double filled = ownLevel_ + seconds * OwnRate();
     ownLevel_ = std::min(ownBurst, filled);
   }
 }
--- a/entry/team_quota.h
+++ b/entry/team_quota.h
@@ -4,8 +4,9 @@
 // for, so the error does not add up.
 //
 // While the shared bucket holds more than all daemons may admit until they hear of each
-// other, it alone decides. Below that, a daemon admits from a bucket of its own, which
-// fills with its share of the team's recent calls and slows down while there is a debt.
+// other, it alone decides. Below that, and while other daemons are not heard, a daemon
+// admits from a bucket of its own, which fills with its share of the team's recent calls
+// and slows down while there is a debt.
 //
 //   TeamQuota quota(now);
 //   quota.SetLimit(now, { .rate = 1000, .burst = 1000 });
@@ -50,6 +51,10 @@
 QuotaLimit EnforcedLimit(QuotaLimit aLimit, const QuotaTolerance& aTolerance,
                          Duration aNewsInterval);
 
+/// Returns how long a peer counts as heard after its digest. One that is later than this
+/// may be cut off, and then both sides would fill the bucket with the whole rate.
+Duration FreshTime(Duration aNewsInterval);
+
 /// One team's bucket as this daemon sees it.
 class TeamQuota
 {
@@ -67,6 +72,10 @@
   /// others may admit too, so the bucket fills with this share of the rate.
   void SetHeardShare(TimePoint aNow, double aShare);
 
+  /// Sets the number of daemons that may admit calls, this one included, heard or not.
+  /// Before the others are heard, each admits its even part of the burst.
+  void SetDaemons(size_t aCount) { daemons_ = aCount; }
+
   /// Sets the time between two digests of a peer. Calls that are admitted meanwhile are
   /// not in the shared bucket yet.
   void SetNewsInterval(Duration aInterval) { newsInterval_ = aInterval; }
@@ -102,7 +111,11 @@
   /// Returns the rate at which the own bucket fills.
   double OwnRate() const;
 
-  /// Returns what all daemons are likely to admit between two digests.
+  /// Returns this daemon's part if all daemons admit the same.
+  double EvenShare() const;
+  size_t HeardPeers() const;
+
+  /// Returns what the heard daemons are likely to admit between two digests.
   double AdmittedMeanwhile(TimePoint aNow) const;
 
   QuotaLimit limit_;
@@ -114,6 +127,7 @@
   double ownShare_ = 1; // of this daemon in what all admitted recently
   bool hasShare_ = false;
   TimePoint shareUpdated_{};
+  size_t daemons_ = 1;
   Duration newsInterval_{};
   double heardShare_ = 1;
   double admitted_ = 0;
--- a/entry/testing/quota_load_test.cc
+++ b/entry/testing/quota_load_test.cc
@@ -30,6 +30,8 @@
 {
   double rate = 0;                    // tokens a second of all callers
   size_t daemonsWithCalls = kDaemons; // that the callers of the team use
+  Duration restartAt{};               // of all daemons at once; zero: never
+  Duration cutAt{};                   // a third hears nobody from then on; zero: never
 };
 
 struct Outcome
@@ -54,6 +56,7 @@
     for (TeamQuota& quota : quotas_) {
       quota.SetLimit(kStart, EnforcedLimit(kLimit, kTolerance, kDigestInterval));
       quota.SetNewsInterval(kDigestInterval);
+      quota.SetDaemons(kDaemons);
       nextDigest_.push_back(kStart + std::chrono::microseconds(random_() % 700'000));
     }
   }
@@ -67,8 +70,17 @@
           Tell(i);
         }
       }
+      cutAt_ = kStart + aLoad.cutAt;
+      isCut_ = aLoad.cutAt != Duration::zero() && now_ >= cutAt_;
+      CountHeard();
+      if (isCut_ && now_ == cutAt_ + 3 * kDigestInterval) {
+        NoteCut();
+      }
       Arrive(aLoad);
       ForgetOldCalls();
+      if (aLoad.restartAt != Duration::zero() && now_ == kStart + aLoad.restartAt) {
+        Restart();
+      }
     }
     outcome_.refusedShare = refused_ / asked_;
     return outcome_;
@@ -103,18 +115,71 @@
     }
   }
 
+  /// All daemons lose what they know and learn each other's addresses from the store.
+  void Restart()
+  {
+    incarnation_ += 1;
+    lastTold_.assign(kDaemons, TimePoint{});
+    for (size_t i = 0; i < kDaemons; ++i) {
+      quotas_[i] = TeamQuota(now_);
+      quotas_[i].SetDaemons(kDaemons);
+      quotas_[i].SetNewsInterval(kDigestInterval);
+      quotas_[i].SetLimit(now_, EnforcedLimit(kLimit, kTolerance, kDigestInterval));
+      nextDigest_[i] = now_ + std::chrono::microseconds(random_() % 700'000);
+    }
+  }
+
+  /// Tells whether the daemon is one of those that hear nobody after the cut.
+  bool IsCutOff(size_t aDaemon) const { return isCut_ && aDaemon % 3 == 0; }
+
+  std::string NameOf(size_t aDaemon) const
+  {
+    return "d" + std::to_string(aDaemon) + "/" + std::to_string(incarnation_);
+  }
+
   void Tell(size_t aFrom)
   {
+    lastTold_[aFrom] = now_;
     for (size_t to = 0; to < kDaemons; ++to) {
-      if (to != aFrom) {
-        quotas_[to].CountPeer(now_, "d" + std::to_string(aFrom),
-                              quotas_[aFrom].Admitted(), false);
+      if (to != aFrom && !IsCutOff(to) && !IsCutOff(aFrom)) {
+        quotas_[to].CountPeer(now_, NameOf(aFrom), quotas_[aFrom].Admitted(), false);
+      }
+    }
+  }
+
+  /// Each daemon notices a little later whom it does not hear any more.
+  void NoteCut()
+  {
+    for (size_t i = 0; i < kDaemons; ++i) {
+      for (size_t other = 0; other < kDaemons; ++other) {
+        if (i != other && (IsCutOff(i) || IsCutOff(other))) {
+          quotas_[i].ForgetPeer(NameOf(other));
+        }
       }
     }
   }
 
+  /// Tells each daemon how many it has heard lately.
+  void CountHeard()
+  {
+    const bool isCutNoticed = isCut_ && now_ >= cutAt_ + FreshTime(kDigestInterval);
+    size_t fresh = 0;
+    for (size_t i = 0; i < kDaemons; ++i) {
+      const bool isFresh = lastTold_[i] + FreshTime(kDigestInterval) >= now_;
+      fresh += isFresh && !(isCutNoticed && IsCutOff(i)) ? 1 : 0;
+    }
+    for (size_t i = 0; i < kDaemons; ++i) {
+      const size_t heard = isCutNoticed && IsCutOff(i) ? 1 : std::max<size_t>(fresh, 1);
+      quotas_[i].SetHeardShare(now_, static_cast<double>(heard) / kDaemons);
+    }
+  }
+
   std::mt19937_64 random_;
   std::vector<TeamQuota> quotas_;
+  int incarnation_ = 1; // of all daemons
+  bool isCut_ = false;
+  TimePoint cutAt_{};
+  std::vector<TimePoint> lastTold_ = std::vector<TimePoint>(kDaemons, kStart);
   std::vector<TimePoint> nextDigest_;
   TimePoint now_ = kStart;
   std::deque<std::pair<TimePoint, double>> admitted_;
@@ -148,6 +213,32 @@
   }
 }
 
+TEST_CASE("Entry: a hot team gets one burst when all daemons restart", "[entry][quota]")
+{
+  // Guards against daemons that each admit a whole burst until they hear of each other.
+  for (uint64_t seed = 1; seed <= 3; ++seed) {
+    INFO("seed " << seed);
+    const Load hot{ .rate = 5 * kLimit.rate, .restartAt = 10s };
+    CHECK(QuotaLoad(seed).Run(20s, hot).worstWindow <= Allowed());
+    // A team below its limit hardly notices.
+    const Load usual{ .rate = 0.55 * kLimit.rate, .restartAt = 10s };
+    CHECK(QuotaLoad(seed).Run(20s, usual).refusedShare < 0.005);
+  }
+}
+
+TEST_CASE("Entry: a hot team keeps its limit when daemons are cut off", "[entry][quota]")
+{
+  // Guards against single daemons that hear nobody, whose buckets look full to each of
+  // them because nobody else seems to admit anything.
+  for (uint64_t seed = 1; seed <= 3; ++seed) {
+    INFO("seed " << seed);
+    const Load hot{ .rate = 5 * kLimit.rate, .cutAt = 10s };
+    CHECK(QuotaLoad(seed).Run(25s, hot).worstWindow <= Allowed());
+    const Load usual{ .rate = 0.55 * kLimit.rate, .cutAt = 10s };
+    CHECK(QuotaLoad(seed).Run(25s, usual).refusedShare < 0.02);
+  }
+}
+
 TEST_CASE("Entry: a team below its limit is not refused at 74 daemons", "[entry][quota]")
 {
   // Guards against shares of a limit that refuse a team whose calls come unevenly.
--- a/entry/world.cc
+++ b/entry/world.cc
@@ -1,13 +1,25 @@
 #include "entry/world.h"
 
+#include <algorithm>
+
 namespace gooseberrypath::entry {
 
+namespace {
+
+// By then a daemon has heard the others, or forgets the addresses of those that are gone.
+constexpr Duration kMeetTime = std::chrono::seconds(20);
+
+} // namespace
+
 size_t World::DaemonCount() const
 {
   size_t count = 1;
   for (const auto& [host, peer] : peers) {
     count += peer.digest.isStopping ? 0 : 1;
   }
+  if (Now() < started + kMeetTime) {
+    count = std::max(count, knownAddresses.size() + 1);
+  }
   return count;
 }
 
