--- a/entry/duty_system.h
+++ b/entry/duty_system.h
@@ -10,14 +10,11 @@
 #ifndef ENTRY_DUTY_SYSTEM_H_
 #define ENTRY_DUTY_SYSTEM_H_
 
-#include <map>
 #include <optional>
 #include <set>
-#include <span>
 #include <string>
-#include <tuple>
 
-#include "entry/fleet_plan.h"
+#include "entry/fleet_orders.h"
 #include "entry/world.h"
 
 namespace gooseberrypath::entry {
@@ -27,6 +24,7 @@
 public:
   explicit DutySystem(World& aWorld)
     : world_(aWorld)
+    , orders_(aWorld)
   {
   }
 
@@ -41,19 +39,6 @@
   void Handle(const OrderSent& aEvent);
 
 private:
-  using OrderKey = std::tuple<std::string, std::string, bool>;
-
-  /// The newest order of one kind of backend in a data centre.
-  struct OrderRow
-  {
-    uint32_t count = 0;
-    bool isAccepted = false;
-    bool isDenied = false;  // none were to be had
-    bool isRunning = false; // its answer is awaited
-    TimePoint sent{};
-    TimePoint retryAt{}; // not sent again before
-  };
-
   /// A write whose answer is awaited.
   struct Write
   {
@@ -97,22 +82,6 @@
   void DecideReports(DutyState& aState);
   void SendReports();
 
-  /// Tells whether backends that were ordered should serve by now and do not.
-  bool IsOverdue(const OrderRow& aRow, const Service& aService, uint32_t aServing) const;
-
-  /// Tells whether reclaimable backends that were ordered there are not to be had.
-  bool LacksReclaimable(const Service& aService, const DataCentreFleet& aFleet) const;
-
-  /// Tells whether the backends that were there at the start have been read.
-  bool IsFleetKnown();
-  void SendOrders();
-  std::vector<DataCentreFleet> FleetsOf(const Service& aService) const;
-  ServiceLoad LoadOf(const Service& aService) const;
-
-  /// Takes the load into the smoothed need of the service and returns it.
-  ServiceNeed UpdateNeed(const Service& aService,
-                         std::span<const DataCentreFleet> aFleets);
-
   World& world_;
   DutyState known_;             // newest state that was read, written or heard of
   std::optional<uint64_t> end_; // offset for the next write
@@ -128,11 +97,7 @@
   uint64_t askedWindow_ = 0;     // up to here, the store was asked for counts
   std::set<uint64_t> delivered_; // windows
   std::set<uint64_t> sending_;
-  std::map<OrderKey, OrderRow> orders_;
-  bool hasLoad_ = false; // there were calls since the start
-  bool isFleetKnown_ = false;
-  size_t seenBackends_ = 0; // when the fleet changed last, before it was known
-  TimePoint fleetChangedAt_{};
+  FleetOrders orders_;
   std::optional<TimePoint> isolatedSince_;
   bool keepsIsolated_ = false; // took the duties while cut off, because nobody else did
 };
