Daemon: an unexpected error in one event does not end the service

Cause: an exception out of the handling of an event left the pump marked as running. The process lived on and handled no event any more, and the loop of the port that had posted the event (digests, store) ended for good. Each step is guarded now; the error is logged as event_failed and counted. Test: an action that throws (failed before: the second call got no answer).

--- a/entry/serve_entry.cc
+++ b/entry/serve_entry.cc
@@ -65,6 +65,7 @@
   EventLog& log;
   BootClock& clock;
   std::function<void()> exit;
+  std::function<void(std::string_view)> noteError;
 
   template<typename F>
   void ForEach(F aFunction)
@@ -132,16 +133,19 @@
                                        .address = aSettings.cloudAddress,
                                        .host = aSettings.host });
     }
-    daemon_.emplace(Options(),
-                    EntryPorts{ .caller = callers_,
-                                .backend = backends_,
-                                .store = store_,
-                                .cloud = cloud_ ? &*cloud_ : nullptr,
-                                .digests = digests_,
-                                .probe = probe_,
-                                .log = log_,
-                                .clock = clock_,
-                                .exit = [this] { exit_.fulfiller->fulfill(); } });
+    daemon_.emplace(Options(), EntryPorts{ .caller = callers_,
+                                           .backend = backends_,
+                                           .store = store_,
+                                           .cloud = cloud_ ? &*cloud_ : nullptr,
+                                           .digests = digests_,
+                                           .probe = probe_,
+                                           .log = log_,
+                                           .clock = clock_,
+                                           .exit = [this] { exit_.fulfiller->fulfill(); },
+                                           .noteError =
+                                             [this](std::string_view aReason) {
+                                               NoteError(aReason);
+                                             } });
   }
 
   /// Serves until the planned stop is complete.
@@ -245,7 +249,7 @@
   std::string RenderMetrics() const
   {
     const World& world = daemon_->GetWorld();
-    const std::array<Gauge, 4> gauges{
+    const std::array<Gauge, 5> gauges{
       Gauge{ "entry_requests", "Calls being served",
              static_cast<double>(world.requests.Size()) },
       Gauge{ "entry_backends", "Backends that are known",
@@ -253,11 +257,21 @@
       Gauge{ "entry_caller_connections", "Open connections of callers",
              static_cast<double>(callers_.ConnectionCount()) },
       Gauge{ "entry_duty_token", "Fencing token of the duties held here, or 0",
-             static_cast<double>(world.dutyToken) }
+             static_cast<double>(world.dutyToken) },
+      Gauge{ "entry_events_failed", "Unexpected errors in the handling of an event",
+             static_cast<double>(failedEvents_) }
     };
     return world.counters.Render() + RenderGauges(gauges);
   }
 
+  void NoteError(std::string_view aReason)
+  {
+    ++failedEvents_;
+    log_.Execute(WriteEvent{ .level = LogLevel::Error,
+                             .event = "event_failed",
+                             .fields = { { "reason", std::string(aReason) } } });
+  }
+
   void Log(std::string aEvent, std::vector<std::pair<std::string, std::string>> aFields)
   {
     log_.Execute(WriteEvent{ .event = std::move(aEvent), .fields = std::move(aFields) });
@@ -278,6 +292,7 @@
   DigestPort digests_;
   ProbePort probe_;
   std::optional<ProbePort> metrics_; // nothing: its port is taken
+  uint64_t failedEvents_ = 0;
 };
 
 } // namespace
--- a/gooseberrypath/daemon.h
+++ b/gooseberrypath/daemon.h
@@ -7,7 +7,9 @@
 #define GOOSEBERRYPATH_DAEMON_H_
 
 #include <deque>
+#include <exception>
 #include <functional>
+#include <string_view>
 #include <utility>
 
 #include "gooseberrypath/core.h"
@@ -27,7 +29,8 @@
   Operators& operators;
   Observation& observation;
   Clock& clock;
-  std::function<void()> exit; // called once for ExitProcess
+  std::function<void()> exit;                      // called once for ExitProcess
+  std::function<void(std::string_view)> noteError; // an event could not be handled
 
   /// Calls the function with each port that may carry out actions.
   template<typename F>
@@ -85,15 +88,11 @@
     isPumping_ = true;
     while (isTickDue_ || !queue_.empty()) {
       isTickDue_ = false;
-      if (!queue_.empty()) {
-        const Event event = std::move(queue_.front());
-        queue_.pop_front();
-        core_.SetTime(ports_.clock.Now());
-        core_.Handle(event);
-      }
-      core_.Tick(ports_.clock.Now());
+      Guard([this] { HandleNext(); });
+      Guard([this] { core_.Tick(ports_.clock.Now()); });
       for (const Action& action : core_.TakeActions()) {
-        std::visit([this](const auto& aOne) { this->Execute(aOne); }, action);
+        Guard(
+          [&] { std::visit([this](const auto& aOne) { this->Execute(aOne); }, action); });
       }
     }
     isPumping_ = false;
@@ -102,6 +101,29 @@
     }
   }
 
+  void HandleNext()
+  {
+    if (queue_.empty()) {
+      return;
+    }
+    const Event event = std::move(queue_.front());
+    queue_.pop_front();
+    core_.SetTime(ports_.clock.Now());
+    core_.Handle(event);
+  }
+
+  /// Runs a step and notes an unexpected error in it: one event that cannot be handled
+  /// must not end the service of all others.
+  template<typename F>
+  void Guard(F aStep)
+  {
+    try {
+      aStep();
+    } catch (const std::exception& problem) {
+      ports_.noteError(problem.what());
+    }
+  }
+
   template<typename A>
   void Execute(const A& aAction)
   {
--- a/gooseberrypath/serve.cc
+++ b/gooseberrypath/serve.cc
@@ -167,7 +167,12 @@
                              .operators = operators_,
                              .observation = observation_,
                              .clock = clock_,
-                             .exit = [this] { exit_.fulfiller->fulfill(); } });
+                             .exit = [this] { exit_.fulfiller->fulfill(); },
+                             .noteError =
+                               [this](std::string_view aReason) {
+                                 Log("an event could not be handled: " +
+                                     std::string(aReason));
+                               } });
   }
 
   /// Serves until the planned stop is complete.
--- a/gooseberrypath/testing/daemon_test.cc
+++ b/gooseberrypath/testing/daemon_test.cc
@@ -1,7 +1,10 @@
 #include "gooseberrypath/daemon.h"
 
 #include <optional>
+#include <stdexcept>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 #include <catch2/catch.hpp>
@@ -47,11 +50,15 @@
 {
   EventSink sink;
   int runs = 0;
+  bool isFaulty = false;
 
   void Execute(const StartModelAttempt& /*aAction*/) {}
   void Execute(const StartServiceAttempt& aAction)
   {
     ++runs;
+    if (std::exchange(isFaulty, false)) {
+      throw std::runtime_error("faulty");
+    }
     sink(AttemptAnswered{ aAction.attempt, 200, {}, "confirmed" });
   }
   void Execute(const CancelAttempt& /*aAction*/) {}
@@ -131,9 +138,11 @@
 {
 public:
   DaemonFixture()
-    : daemon_({ .daemon = "d0", .peerAddress = "127.0.0.1:1" },
-              FakePorts{ callers, backends, logPort, peers, operators, observation, clock,
-                         [this] { ++exits; } })
+    : daemon_(
+        { .daemon = "d0", .peerAddress = "127.0.0.1:1" },
+        FakePorts{ callers, backends, logPort, peers, operators, observation, clock,
+                   [this] { ++exits; },
+                   [this](std::string_view aReason) { errors.emplace_back(aReason); } })
   {
     for (const std::string_view stream : { kConfigStream, kActionStream, kJobStream }) {
       logPort.Follow(stream, 1);
@@ -173,6 +182,7 @@
   FakePeers peers;
   FakeBackends backends{ [this](Event aEvent) { Post(std::move(aEvent)); } };
   int exits = 0;
+  std::vector<std::string> errors;
 
 private:
   static constexpr Duration kStep = 10ms;
@@ -229,3 +239,27 @@
   f.Run(10s);
   CHECK(f.clock.wakes - before <= 60);
 }
+
+TEST_CASE("An unexpected error in one event does not end the service", "[daemon]")
+{
+  // Guards against a daemon that lives on after an exception and handles no event any
+  // more.
+  DaemonFixture f;
+  f.Run(100ms);
+  f.Apply("service", "booking",
+          R"({"kind":"plain","backends":[{"name":"b0","address":"127.0.0.1:9"}]})");
+  f.Apply("route", "pickups", R"({"pathPrefix":"/pickups","service":"booking"})");
+  f.backends.isFaulty = true;
+  for (uint64_t i = 1; i <= 2; ++i) {
+    f.Post(
+      CallerRequest{ .request = { i },
+                     .method = "POST",
+                     .target = "/pickups",
+                     .headers = { { "Idempotency-Key", "k" + std::to_string(i) } } });
+    f.Run(200ms);
+  }
+  REQUIRE(f.errors.size() == 1);
+  CHECK(f.errors[0] == "faulty");
+  REQUIRE(f.callers.replies.size() == 1);
+  CHECK(f.callers.replies[0].status == 200);
+}
