--- a/entry/backend_choice.cc
+++ b/entry/backend_choice.cc
@@ -171,6 +171,22 @@
   return best;
 }
 
+std::optional<Duration> TimeUntilUsable(const World& aWorld, const RequestRow& aRow)
+{
+  std::optional<Duration> earliest;
+  for (const auto& [id, backend] : aWorld.backends) {
+    const bool isCandidate = backend.entry.service == aRow.service &&
+                             !backend.entry.isLeaving && !backend.removedAt;
+    if (!isCandidate) {
+      continue;
+    }
+    const TimePoint at = std::max(backend.avoidUntil, backend.quietUntil);
+    const Duration wait = std::max<Duration>(at - aWorld.Now(), Duration::zero());
+    earliest = std::min(earliest.value_or(wait), wait);
+  }
+  return earliest;
+}
+
 std::string PickService(const Route& aRoute, std::string_view aRequestId)
 {
   double total = 0;
--- a/entry/backend_choice.h
+++ b/entry/backend_choice.h
@@ -26,6 +26,10 @@
 /// nothing. Backends that failed this call are only taken if there is no other one.
 std::optional<BackendChoice> ChooseBackend(World& aWorld, const RequestRow& aRow);
 
+/// Returns the time after which the first backend of the call's service that is only
+/// passed over for a while may get calls again, or nothing if there is no such backend.
+std::optional<Duration> TimeUntilUsable(const World& aWorld, const RequestRow& aRow);
+
 /// Picks the service of a call among those of its route, by weight and the id of the
 /// call.
 std::string PickService(const Route& aRoute, std::string_view aRequestId);
--- /dev/null
+++ b/entry/backend_notice.cc
@@ -0,0 +1,44 @@
+#include "entry/backend_notice.h"
+
+#include <algorithm>
+
+#include "entry/duration_text.h"
+
+namespace gooseberrypath::entry {
+
+void MarkLeaving(World& aWorld, BackendRow& aBackend, const std::string& aToldBy)
+{
+  if (aBackend.entry.isLeaving) {
+    return;
+  }
+  aBackend.entry.isLeaving = true;
+  aWorld.withdrawn.push_back(aBackend.entry.id);
+  aWorld.isDigestDue = true;
+  aWorld.Emit(DropConnections{ aBackend.entry.address });
+  aWorld.Log(LogLevel::Info, "backend_leaving", {},
+             { { "backend", aBackend.entry.id },
+               { "told_by", aToldBy.empty() ? "the backend" : aToldBy },
+               { "in_flight", std::to_string(aBackend.inFlight) } });
+}
+
+void TakeNotice(World& aWorld, BackendRow& aBackend, const BackendHead& aHead)
+{
+  if (aHead.isOtherBackend) {
+    return; // another backend speaks of itself
+  }
+  if (aHead.isLeaving) {
+    aWorld.isDigestUrgent = aWorld.isDigestUrgent || !aBackend.entry.isLeaving;
+    aBackend.saidLeaving = true;
+    MarkLeaving(aWorld, aBackend, {});
+  }
+  if (aHead.quietTime) {
+    aBackend.quietUntil = std::max(aBackend.quietUntil, aWorld.Now() + *aHead.quietTime);
+    aWorld.withdrawn.push_back(aBackend.entry.id);
+    aWorld.counters.Add(EntryCounter::QuietAsked);
+    aWorld.Log(
+      LogLevel::Info, "backend_wants_quiet", {},
+      { { "backend", aBackend.entry.id }, { "seconds", SecondsText(*aHead.quietTime) } });
+  }
+}
+
+} // namespace gooseberrypath::entry
--- a/entry/backend_port.cc
+++ b/entry/backend_port.cc
@@ -50,10 +50,10 @@
     attempt_ = aAction.attempt;
     requestId_ = aAction.requestId;
     isStream_ = aAction.isStream;
-    isHeadRead_ = false;
+    hasServed_ = std::exchange(isUsed_, true);
+    skippedBytes_ = 0;
     head_ = BackendHead{};
-    body_.clear();
-    splitter_ = EventSplitter{};
+    DropBody();
     if (aAction.method == "HEAD") {
       reader_.ExpectNoBody();
     }
@@ -66,6 +66,7 @@
   {
     socket_.Silence();
     attempt_ = AttemptId{};
+    DropBody();
   }
 
   /// Tells whether the connection may be used for a call after this idle time.
@@ -85,12 +86,24 @@
   {
     if (!IsRunning()) {
       // Bytes that belong to no call; the connection cannot be trusted any more.
+      port_.options_.sink(UnaskedBytes{ address });
       port_.RemoveIdle(*this);
       return;
     }
-    Proceed(reader_.Feed(aBytes));
+    if (!IsAnswering()) {
+      skippedBytes_ += aBytes.size();
+    }
+    const bool isWell = reader_.Feed(aBytes);
+    if (IsRunning() && !IsAnswering() && skippedBytes_ > port_.options_.maxSkippedBytes) {
+      Break("too many bytes came before the answer", true);
+      return;
+    }
+    Proceed(isWell);
   }
 
+  /// Tells whether the answer to this call has begun.
+  bool IsAnswering() const { return head_.status != 0 && head_.isForThisCall; }
+
   void Proceed(bool aIsWell)
   {
     while (aIsWell && isAnswerWhole_ && IsRunning()) {
@@ -98,7 +111,7 @@
       if (!head_.isForThisCall) {
         // The answer to another call; the one to this call may still come.
         isTainted_ = true;
-        body_.clear();
+        head_ = BackendHead{};
         aIsWell = reader_.Next();
         continue;
       }
@@ -106,7 +119,10 @@
       return;
     }
     if (!aIsWell && IsRunning()) {
-      Break("the answer is malformed");
+      const bool isOversized = reader_.IsHeadTooLarge();
+      Break(isOversized ? "the head of the answer is too large"
+                        : "the answer is malformed",
+            isOversized);
     }
   }
 
@@ -114,7 +130,11 @@
   {
     head_ = platform::DecodeBackendHead(aHead, requestId_);
     head_.closesConnection = head_.closesConnection || !aHead.keepsAlive;
-    isHeadRead_ = true;
+    if (hasServed_ && !head_.namesCall && !head_.isOtherBackend) {
+      // It may be a late copy of the answer to an earlier call on this connection.
+      Break("the answer names no call");
+      return;
+    }
     if (head_.isForThisCall && IsEventStream()) {
       port_.options_.sink(StreamStarted{ attempt_, head_ });
     }
@@ -129,18 +149,45 @@
     }
     if (IsEventStream()) {
       SplitEvents events = splitter_.Feed(aBytes);
+      NoteKept(splitter_.Rest().size());
       if (!events.bytes.empty()) {
         port_.options_.sink(
           StreamEvents{ attempt_, std::move(events.bytes), std::move(events.lastId) });
       }
+      CheckKept(port_.options_.maxEventBytes);
       return;
     }
     body_.append(aBytes);
-    if (body_.size() > port_.options_.maxAnswerBytes) {
-      Break("the answer is too large");
+    NoteKept(body_.size());
+    CheckKept(port_.options_.maxAnswerBytes);
+  }
+
+  /// Ends the attempt if too much of its answer is kept.
+  void CheckKept(size_t aLimit)
+  {
+    if (!IsRunning()) {
+      return; // it was cancelled for the events before
+    }
+    if (keptBytes_ > aLimit) {
+      Break("a part of the answer is too large", true);
+    } else if (port_.keptBytes_ > port_.options_.maxKeptBytes) {
+      Break("the answers that are being read are too large together", true);
     }
   }
 
+  void NoteKept(size_t aBytes)
+  {
+    port_.keptBytes_ += aBytes - keptBytes_;
+    keptBytes_ = aBytes;
+  }
+
+  void DropBody()
+  {
+    NoteKept(0);
+    body_ = std::string();
+    splitter_ = EventSplitter{};
+  }
+
   /// The whole answer to the call was read.
   void Complete()
   {
@@ -150,6 +197,9 @@
                             reader_.KeptBytes() == 0 && socket_.QueuedBytes() == 0 &&
                             !isEnded_;
     attempt_ = AttemptId{};
+    std::string body = std::move(body_);
+    std::string rest = splitter_.Rest();
+    DropBody();
     if (head_.keepAlive) {
       keepAlive_ = *head_.keepAlive;
     }
@@ -160,20 +210,21 @@
       port_.Remove(attempt);
     }
     if (!isStream) {
-      port_.options_.sink(AttemptAnswered{ attempt, std::move(head_), std::move(body_) });
+      port_.options_.sink(AttemptAnswered{ attempt, std::move(head_), std::move(body) });
       return;
     }
-    if (!splitter_.Rest().empty()) {
-      port_.options_.sink(StreamEvents{ attempt, splitter_.Rest(), {} });
+    if (!rest.empty()) {
+      port_.options_.sink(StreamEvents{ attempt, std::move(rest), {} });
     }
     port_.options_.sink(StreamEnded{ attempt });
   }
 
-  void Break(std::string aReason)
+  void Break(std::string aReason, bool aIsOversized = false)
   {
     const AttemptId attempt = std::exchange(attempt_, AttemptId{});
+    DropBody();
     port_.Remove(attempt);
-    port_.options_.sink(AttemptBroken{ attempt, std::move(aReason) });
+    port_.options_.sink(AttemptBroken{ attempt, std::move(aReason), aIsOversized });
   }
 
   void OnClosed(bool aIsReset)
@@ -196,10 +247,13 @@
   AttemptId attempt_; // 0: idle
   std::string requestId_;
   bool isStream_ = false;
-  bool isHeadRead_ = false;
   bool isAnswerWhole_ = false;
-  bool isTainted_ = false; // an answer to another call was seen
-  bool isEnded_ = false;   // the backend closed its side
+  bool isUsed_ = false;     // a call was sent
+  bool hasServed_ = false;  // another call was sent before the present one
+  bool isTainted_ = false;  // an answer to another call was seen
+  size_t skippedBytes_ = 0; // read before the answer to the call began
+  size_t keptBytes_ = 0;    // of the answer, until they are passed on
+  bool isEnded_ = false;    // the backend closed its side
   BackendHead head_;
   std::string body_;
   EventSplitter splitter_;
@@ -240,6 +294,10 @@
                     tasks_.add(kj::evalLater(
                       [entry = kj::mv(found->second)]() mutable { entry = nullptr; }));
                     connecting_.erase(found);
+                    if (options_.now() > action.sendBy) {
+                      options_.sink(AttemptNotSent{ id, "connecting took too long" });
+                      return;
+                    }
                     Begin(kj::heap<Link>(*this, action.address, kj::mv(aStream)), action);
                   },
                   [this, id](kj::Exception&& aError) {
--- a/entry/backend_port.h
+++ b/entry/backend_port.h
@@ -39,6 +39,14 @@
   // A call that may not be repeated takes only connections that were idle for less.
   Duration maxIdleForOnce = std::chrono::milliseconds(1500);
   size_t maxAnswerBytes = size_t{ 16 } * 1024 * 1024;
+  // Bytes of answers that are kept until they are whole, of all connections together: a
+  // small host has 160 MB, and several backends may send without end at once.
+  size_t maxKeptBytes = size_t{ 32 } * 1024 * 1024;
+  // Bytes of one event of a stream, which is kept until it is whole.
+  size_t maxEventBytes = size_t{ 256 } * 1024;
+  // Bytes that are read and thrown away while the answer to a call is awaited: interim
+  // heads and answers to other calls.
+  size_t maxSkippedBytes = size_t{ 1024 } * 1024;
 };
 
 class BackendPort
@@ -78,6 +86,7 @@
   std::unordered_map<AttemptId, kj::Own<Connecting>> connecting_;
   std::unordered_map<AttemptId, kj::Own<Link>> busy_;
   std::map<std::string, std::vector<kj::Own<Link>>> idle_; // by address, oldest first
+  size_t keptBytes_ = 0; // of answers that are not whole yet
   TaskErrors errors_;
   kj::TaskSet tasks_;
 };
--- a/entry/call_end.cc
+++ b/entry/call_end.cc
@@ -99,6 +99,7 @@
 {
   world_.timers.Cancel(aRequest.row->dueTimer);
   world_.timers.Cancel(aRequest.row->hedgeTimer);
+  world_.timers.Cancel(aRequest.row->stallTimer);
   world_.requests.Erase(aRequest.id);
 }
 
--- a/entry/caller_port.cc
+++ b/entry/caller_port.cc
@@ -23,6 +23,13 @@
 // a reset for bytes that were not read.
 constexpr Duration kLingerTime = std::chrono::seconds(2);
 
+// While the daemon stops, a connection is closed only after it was idle for this time:
+// the call of one that was just made, or that was just answered, may be on its way.
+constexpr Duration kFreshTime = std::chrono::milliseconds(400);
+
+// Connections that wait to be accepted are taken within this time.
+constexpr Duration kBacklogTime = std::chrono::milliseconds(5);
+
 // Bytes of an answer that a caller may leave unread.
 constexpr size_t kMaxQueuedBytes = size_t{ 2 } * 1024 * 1024;
 
@@ -91,10 +98,12 @@
 
   bool IsOverfull() const { return socket_.QueuedBytes() > kMaxQueuedBytes; }
 
-  /// Closes the connection if no request is on it.
-  void CloseIfIdle()
+  /// Closes the connection if no request is on it, and none is likely to be on its way.
+  void CloseIfIdle(TimePoint aNow)
   {
-    if (exchange_ == ExchangeId{} && !reader_.IsInMessage() && !lingerEnd_) {
+    const bool isIdle =
+      exchange_ == ExchangeId{} && !reader_.IsInMessage() && !lingerEnd_;
+    if (isIdle && since_ + kFreshTime <= aNow) {
       Linger();
     }
   }
@@ -115,6 +124,8 @@
       }
     } else if (since_ + limits.idleTimeout <= aNow) {
       Linger();
+    } else if (port_.isClosing_) {
+      CloseIfIdle(aNow);
     }
   }
 
@@ -220,9 +231,6 @@
       socket_.Resume();
     }
     AfterFeed(isWell);
-    if (port_.isClosing_) {
-      CloseIfIdle();
-    }
   }
 
   void Forget()
@@ -286,7 +294,8 @@
   } else {
     kj::throwFatalException(KJ_EXCEPTION(FAILED, "the address of callers is malformed"));
   }
-  tasks_.add(AcceptLoop());
+  accepting_ = AcceptLoop().eagerlyEvaluate(
+    [this](kj::Exception&& aError) { errors_.taskFailed(kj::mv(aError)); });
   tasks_.add(SweepLoop());
 }
 
@@ -347,6 +356,14 @@
   connection->Silence();
   tasks_.add(
     kj::evalLater([connection = kj::mv(connection)]() mutable { connection = nullptr; }));
+  NoteIfLeft();
+}
+
+void CallerPort::NoteIfLeft()
+{
+  if (isClosing_ && connections_.empty()) {
+    options_.sink(CallersLeft{});
+  }
 }
 
 void CallerPort::Execute(const AnswerWhole& aAction)
@@ -398,9 +415,23 @@
 void CallerPort::Execute(const CloseCallers&)
 {
   isClosing_ = true;
+  const TimePoint now = options_.now();
   for (auto& [id, connection] : connections_) {
-    connection->CloseIfIdle();
+    connection->CloseIfIdle(now);
   }
+  NoteIfLeft();
+}
+
+void CallerPort::Execute(const StopAccepting&)
+{
+  // A connection that waits in the system's queue would be reset with its call.
+  tasks_.add(options_.timer.afterDelay(ToKj(kBacklogTime)).then([this] {
+    return kj::evalLast([this] {
+      accepting_ = nullptr;
+      listener_ = nullptr;
+      NoteIfLeft();
+    });
+  }));
 }
 
 } // namespace gooseberrypath::entry
--- a/entry/caller_port.h
+++ b/entry/caller_port.h
@@ -47,6 +47,7 @@
   void Execute(const AnswerAbort& aAction);
   void Execute(const SetCallerLimits& aAction);
   void Execute(const CloseCallers& aAction);
+  void Execute(const StopAccepting& aAction);
 
   size_t ConnectionCount() const { return connections_.size(); }
 
@@ -57,6 +58,9 @@
 
   kj::Promise<void> AcceptLoop();
   kj::Promise<void> SweepLoop();
+
+  /// Tells the core when the last connection has ended during the stop.
+  void NoteIfLeft();
   Connection* Find(ExchangeId aId);
   void Remove(uint64_t aConnection);
 
@@ -68,6 +72,7 @@
   std::unordered_map<uint64_t, kj::Own<Connection>> connections_;
   std::unordered_map<ExchangeId, uint64_t> exchanges_;
   kj::Own<kj::ConnectionReceiver> listener_;
+  kj::Promise<void> accepting_ = nullptr;
   TaskErrors errors_;
   kj::TaskSet tasks_;
 };
--- a/entry/digest.capnp
+++ b/entry/digest.capnp
@@ -17,7 +17,7 @@
   teams @10 :List(TeamUse);
   usage @11 :List(UsageRow);
   peers @12 :List(Text);
-  leaving @13 :List(Text);
+  leaving @13 :List(LeavingBackend);
   fleetOffset @14 :UInt64;
   news @15 :List(FleetChange);
   newsFrom @16 :UInt64;
@@ -38,6 +38,12 @@
   sequence @10 :UInt64;
 }
 
+struct LeavingBackend {
+  id @0 :Text;
+  bornMs @1 :UInt64;
+  isRemoved @2 :Bool;
+}
+
 struct BackendUse {
   backend @0 :UInt32;
   inFlight @1 :UInt32;
--- a/entry/digest.capnp.c++
+++ b/entry/digest.capnp.c++
@@ -286,8 +286,8 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   3,   0,   1,   0,
-     12,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    160, 229,  30, 131,  68,  37,  54, 195,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
@@ -340,13 +340,14 @@
   &s_95a3ad41633e5dc9,
   &s_bb64fea4ff166385,
   &s_be805a84bfb43b31,
+  &s_c3362544831ee5a0,
   &s_ef4d759db683e31b,
 };
 static const uint16_t m_d62b11838d606aca[] = {9, 5, 0, 8, 7, 6, 14, 1, 3, 13, 15, 16, 17, 12, 4, 2, 10, 11};
 static const uint16_t i_d62b11838d606aca[] = {0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17};
 const ::capnp::_::RawSchema s_d62b11838d606aca = {
   0xd62b11838d606aca, b_d62b11838d606aca.words, 326, d_d62b11838d606aca, m_d62b11838d606aca,
-  5, 18, i_d62b11838d606aca, nullptr, nullptr, { &s_d62b11838d606aca, nullptr, nullptr, 0, 0, nullptr }
+  6, 18, i_d62b11838d606aca, nullptr, nullptr, { &s_d62b11838d606aca, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<189> b_95a3ad41633e5dc9 = {
@@ -549,6 +550,81 @@
   0, 11, i_95a3ad41633e5dc9, nullptr, nullptr, { &s_95a3ad41633e5dc9, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<64> b_c3362544831ee5a0 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    160, 229,  30, 131,  68,  37,  54, 195,
+     13,   0,   0,   0,   1,   0,   2,   0,
+     21,  68, 110,  11, 159, 124, 163, 210,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 226,   0,   0,   0,
+     33,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 175,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100, 105, 103, 101, 115, 116,  46,  99,
+     97, 112, 110, 112,  58,  76, 101,  97,
+    118, 105, 110, 103,  66,  97,  99, 107,
+    101, 110, 100,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,  26,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     68,   0,   0,   0,   3,   0,   1,   0,
+     80,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,  64,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     77,   0,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     76,   0,   0,   0,   3,   0,   1,   0,
+     88,   0,   0,   0,   2,   0,   1,   0,
+    105, 100,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     98, 111, 114, 110,  77, 115,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    105, 115,  82, 101, 109, 111, 118, 101,
+    100,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_c3362544831ee5a0 = b_c3362544831ee5a0.words;
+#if !CAPNP_LITE
+static const uint16_t m_c3362544831ee5a0[] = {1, 0, 2};
+static const uint16_t i_c3362544831ee5a0[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_c3362544831ee5a0 = {
+  0xc3362544831ee5a0, b_c3362544831ee5a0.words, 64, nullptr, m_c3362544831ee5a0,
+  0, 3, i_c3362544831ee5a0, nullptr, nullptr, { &s_c3362544831ee5a0, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<80> b_ef4d759db683e31b = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      27, 227, 131, 182, 157, 117,  77, 239,
@@ -857,6 +933,14 @@
 constexpr ::capnp::_::RawSchema const* FleetChange::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// LeavingBackend
+constexpr uint16_t LeavingBackend::_capnpPrivate::dataWordSize;
+constexpr uint16_t LeavingBackend::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind LeavingBackend::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* LeavingBackend::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // BackendUse
 constexpr uint16_t BackendUse::_capnpPrivate::dataWordSize;
 constexpr uint16_t BackendUse::_capnpPrivate::pointerCount;
--- a/entry/digest.capnp.h
+++ b/entry/digest.capnp.h
@@ -18,6 +18,7 @@
 
 CAPNP_DECLARE_SCHEMA(d62b11838d606aca);
 CAPNP_DECLARE_SCHEMA(95a3ad41633e5dc9);
+CAPNP_DECLARE_SCHEMA(c3362544831ee5a0);
 CAPNP_DECLARE_SCHEMA(ef4d759db683e31b);
 CAPNP_DECLARE_SCHEMA(be805a84bfb43b31);
 CAPNP_DECLARE_SCHEMA(bb64fea4ff166385);
@@ -60,6 +61,21 @@
   };
 };
 
+struct LeavingBackend {
+  LeavingBackend() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c3362544831ee5a0, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct BackendUse {
   BackendUse() = delete;
 
@@ -172,7 +188,7 @@
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getPeers() const;
 
   inline bool hasLeaving() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getLeaving() const;
+  inline  ::capnp::List< ::gooseberrypath::entry::wire::LeavingBackend,  ::capnp::Kind::STRUCT>::Reader getLeaving() const;
 
   inline  ::uint64_t getFleetOffset() const;
 
@@ -276,12 +292,11 @@
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownPeers();
 
   inline bool hasLeaving();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getLeaving();
-  inline void setLeaving( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setLeaving(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initLeaving(unsigned int size);
-  inline void adoptLeaving(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownLeaving();
+  inline  ::capnp::List< ::gooseberrypath::entry::wire::LeavingBackend,  ::capnp::Kind::STRUCT>::Builder getLeaving();
+  inline void setLeaving( ::capnp::List< ::gooseberrypath::entry::wire::LeavingBackend,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::gooseberrypath::entry::wire::LeavingBackend,  ::capnp::Kind::STRUCT>::Builder initLeaving(unsigned int size);
+  inline void adoptLeaving(::capnp::Orphan< ::capnp::List< ::gooseberrypath::entry::wire::LeavingBackend,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::gooseberrypath::entry::wire::LeavingBackend,  ::capnp::Kind::STRUCT>> disownLeaving();
 
   inline  ::uint64_t getFleetOffset();
   inline void setFleetOffset( ::uint64_t value);
@@ -471,6 +486,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class LeavingBackend::Reader {
+public:
+  typedef LeavingBackend Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline  ::uint64_t getBornMs() const;
+
+  inline bool getIsRemoved() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LeavingBackend::Builder {
+public:
+  typedef LeavingBackend Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline  ::uint64_t getBornMs();
+  inline void setBornMs( ::uint64_t value);
+
+  inline bool getIsRemoved();
+  inline void setIsRemoved(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LeavingBackend::Pipeline {
+public:
+  typedef LeavingBackend Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class BackendUse::Reader {
 public:
   typedef BackendUse Reads;
@@ -1131,33 +1237,29 @@
   return !_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Digest::Reader::getLeaving() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::gooseberrypath::entry::wire::LeavingBackend,  ::capnp::Kind::STRUCT>::Reader Digest::Reader::getLeaving() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::LeavingBackend,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Digest::Builder::getLeaving() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::gooseberrypath::entry::wire::LeavingBackend,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::getLeaving() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::LeavingBackend,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline void Digest::Builder::setLeaving( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
-}
-inline void Digest::Builder::setLeaving(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+inline void Digest::Builder::setLeaving( ::capnp::List< ::gooseberrypath::entry::wire::LeavingBackend,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::LeavingBackend,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Digest::Builder::initLeaving(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::gooseberrypath::entry::wire::LeavingBackend,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::initLeaving(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::LeavingBackend,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS), size);
 }
 inline void Digest::Builder::adoptLeaving(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::capnp::List< ::gooseberrypath::entry::wire::LeavingBackend,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::LeavingBackend,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Digest::Builder::disownLeaving() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::gooseberrypath::entry::wire::LeavingBackend,  ::capnp::Kind::STRUCT>> Digest::Builder::disownLeaving() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::LeavingBackend,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
@@ -1471,6 +1573,68 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool LeavingBackend::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LeavingBackend::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader LeavingBackend::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder LeavingBackend::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LeavingBackend::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder LeavingBackend::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void LeavingBackend::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> LeavingBackend::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t LeavingBackend::Reader::getBornMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LeavingBackend::Builder::getBornMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LeavingBackend::Builder::setBornMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LeavingBackend::Reader::getIsRemoved() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool LeavingBackend::Builder::getIsRemoved() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void LeavingBackend::Builder::setIsRemoved(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t BackendUse::Reader::getBackend() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/entry/duty_system.cc
+++ b/entry/duty_system.cc
@@ -49,6 +49,11 @@
 constexpr WallTime kStoredUsageTime{ 3500 };
 constexpr uint64_t kStoredWindows = 4;
 
+// Windows for which a report is decided, before the current one. Older ones are of no use
+// to the platform, and a state that names a very old one must not lead to a report for
+// each window since then.
+constexpr uint64_t kMaxLateWindows = 24;
+
 } // namespace
 
 void DutySystem::Start()
@@ -399,6 +404,10 @@
   if (!world_.options.reportsUsage) {
     return;
   }
+  // After a long outage, or with a malformed state, only the last windows are decided.
+  const uint64_t current = world_.usage.WindowAt(world_.WallNow());
+  aState.firstUnreported =
+    std::max(aState.firstUnreported, current - std::min(current, kMaxLateWindows));
   while (IsSettled(aState.firstUnreported)) {
     const uint64_t window = aState.firstUnreported;
     aState.reports.push_back({ .window = window, .counts = world_.usage.Totals(window) });
--- a/entry/entry_counters.h
+++ b/entry/entry_counters.h
@@ -25,6 +25,11 @@
   AttemptsNotSent,
   AttemptsRefused, // by the backend, not run
   AttemptsBroken,
+  AttemptsWithdrawn, // before they were sent, because the backend became unusable
+  AnswersOversized,  // bytes without end instead of an answer
+  UnaskedBytes,      // on a connection without a call
+  StreamsStalled,
+  QuietAsked, // backends that asked for no calls for a while
   AttemptsRepeated,
   RepeatsDenied, // by the retry budget
   StreamsResumed,
--- a/entry/fleet_system.cc
+++ b/entry/fleet_system.cc
@@ -4,6 +4,8 @@
 #include <set>
 #include <utility>
 
+#include "entry/backend_notice.h"
+
 namespace gooseberrypath::entry {
 
 namespace {
@@ -25,7 +27,8 @@
 
 bool IsUsable(const BackendRow& aBackend, TimePoint aNow)
 {
-  return !aBackend.entry.isLeaving && !aBackend.removedAt && aBackend.avoidUntil <= aNow;
+  return !aBackend.entry.isLeaving && !aBackend.removedAt &&
+         aBackend.avoidUntil <= aNow && aBackend.quietUntil <= aNow;
 }
 
 void FleetSystem::Start()
@@ -164,6 +167,8 @@
   const bool isNew = row == nullptr || row->removedAt ||
                      row->entry.bornMs != aEntry.bornMs ||
                      row->entry.address != aEntry.address;
+  const bool isSameStart = row != nullptr && row->entry.bornMs == aEntry.bornMs &&
+                           row->entry.address == aEntry.address;
   const bool wasLeaving = row != nullptr && row->entry.isLeaving;
   if (row == nullptr) {
     row = &world_.backends.Insert(
@@ -172,16 +177,20 @@
   if (isNew) {
     row->health = BackendHealth{};
     row->avoidUntil = {};
+    row->quietUntil = {};
     row->removedAt.reset();
     row->leavesAt.reset();
   }
+  row->saidLeaving = row->saidLeaving && isSameStart;
   row->entry = aEntry;
+  row->entry.isLeaving = aEntry.isLeaving || row->saidLeaving;
   if (aEntry.leavesIn) {
     row->leavesAt = world_.Now() + *aEntry.leavesIn;
   }
   const bool isLeavingNow = aEntry.isLeaving && !(wasLeaving && !isNew);
   if (isLeavingNow) {
     world_.Emit(DropConnections{ aEntry.address });
+    world_.withdrawn.push_back(aEntry.id);
     world_.isDigestDue = true;
   }
   if (isNew || isLeavingNow) {
@@ -246,6 +255,7 @@
     return;
   }
   row->removedAt = world_.Now();
+  world_.withdrawn.push_back(aId);
   world_.isDigestDue = true;
   world_.Emit(DropConnections{ row->entry.address });
   world_.Log(LogLevel::Info, "backend_removed", {},
@@ -274,15 +284,20 @@
              { { "key", aEvent.key }, { "reason", aEvent.reason } });
 }
 
+void FleetSystem::Handle(const UnaskedBytes& aEvent)
+{
+  world_.counters.Add(EntryCounter::UnaskedBytes);
+  world_.Log(LogLevel::Warning, "unasked_bytes", {}, { { "address", aEvent.address } });
+}
+
 void FleetSystem::Handle(const DigestReceived& aEvent)
 {
-  for (const std::string& id : aEvent.digest.leaving) {
-    BackendRow* row = world_.backends.Find(id);
-    if (row != nullptr && !row->entry.isLeaving) {
-      row->entry.isLeaving = true;
-      world_.Emit(DropConnections{ row->entry.address });
-      world_.Log(LogLevel::Info, "backend_leaving", {},
-                 { { "backend", id }, { "told_by", aEvent.digest.daemon } });
+  for (const LeavingBackend& told : aEvent.digest.leaving) {
+    BackendRow* row = world_.backends.Find(told.id);
+    // The id may have been taken over by a later start, which does not leave.
+    if (row != nullptr && row->entry.bornMs == told.bornMs) {
+      row->saidLeaving = row->saidLeaving || !told.isRemoved;
+      MarkLeaving(world_, *row, aEvent.digest.daemon);
     }
   }
   if (aEvent.digest.news) {
--- a/entry/fleet_system.h
+++ b/entry/fleet_system.h
@@ -28,6 +28,7 @@
   void Handle(const StoreReachable& aEvent);
 
   void Handle(const RecordIgnored& aEvent);
+  void Handle(const UnaskedBytes& aEvent);
 
   /// Takes over what a peer heard of leaving backends, and what it has just read.
   void Handle(const DigestReceived& aEvent);
--- a/entry/http_reader.cc
+++ b/entry/http_reader.cc
@@ -127,7 +127,7 @@
 int HttpReader::OnField(std::string_view aText)
 {
   if (!isInHead_) {
-    return 0; // a trailer; nothing of it is passed on
+    return CountHead(aText.size()) ? 0 : 1; // a trailer; nothing of it is passed on
   }
   if (head_.headers.empty() || lastWasValue_) {
     head_.headers.emplace_back();
@@ -140,7 +140,7 @@
 int HttpReader::OnValue(std::string_view aText)
 {
   if (!isInHead_) {
-    return 0;
+    return CountHead(aText.size()) ? 0 : 1;
   }
   lastWasValue_ = true;
   head_.headers.back().value.append(aText);
--- a/entry/messages.h
+++ b/entry/messages.h
@@ -60,6 +60,10 @@
   ExchangeId exchange;
 };
 
+/// No connection of a caller is open, after CloseCallers or StopAccepting.
+struct CallersLeft
+{};
+
 // Events of attempts at backends. After AttemptNotSent, AttemptAnswered, StreamEnded or
 // AttemptBroken, an attempt has no further events.
 
@@ -110,6 +114,13 @@
 {
   AttemptId attempt;
   std::string reason;
+  bool isOversized = false; // more bytes came than any answer has
+};
+
+/// An idle connection to a backend was closed because bytes came that belong to no call.
+struct UnaskedBytes
+{
+  std::string address;
 };
 
 // Other events.
@@ -173,10 +184,10 @@
 
 using Event =
   std::variant<ConfigurationRead, FleetRead, StoreReachable, RecordIgnored, CallArrived,
-               CallerGone, AttemptNotSent, AttemptSent, AttemptAnswered, StreamStarted,
-               StreamEvents, StreamEnded, AttemptBroken, DigestReceived, PeersListed,
-               DutyStateRead, DutyStateWritten, UsageSent, UsageRead, OrderSent,
-               StopRequested>;
+               CallerGone, CallersLeft, AttemptNotSent, AttemptSent, AttemptAnswered,
+               StreamStarted, StreamEvents, StreamEnded, AttemptBroken, UnaskedBytes,
+               DigestReceived, PeersListed, DutyStateRead, DutyStateWritten, UsageSent,
+               UsageRead, OrderSent, StopRequested>;
 
 // Actions towards callers.
 
@@ -230,6 +241,10 @@
 struct CloseCallers
 {};
 
+/// No connection is accepted from now on but those that are already waiting.
+struct StopAccepting
+{};
+
 // Actions towards backends.
 
 struct StartAttempt
@@ -242,10 +257,11 @@
   Headers headers;
   std::string body;
   std::string requestId;
-  std::string team;        // empty: none
-  std::string lastEventId; // empty: from the start
-  Duration timeLeft{};     // the backend stops then
-  uint32_t urgency = 5;    // 0 to 9, 0 is first
+  std::string team;                    // empty: none
+  std::string lastEventId;             // empty: from the start
+  Duration timeLeft{};                 // the backend stops then
+  TimePoint sendBy = TimePoint::max(); // nothing may be sent after it
+  uint32_t urgency = 5;                // 0 to 9, 0 is first
   bool isModelRequest = false;
   bool isStream = false;
   bool mayRepeat = false; // a kept connection that breaks does no harm
@@ -336,10 +352,10 @@
 
 using Action =
   std::variant<AnswerWhole, AnswerStreamHead, AnswerStreamBytes, AnswerStreamEnd,
-               AnswerAbort, SetCallerLimits, SetReady, CloseCallers, StartAttempt,
-               CancelAttempt, DropConnections, SendDigest, ReadFleet, ReadConfiguration,
-               SkipFleet, SetReaders, ReadDutyState, WriteDutyState, WriteUsage,
-               ReadUsage, SendUsage, SendOrder, WriteEvent, ExitProcess>;
+               AnswerAbort, SetCallerLimits, SetReady, CloseCallers, StopAccepting,
+               StartAttempt, CancelAttempt, DropConnections, SendDigest, ReadFleet,
+               ReadConfiguration, SkipFleet, SetReaders, ReadDutyState, WriteDutyState,
+               WriteUsage, ReadUsage, SendUsage, SendOrder, WriteEvent, ExitProcess>;
 
 } // namespace gooseberrypath::entry
 
--- a/entry/model.h
+++ b/entry/model.h
@@ -179,12 +179,15 @@
 struct BackendHead
 {
   int status = 0;
-  Headers headers;             // that are passed on
-  bool isForThisCall = true;   // it echoes the id of the call
-  bool isSigned = false;       // it bears the backend's signature
-  bool wasNotRun = false;      // the backend states that it did not run the call
-  bool isOtherBackend = false; // another backend has the address now
-  bool isEncoded = false;      // the body is not the backend's own
+  Headers headers;                   // that are passed on
+  bool isForThisCall = true;         // it echoes the id of the call
+  bool isSigned = false;             // it bears the backend's signature
+  bool wasNotRun = false;            // the backend states that it did not run the call
+  bool isOtherBackend = false;       // another backend has the address now
+  bool isEncoded = false;            // the body is not the backend's own
+  bool namesCall = false;            // it echoes an id at all
+  bool isLeaving = false;            // the backend is about to end and wants no new calls
+  std::optional<Duration> quietTime; // a refusing backend wants no calls for so long
   bool closesConnection = false;
   std::optional<Duration> keepAlive; // idle time until the backend closes
 };
--- a/entry/peer_digest.cc
+++ b/entry/peer_digest.cc
@@ -1,5 +1,7 @@
 #include "entry/peer_digest.h"
 
+#include <algorithm>
+#include <cmath>
 #include <optional>
 
 #include <capnp/message.h>
@@ -16,6 +18,11 @@
 
 constexpr size_t kMaxListLength = 10'000; // of each list in a digest
 
+// Words of 8 bytes that a datagram may unpack to. A packed message of zeros unpacks to a
+// thousand times its size, which is more than the memory of a small host.
+constexpr uint64_t kMaxWords = uint64_t{ 64 } * 1024;
+constexpr int kMaxNesting = 8;
+
 std::string ToString(capnp::Text::Reader aText)
 {
   return { aText.begin(), aText.size() };
@@ -58,7 +65,9 @@
   }
   auto leaving = aInto.initLeaving(aDigest.leaving.size());
   for (uint32_t i = 0; i < leaving.size(); ++i) {
-    leaving.set(i, ToText(aDigest.leaving[i]));
+    leaving[i].setId(ToText(aDigest.leaving[i].id));
+    leaving[i].setBornMs(aDigest.leaving[i].bornMs);
+    leaving[i].setIsRemoved(aDigest.leaving[i].isRemoved);
   }
 }
 
@@ -148,8 +157,10 @@
   for (const auto peer : aMessage.getPeers()) {
     digest.peers.push_back(ToString(peer));
   }
-  for (const auto id : aMessage.getLeaving()) {
-    digest.leaving.push_back(ToString(id));
+  for (const auto backend : aMessage.getLeaving()) {
+    digest.leaving.push_back({ .id = ToString(backend.getId()),
+                               .bornMs = backend.getBornMs(),
+                               .isRemoved = backend.getIsRemoved() });
   }
   if (aMessage.getNews().size() > 0) {
     FleetNews news{ .from = aMessage.getNewsFrom(), .next = aMessage.getNewsNext() };
@@ -192,12 +203,19 @@
   auto failure = kj::runCatchingExceptions([&] {
     kj::ArrayInputStream packed(
       kj::ArrayPtr<const char>(aBytes.data(), aBytes.size()).asBytes());
-    capnp::PackedMessageReader reader(packed);
+    capnp::PackedMessageReader reader(
+      packed, { .traversalLimitInWords = kMaxWords, .nestingLimit = kMaxNesting });
     digest = Read(reader.getRoot<wire::Digest>());
   });
   KJ_IF_MAYBE (problem, failure) {
     return MakeError(ErrorKind::BadRequest, problem->getDescription().cStr());
   }
+  const bool isMeasured = std::ranges::all_of(digest->demands, [](const auto& aDemand) {
+    return std::isfinite(aDemand.tokensPerSecond) && aDemand.tokensPerSecond >= 0;
+  });
+  if (!isMeasured) {
+    return MakeError(ErrorKind::BadRequest, "a demand of the digest is no rate");
+  }
   const bool isTooLong = digest->backends.size() > kMaxListLength ||
                          digest->usage.size() > kMaxListLength ||
                          (digest->news && digest->news->changes.size() > kMaxListLength);
--- a/entry/peer_system.cc
+++ b/entry/peer_system.cc
@@ -14,6 +14,13 @@
 // Without news a digest is sent as a sign of life.
 constexpr Duration kIdleInterval = std::chrono::milliseconds(500);
 
+// Urgent digests of one daemon have at least this time between them.
+constexpr Duration kUrgentInterval = std::chrono::milliseconds(20);
+
+// Intervals differ by up to this share, so that the digests of daemons that started
+// together do not come all at once.
+constexpr double kIntervalSpread = 0.15;
+
 // Usage goes to the holder of the duties, and addresses go into a digest, after this
 // time.
 constexpr Duration kFullInterval = std::chrono::milliseconds(500);
@@ -38,6 +45,13 @@
 constexpr size_t kHeadBytes = 130;   // of a digest without lists, with UDP and IP headers
 constexpr uint64_t kToldWindows = 3; // of usage, before the current one
 
+// Counts of windows outside this distance from the current one are not kept: no daemon
+// sends such, and a forged datagram must not fill the memory.
+constexpr uint64_t kMaxWindowDistance = 12;
+
+// Addresses and daemons that are remembered, several times as many as a fleet has.
+constexpr size_t kMaxPeers = 2000;
+
 /// Returns the name under which the sender counts usage.
 std::string ProcessOf(const PeerDigest& aDigest)
 {
@@ -61,25 +75,31 @@
     Send();
     return;
   }
-  if (isTimerSet_ || world_.knownAddresses.empty()) {
+  if (world_.knownAddresses.empty()) {
     return;
   }
-  const Duration wait =
-    world_.isDigestDue ? Interval() : std::max(Interval(), kIdleInterval);
-  const TimePoint due = lastSent_ + wait;
+  const TimePoint due = lastSent_ + SendPause();
   if (due <= world_.Now()) {
     Send();
     return;
   }
-  if (world_.isDigestDue) {
-    isTimerSet_ = true;
-    world_.timers.SubscribeAt(due, [this](TimePoint) {
-      isTimerSet_ = false;
-      Send();
-    });
+  const bool isWaiting = world_.isDigestDue || world_.isDigestUrgent;
+  if (isWaiting && (!wakesAt_ || due < *wakesAt_)) {
+    wakesAt_ = due;
+    world_.timers.SubscribeAt(due, [this](TimePoint) { wakesAt_.reset(); });
   }
 }
 
+Duration PeerSystem::SendPause() const
+{
+  if (world_.isDigestUrgent) {
+    return kUrgentInterval;
+  }
+  const Duration pause =
+    world_.isDigestDue ? Interval() : std::max(Interval(), kIdleInterval);
+  return std::chrono::duration_cast<Duration>(pause * spread_);
+}
+
 Duration PeerSystem::Interval() const
 {
   const double bytes = static_cast<double>(lastSize_ * world_.knownAddresses.size());
@@ -93,10 +113,13 @@
   const TimePoint now = world_.Now();
   const bool isFull = now - lastFull_ >= kFullInterval || sequence_ == 0;
   lastSent_ = now;
+  spread_ = std::uniform_real_distribution<double>(1 - kIntervalSpread,
+                                                   1 + kIntervalSpread)(world_.random);
   if (isFull) {
     lastFull_ = now;
   }
   world_.isDigestDue = false;
+  world_.isDigestUrgent = false;
   SendDigest action{ .digest = MakeDigest(isFull) };
   action.digest.news = std::exchange(world_.news, std::nullopt);
   const std::string holder = isFull ? HolderAddress() : std::string();
@@ -107,7 +130,7 @@
   }
   const PeerDigest& digest = action.digest;
   lastSize_ = kHeadBytes + 13 * digest.backends.size() + 12 * digest.teams.size() +
-              24 * digest.peers.size() + 16 * digest.leaving.size();
+              24 * digest.peers.size() + 24 * digest.leaving.size();
   if (!holder.empty()) {
     SendDigest withUsage{ .to = { holder }, .digest = digest };
     // Counts of the last windows, because the newest digests may have been lost.
@@ -155,7 +178,8 @@
     }
     const bool isGone = row.removedAt && *row.removedAt + kTellRemoved > world_.Now();
     if (isGone || (row.entry.isLeaving && !row.removedAt)) {
-      digest.leaving.push_back(id);
+      digest.leaving.push_back(
+        { .id = id, .bornMs = row.entry.bornMs, .isRemoved = row.removedAt.has_value() });
     }
   }
   for (const auto& [name, row] : world_.teams) {
@@ -180,7 +204,8 @@
 
 void PeerSystem::Learn(const std::string& aAddress)
 {
-  if (aAddress != world_.options.peerAddress && !aAddress.empty()) {
+  const bool isRoom = world_.knownAddresses.size() < kMaxPeers;
+  if (aAddress != world_.options.peerAddress && !aAddress.empty() && isRoom) {
     world_.knownAddresses.try_emplace(aAddress, world_.Now());
   }
 }
@@ -206,6 +231,9 @@
                            std::pair(peer->digest.incarnation, peer->digest.sequence)) {
     return; // overtaken by a newer one
   }
+  if (peer == nullptr && world_.peers.Size() >= kMaxPeers) {
+    return;
+  }
   if (peer == nullptr) {
     peer = &world_.peers.Insert(digest.daemon, PeerRow{});
     world_.isDigestDue = true; // so that the peer learns of this daemon
@@ -229,13 +257,21 @@
   peer->heard = world_.Now();
   peer->isHeard = true;
   Learn(aEvent.from);
-  world_.knownAddresses[aEvent.from] = world_.Now();
+  if (const auto known = world_.knownAddresses.find(aEvent.from);
+      known != world_.knownAddresses.end()) {
+    known->second = world_.Now();
+  }
   for (const std::string& address : digest.peers) {
     Learn(address);
   }
   const std::string process = ProcessOf(digest);
   std::vector<UsageRow> usage = digest.usage;
-  if (!usage.empty()) {
+  const uint64_t window = world_.usage.WindowAt(world_.WallNow());
+  std::erase_if(usage, [&](const UsageRow& aRow) {
+    return aRow.window + kMaxWindowDistance < window ||
+           aRow.window > window + kMaxWindowDistance;
+  });
+  if (!digest.usage.empty()) {
     peer->toldUsage = world_.WallNow();
   }
   for (UsageRow& row : usage) {
@@ -329,8 +365,7 @@
   for (auto& [name, row] : world_.teams) {
     row.quota.SetDaemons(serving);
     row.quota.SetNewsInterval(world_.newsInterval);
-    row.quota.SetHeardShare(world_.Now(),
-                            static_cast<double>(fresh) / static_cast<double>(serving));
+    row.quota.SetHeardShare(world_.Now(), fresh / static_cast<double>(serving));
   }
 }
 
--- a/entry/peer_system.h
+++ b/entry/peer_system.h
@@ -4,6 +4,8 @@
 #ifndef ENTRY_PEER_SYSTEM_H_
 #define ENTRY_PEER_SYSTEM_H_
 
+#include <optional>
+
 #include "entry/world.h"
 
 namespace gooseberrypath::entry {
@@ -43,13 +45,17 @@
   /// Returns the time between two digests, so that they stay within the byte budget.
   Duration Interval() const;
 
+  /// Returns the time from the last digest to the next one.
+  Duration SendPause() const;
+
   World& world_;
   TimePoint lastSent_{};
   TimePoint lastFull_{};
   uint64_t sequence_ = 0;
-  size_t lastSize_ = 0; // estimated bytes of the last digest
-  bool isTimerSet_ = false;
-  size_t toldReaders_ = 1; // the count of the last SetReaders
+  size_t lastSize_ = 0;              // estimated bytes of the last digest
+  double spread_ = 1;                // of the pause after the last digest
+  std::optional<TimePoint> wakesAt_; // of the earliest timer
+  size_t toldReaders_ = 1;           // the count of the last SetReaders
 };
 
 } // namespace gooseberrypath::entry
--- a/entry/request_system.cc
+++ b/entry/request_system.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "entry/backend_choice.h"
+#include "entry/backend_notice.h"
 #include "entry/call_intake.h"
 #include "entry/duration_text.h"
 #include "entry/stop_system.h"
@@ -21,6 +22,18 @@
 // With less time than this no backend can answer, so nothing is sent.
 constexpr Duration kMinTimeLeft = milliseconds(20);
 
+// A call is sent within this time of its choice or not at all: a daemon that was frozen
+// in between no longer knows whether the backend takes calls. It is longer than
+// connecting takes.
+constexpr Duration kSendTime = milliseconds(450);
+
+// A resumable stream moves to another engine when no whole event came for this many of
+// the longest pauses that are in time, and not before this time. Callers give up after
+// twice as long; engines that only read in a long prompt beside the stream pause for
+// less.
+constexpr int kStallPauses = 4;
+constexpr Duration kMinStall = milliseconds(1000);
+
 // A caller of a call without a deadline is expected to wait as long as its route allows.
 constexpr Duration kNoPatience = std::chrono::hours(1);
 
@@ -117,6 +130,7 @@
 
 void RequestSystem::Run()
 {
+  Withdraw();
   if (held_.empty() || IsStarting()) {
     return;
   }
@@ -127,6 +141,30 @@
   }
 }
 
+void RequestSystem::Withdraw()
+{
+  const std::vector<std::string> backends = std::exchange(world_.withdrawn, {});
+  if (backends.empty()) {
+    return;
+  }
+  std::vector<ExchangeId> unsent;
+  for (const auto& [id, attempt] : world_.attempts) {
+    if (!attempt.wasSent &&
+        std::ranges::find(backends, attempt.backend) != backends.end()) {
+      unsent.push_back(attempt.exchange);
+    }
+  }
+  for (const ExchangeId id : unsent) {
+    RequestRow* row = world_.requests.Find(id);
+    if (row == nullptr || row->attempt == AttemptId{}) {
+      continue;
+    }
+    world_.counters.Add(EntryCounter::AttemptsWithdrawn);
+    Cancel(*row);
+    Dispatch({ id, row });
+  }
+}
+
 void RequestSystem::Admit(Request aRequest)
 {
   RequestRow& row = *aRequest.row;
@@ -175,7 +213,7 @@
   if (!choice) {
     end_.Unserved(aRequest,
                   Error{ ErrorKind::NoBackend, "no backend serves this route now" },
-                  kNoBackendRetry);
+                  TimeUntilUsable(world_, row).value_or(kNoBackendRetry));
     return;
   }
   const Duration left = row.due - world_.Now();
@@ -241,6 +279,7 @@
                             .team = row.team == nullptr ? std::string() : row.team->name,
                             .lastEventId = resumeAt,
                             .timeLeft = row.due - now,
+                            .sendBy = now + kSendTime,
                             .urgency = UrgencyOf(row),
                             .isModelRequest = row.call.model.has_value(),
                             .isStream = isStream,
@@ -305,6 +344,9 @@
   }
   RequestRow& row = *running->request.row;
   const BackendHead& head = aEvent.head;
+  if (running->backend != nullptr) {
+    TakeNotice(world_, *running->backend, head);
+  }
   if (head.isOtherBackend || head.wasNotRun) {
     world_.counters.Add(EntryCounter::AttemptsRefused);
     if (running->backend != nullptr) {
@@ -357,6 +399,9 @@
   }
   RequestRow& row = *running->request.row;
   running->attempt->lastEvent = world_.Now();
+  if (running->backend != nullptr) {
+    TakeNotice(world_, *running->backend, aEvent.head);
+  }
   if (!aEvent.head.isSigned || aEvent.head.isEncoded) {
     world_.Emit(CancelAttempt{ aEvent.attempt });
     Handle(AttemptBroken{ aEvent.attempt, "the head of the stream was malformed" });
@@ -389,6 +434,9 @@
     CountUsage(row, world_.Now());
   }
   attempt.lastEvent = world_.Now();
+  if (row.stallTimer == TimerId{} && MayRunAgain(row)) {
+    WatchStall(running->request, attempt.lastEvent);
+  }
   if (!row.headSent) {
     row.headSent = true;
     world_.counters.Observe(EntryHistogram::FirstEvent, ToMs(world_.Now() - row.arrived));
@@ -421,6 +469,9 @@
     return;
   }
   world_.counters.Add(EntryCounter::AttemptsBroken);
+  if (aEvent.isOversized) {
+    world_.counters.Add(EntryCounter::AnswersOversized);
+  }
   RequestRow& row = *running->request.row;
   if (running->backend != nullptr) {
     running->backend->health.NoteFailure(world_.Now());
@@ -469,7 +520,10 @@
                { "repeated", against ? "no" : "yes" },
                { "why_not", against.value_or("") } });
   if (against) {
-    end_.Unserved(aRequest, Error{ ErrorKind::Overloaded, aReason }, kFullRetry);
+    const bool hasOther = ChooseBackend(world_, row).has_value();
+    end_.Unserved(aRequest, Error{ ErrorKind::Overloaded, aReason },
+                  hasOther ? kFullRetry
+                           : TimeUntilUsable(world_, row).value_or(kNoBackendRetry));
     return;
   }
   world_.counters.Add(EntryCounter::AttemptsRepeated);
@@ -524,6 +578,42 @@
   Repeat({ aId, row }, false, "the backend is silent");
 }
 
+void RequestSystem::WatchStall(Request aRequest, TimePoint aLastEvent)
+{
+  const Duration limit =
+    std::max<Duration>(kMinStall, kStallPauses * aRequest.row->route->maxPause);
+  aRequest.row->stallTimer = world_.timers.SubscribeAt(
+    aLastEvent + limit,
+    [this, id = aRequest.id, limit](TimePoint) { OnStallCheck(id, limit); });
+}
+
+void RequestSystem::OnStallCheck(ExchangeId aId, Duration aLimit)
+{
+  RequestRow* row = world_.requests.Find(aId);
+  if (row == nullptr) {
+    return;
+  }
+  row->stallTimer = TimerId{};
+  const auto running = FindRunning(row->attempt);
+  if (!running || !running->attempt->hasEvents) {
+    return; // the next first event starts the watch again
+  }
+  if (running->attempt->lastEvent + aLimit > world_.Now()) {
+    WatchStall(running->request, running->attempt->lastEvent);
+    return;
+  }
+  if (ReasonAgainstRepeat(*row, false)) {
+    return; // its caller decides how long to wait
+  }
+  world_.counters.Add(EntryCounter::StreamsStalled);
+  if (running->backend != nullptr) {
+    running->backend->health.NoteFailure(world_.Now());
+  }
+  row->tried.push_back(running->attempt->backend);
+  Cancel(*row);
+  Repeat({ aId, row }, false, "the stream stalled");
+}
+
 void RequestSystem::Handle(const CallerGone& aEvent)
 {
   RequestRow* row = world_.requests.Find(aEvent.exchange);
@@ -562,6 +652,7 @@
   }
   if (RequestRow* row = world_.requests.Find(attempt->exchange)) {
     world_.timers.Cancel(row->hedgeTimer);
+    world_.timers.Cancel(std::exchange(row->stallTimer, TimerId{}));
     row->attempt = AttemptId{};
   }
   world_.isDigestDue = true;
--- a/entry/request_system.h
+++ b/entry/request_system.h
@@ -52,6 +52,9 @@
   /// Tells whether the store has not been read yet and soon will be.
   bool IsStarting() const;
 
+  /// Sends attempts elsewhere that were not sent yet to backends that became unusable.
+  void Withdraw();
+
   /// Checks a call and sends it on, or refuses it.
   void Admit(Request aRequest);
 
@@ -71,6 +74,10 @@
 
   void OnDue(ExchangeId aId);
   void OnHedge(ExchangeId aId);
+
+  /// Looks after a stream that may go on elsewhere when its events stop coming.
+  void WatchStall(Request aRequest, TimePoint aLastEvent);
+  void OnStallCheck(ExchangeId aId, Duration aLimit);
   void CountUsage(RequestRow& aRow, TimePoint aBegan);
   void LearnFirstEvent(const Running& aRunning);
   bool MayRunAgain(const RequestRow& aRow) const;
--- a/entry/stop_system.cc
+++ b/entry/stop_system.cc
@@ -7,6 +7,11 @@
 // The balancer asks once a second and takes a daemon out after two misses.
 constexpr Duration kBalancerTime = std::chrono::milliseconds(2500);
 
+// Callers that are connected when new calls are refused get this time to send the call
+// that is on its way and to read its refusal, and again when no connection is accepted
+// any more. The end of the process would reset their connections.
+constexpr Duration kCallersTime = std::chrono::milliseconds(600);
+
 // Calls that still run at this share of the stop time are given up: the kill would break
 // them a moment later and leave no time to close their connections in order.
 constexpr int kStopPercent = 87;
@@ -46,15 +51,39 @@
   if (!RefusesNewCalls(world_)) {
     return;
   }
-  if (!hasClosed_) {
-    hasClosed_ = true;
+  const TimePoint now = world_.Now();
+  if (!closingSince_) {
+    closingSince_ = now;
     world_.Emit(CloseCallers{});
+    world_.timers.SubscribeAt(now + kCallersTime, [](TimePoint) {});
+  }
+  if (!world_.requests.IsEmpty()) {
+    return;
   }
-  if (world_.requests.IsEmpty()) {
+  if (!acceptedUntil_) {
+    if (IsWaitingForCallers(*closingSince_)) {
+      return;
+    }
+    acceptedUntil_ = now;
+    hasCallers_ = true; // those that were waiting to be accepted
+    world_.Emit(StopAccepting{});
+    world_.timers.SubscribeAt(now + kCallersTime, [](TimePoint) {});
+  }
+  if (!IsWaitingForCallers(*acceptedUntil_)) {
     Exit("all calls have ended");
   }
 }
 
+bool StopSystem::IsWaitingForCallers(TimePoint aSince) const
+{
+  return hasCallers_ && world_.Now() < aSince + kCallersTime;
+}
+
+void StopSystem::Handle(const CallersLeft&)
+{
+  hasCallers_ = false;
+}
+
 void StopSystem::Exit(const std::string& aReason)
 {
   if (hasExited_) {
--- a/entry/stop_system.h
+++ b/entry/stop_system.h
@@ -4,6 +4,9 @@
 #ifndef ENTRY_STOP_SYSTEM_H_
 #define ENTRY_STOP_SYSTEM_H_
 
+#include <optional>
+#include <string>
+
 #include "entry/world.h"
 
 namespace gooseberrypath::entry {
@@ -19,12 +22,17 @@
   void Start() {}
   void Run();
   void Handle(const StopRequested& aEvent);
+  void Handle(const CallersLeft& aEvent);
 
 private:
+  /// Waits until no caller is connected, for a limited time from this moment on.
+  bool IsWaitingForCallers(TimePoint aSince) const;
   void Exit(const std::string& aReason);
 
   World& world_;
-  bool hasClosed_ = false;
+  std::optional<TimePoint> closingSince_;  // idle connections are closed
+  std::optional<TimePoint> acceptedUntil_; // no connection is accepted any more
+  bool hasCallers_ = true;                 // connections may be open
   bool hasExited_ = false;
 };
 
--- a/entry/store_port.cc
+++ b/entry/store_port.cc
@@ -57,6 +57,7 @@
         TakeConfig(aNewest->records);
         return kj::Promise<void>(kj::READY_NOW);
       })
+      .catch_([this](kj::Exception&& aError) { return PauseUnexpected(kj::mv(aError)); })
       .then([this] { return FollowConfig(); });
   }
   return config_.Read(platform::kConfigTopic, *configNext_, options_.configWait)
@@ -74,9 +75,16 @@
       return aRead->records.empty() ? kj::Promise<void>(kj::READY_NOW)
                                     : Pause(options_.configPause);
     })
+    .catch_([this](kj::Exception&& aError) { return PauseUnexpected(kj::mv(aError)); })
     .then([this] { return FollowConfig(); });
 }
 
+kj::Promise<void> StorePort::PauseUnexpected(kj::Exception&& aError)
+{
+  Warn("store_reading_failed", {}, aError.getDescription().cStr());
+  return PauseFailed();
+}
+
 kj::Promise<void> StorePort::PauseFleet()
 {
   auto asked = kj::newPromiseAndFulfiller<void>();
@@ -141,6 +149,7 @@
         TakeFleet(aNewest->records, { .isWhole = true, .next = aNewest->end });
         return PauseFleet();
       })
+      .catch_([this](kj::Exception&& aError) { return PauseUnexpected(kj::mv(aError)); })
       .then([this] { return FollowFleet(); });
   }
   return fleet_.Read(platform::kFleetTopic, *fleetNext_, Duration::zero())
@@ -157,6 +166,7 @@
       TakeFleet(aRead->records, { .next = aRead->next });
       return PauseFleet();
     })
+    .catch_([this](kj::Exception&& aError) { return PauseUnexpected(kj::mv(aError)); })
     .then([this] { return FollowFleet(); });
 }
 
--- a/entry/store_port.h
+++ b/entry/store_port.h
@@ -74,6 +74,10 @@
   /// Waits until a failed call may be repeated.
   kj::Promise<void> PauseFailed();
 
+  /// Logs an error that is no failed call, and waits like after one: the reading of the
+  /// store must not end for the rest of the process.
+  kj::Promise<void> PauseUnexpected(kj::Exception&& aError);
+
   /// Waits until the fleet is to be read again.
   kj::Promise<void> PauseFleet();
   void Warn(std::string aEvent, std::string aKey, const std::string& aReason);
--- a/entry/world.h
+++ b/entry/world.h
@@ -58,7 +58,9 @@
   uint32_t key = 0; // DigestKey of the id
   TimePoint firstSeen{};
   BackendHealth health;
-  TimePoint avoidUntil{}; // it refused a connection
+  TimePoint avoidUntil{};   // it refused a connection
+  TimePoint quietUntil{};   // it asked this daemon to send nothing until then
+  bool saidLeaving = false; // for good: later entries of this start do not undo it
   std::optional<TimePoint> leavesAt;
   std::optional<TimePoint> removedAt; // its entry is gone; it gets no new calls
   uint32_t inFlight = 0;              // own calls
@@ -114,6 +116,7 @@
   std::vector<std::string> tried; // backends that failed this call
   TimerId dueTimer;
   TimerId hedgeTimer;
+  TimerId stallTimer; // of a stream that may go on at another engine
 };
 
 /// A running attempt.
@@ -177,7 +180,11 @@
   uint64_t newsFrom = 0;         // all later changes are known one by one
   std::optional<FleetNews> news; // that the other daemons are to be told at once
   bool isDigestDue = false;      // something changed that peers should know
-  Duration newsInterval{};       // between two digests of a daemon
+  bool isDigestUrgent = false;   // and they should know it at once
+  /// Ids of backends that just became unusable; attempts that were not sent yet go
+  /// elsewhere.
+  std::vector<std::string> withdrawn;
+  Duration newsInterval{}; // between two digests of a daemon
 
   Table<ExchangeId, RequestRow> requests;
   Table<AttemptId, AttemptRow> attempts;
--- a/tests/entry_test.py
+++ b/tests/entry_test.py
@@ -123,6 +123,37 @@
             self.assertEqual(daemon.call("/status/1", key="k2", request=f"s{i}")[0], 200)
         self.assertEqual(len(self.backends[0].runs), before)
 
+    def test_a_backend_that_says_it_leaves_gets_no_further_call(self):
+        """Guards against calls to a backend that the store still names as ready, also while
+        the store is down."""
+        daemon = self.start()
+        wait_for(lambda: daemon.status() == 200, "readiness")
+        leaving = self.backends[0]
+        leaving.is_leaving = True
+        self.store.is_down = True
+        for i in range(40):
+            if leaving.runs:
+                break
+            self.assertEqual(daemon.call("/status/1", request=f"a{i}")[0], 200)
+        self.assertEqual(len(leaving.runs), 1)
+        self.store.is_down = False
+        self.store.put_backend(leaving.name, leaving.address, seq=2)
+        for i in range(20):
+            self.assertEqual(daemon.call("/status/1", request=f"b{i}")[0], 200)
+        self.assertEqual(len(leaving.runs), 1)
+        self.assertTrue(daemon.has_logged("backend_leaving"))
+
+    def test_backends_that_ask_for_quiet_get_it(self):
+        """Guards against calls that a busy backend has to turn away again and again."""
+        daemon = self.start()
+        wait_for(lambda: daemon.status() == 200, "readiness")
+        for backend in self.backends:
+            backend.quiet_s = 60
+        statuses = [daemon.call("/pickups/1", request=f"r{i}")[0] for i in range(10)]
+        self.assertEqual(statuses, [503] * 10)
+        self.assertEqual([len(b.refused) for b in self.backends], [1, 1])
+        self.assertEqual(self.runs(), 0)
+
     def test_calls_are_served_while_the_store_is_down(self):
         daemon = self.start()
         wait_for(lambda: daemon.status() == 200, "readiness")
