--- a/entry/messages.h
+++ b/entry/messages.h
@@ -74,7 +74,8 @@
   std::string reason;
 };
 
-/// The connection stands and the call is being written.
+/// The connection stands and the call is being written. It is emitted in the turn in
+/// which the first byte is handed over, so an attempt without it may still go elsewhere.
 struct AttemptSent
 {
   AttemptId attempt;
--- a/entry/request_system.cc
+++ b/entry/request_system.cc
@@ -87,22 +87,6 @@
          (aRow.route->kind == CallKind::Streaming && aRow.route->isResumable);
 }
 
-std::optional<RequestSystem::Running> RequestSystem::FindRunning(AttemptId aId)
-{
-  AttemptRow* attempt = world_.attempts.Find(aId);
-  if (attempt == nullptr) {
-    return std::nullopt;
-  }
-  RequestRow* row = world_.requests.Find(attempt->exchange);
-  if (row == nullptr || row->attempt != aId) {
-    return std::nullopt;
-  }
-  return Running{ .request = { attempt->exchange, row },
-                  .id = aId,
-                  .attempt = attempt,
-                  .backend = world_.backends.Find(attempt->backend) };
-}
-
 void RequestSystem::Start()
 {
   world_.timers.SubscribeAt(world_.started + kStartWait, [](TimePoint) {});
@@ -160,7 +144,7 @@
       continue;
     }
     world_.counters.Add(EntryCounter::AttemptsWithdrawn);
-    Cancel(*row);
+    attempts_.Cancel(*row);
     Dispatch({ id, row });
   }
 }
@@ -236,26 +220,9 @@
 void RequestSystem::StartAttemptAt(Request aRequest, const BackendChoice& aChoice)
 {
   RequestRow& row = *aRequest.row;
-  BackendRow& backend = *world_.backends.Find(aChoice.id);
-  const AttemptId id = world_.NewId<AttemptId>();
+  const BackendRow& backend = *world_.backends.Find(aChoice.id);
+  const AttemptId id = attempts_.Begin(aRequest, aChoice);
   const TimePoint now = world_.Now();
-  world_.attempts.Insert(id, AttemptRow{ .exchange = aRequest.id,
-                                         .backend = aChoice.id,
-                                         .started = now,
-                                         .sent = now,
-                                         .lastEvent = now,
-                                         .expectedMs = aChoice.expectedMs,
-                                         .waitingTokens = aChoice.missingTokens,
-                                         .kvTokens = aChoice.kvTokens });
-  backend.inFlight += 1;
-  backend.waitingTokens += aChoice.missingTokens;
-  backend.kvTokens += aChoice.kvTokens;
-  world_.isDigestDue = true;
-  if (row.call.model) {
-    world_.demands[row.service].Add(now, aChoice.missingTokens);
-    world_.promptCache.Remember(now, backend.key, *row.call.model);
-  }
-  row.attempt = id;
   row.stage = RequestStage::Running;
   const bool isStream = row.route->kind == CallKind::Streaming;
   const std::string& resumeAt =
@@ -294,7 +261,7 @@
 
 void RequestSystem::Handle(const AttemptNotSent& aEvent)
 {
-  const auto running = FindRunning(aEvent.attempt);
+  const auto running = attempts_.Find(aEvent.attempt);
   if (!running) {
     return;
   }
@@ -305,7 +272,7 @@
     running->backend->avoidUntil = world_.Now() + kRefusedPause;
   }
   row.tried.push_back(running->attempt->backend);
-  ForgetAttempt(aEvent.attempt);
+  attempts_.Forget(aEvent.attempt);
   constexpr size_t kMaxConnects = 5; // backends that are tried without a connection
   if (row.tried.size() >= kMaxConnects) {
     end_.Unserved(
@@ -319,7 +286,7 @@
 
 void RequestSystem::Handle(const AttemptSent& aEvent)
 {
-  const auto running = FindRunning(aEvent.attempt);
+  const auto running = attempts_.Find(aEvent.attempt);
   if (!running) {
     return;
   }
@@ -338,7 +305,7 @@
 
 void RequestSystem::Handle(const AttemptAnswered& aEvent)
 {
-  const auto running = FindRunning(aEvent.attempt);
+  const auto running = attempts_.Find(aEvent.attempt);
   if (!running) {
     return;
   }
@@ -360,7 +327,7 @@
     if (head.isOtherBackend) {
       row.sends -= 1; // it reached a backend that this call was not meant for
     }
-    ForgetAttempt(aEvent.attempt);
+    attempts_.Forget(aEvent.attempt);
     Repeat(running->request, true, "backend refused with " + std::to_string(head.status));
     return;
   }
@@ -369,31 +336,31 @@
   if (running->backend != nullptr && isFailure) {
     running->backend->health.NoteFailure(world_.Now());
   } else {
-    LearnFirstEvent(*running);
+    attempts_.LearnFirstEvent(*running);
   }
-  CountUsage(row, running->attempt->sent);
+  attempts_.CountUsage(row, running->attempt->sent);
   if (isFailure && MayRunAgain(row) && !ReasonAgainstRepeat(row, false)) {
     row.tried.push_back(running->attempt->backend);
-    ForgetAttempt(aEvent.attempt);
+    attempts_.Forget(aEvent.attempt);
     Repeat(running->request, false,
            isMalformed ? "answer was malformed"
                        : "backend answered " + std::to_string(head.status));
     return;
   }
   if (isMalformed) {
-    ForgetAttempt(aEvent.attempt);
+    attempts_.Forget(aEvent.attempt);
     end_.WithError(running->request,
                    Error{ ErrorKind::BackendFailed, "the answer was malformed" });
     return;
   }
   const std::string backend = running->attempt->backend;
-  ForgetAttempt(aEvent.attempt);
+  attempts_.Forget(aEvent.attempt);
   end_.WithAnswer(running->request, backend, aEvent);
 }
 
 void RequestSystem::Handle(const StreamStarted& aEvent)
 {
-  const auto running = FindRunning(aEvent.attempt);
+  const auto running = attempts_.Find(aEvent.attempt);
   if (!running) {
     return;
   }
@@ -416,7 +383,7 @@
 
 void RequestSystem::Handle(const StreamEvents& aEvent)
 {
-  const auto running = FindRunning(aEvent.attempt);
+  const auto running = attempts_.Find(aEvent.attempt);
   if (!running) {
     return;
   }
@@ -425,13 +392,13 @@
   if (!attempt.hasEvents) {
     attempt.hasEvents = true;
     world_.timers.Cancel(row.hedgeTimer);
-    LearnFirstEvent(*running);
+    attempts_.LearnFirstEvent(*running);
     if (running->backend != nullptr) {
       running->backend->waitingTokens -= attempt.waitingTokens;
       world_.isDigestDue = true;
     }
     attempt.waitingTokens = 0;
-    CountUsage(row, world_.Now());
+    attempts_.CountUsage(row, world_.Now());
   }
   attempt.lastEvent = world_.Now();
   if (row.stallTimer == TimerId{} && MayRunAgain(row)) {
@@ -451,20 +418,20 @@
 
 void RequestSystem::Handle(const StreamEnded& aEvent)
 {
-  const auto running = FindRunning(aEvent.attempt);
+  const auto running = attempts_.Find(aEvent.attempt);
   if (!running) {
     return;
   }
   world_.serviceStats[running->request.row->service].NoteHold(
     ToMs(world_.Now() - running->attempt->sent));
   const std::string backend = running->attempt->backend;
-  ForgetAttempt(aEvent.attempt);
+  attempts_.Forget(aEvent.attempt);
   end_.WithStreamEnd(running->request, backend);
 }
 
 void RequestSystem::Handle(const AttemptBroken& aEvent)
 {
-  const auto running = FindRunning(aEvent.attempt);
+  const auto running = attempts_.Find(aEvent.attempt);
   if (!running) {
     return;
   }
@@ -477,7 +444,7 @@
     running->backend->health.NoteFailure(world_.Now());
   }
   row.tried.push_back(running->attempt->backend);
-  ForgetAttempt(aEvent.attempt);
+  attempts_.Forget(aEvent.attempt);
   Repeat(running->request, false, aEvent.reason);
 }
 
@@ -538,10 +505,10 @@
   }
   const Request request{ aId, row };
   const bool wasSent = row->sends > 0;
-  if (const auto running = FindRunning(row->attempt); running && running->backend) {
+  if (const auto running = attempts_.Find(row->attempt); running && running->backend) {
     running->backend->health.NoteFailure(world_.Now());
   }
-  Cancel(*row);
+  attempts_.Cancel(*row);
   if (wasSent && !row->headSent) {
     end_.WithError(
       request, Error{ ErrorKind::DeadlineExceeded, "no answer came within the time" });
@@ -556,7 +523,7 @@
   if (row == nullptr) {
     return;
   }
-  const auto running = FindRunning(row->attempt);
+  const auto running = attempts_.Find(row->attempt);
   if (!running || running->attempt->hasEvents) {
     return;
   }
@@ -574,7 +541,7 @@
     running->backend->health.NoteFailure(world_.Now());
   }
   row->tried.push_back(running->attempt->backend);
-  Cancel(*row);
+  attempts_.Cancel(*row);
   Repeat({ aId, row }, false, "the backend is silent");
 }
 
@@ -594,7 +561,7 @@
     return;
   }
   row->stallTimer = TimerId{};
-  const auto running = FindRunning(row->attempt);
+  const auto running = attempts_.Find(row->attempt);
   if (!running || !running->attempt->hasEvents) {
     return; // the next first event starts the watch again
   }
@@ -610,7 +577,7 @@
     running->backend->health.NoteFailure(world_.Now());
   }
   row->tried.push_back(running->attempt->backend);
-  Cancel(*row);
+  attempts_.Cancel(*row);
   Repeat({ aId, row }, false, "the stream stalled");
 }
 
@@ -626,64 +593,8 @@
              { { "ms", MsText(ToMs(world_.Now() - row->arrived)) },
                { "objective_ms", MsText(ToMs(objective)) },
                { "sends", std::to_string(row->sends) } });
-  Cancel(*row);
+  attempts_.Cancel(*row);
   end_.Forget({ aEvent.exchange, row });
 }
 
-void RequestSystem::Cancel(RequestRow& aRow)
-{
-  if (aRow.attempt == AttemptId{}) {
-    return;
-  }
-  world_.Emit(CancelAttempt{ aRow.attempt });
-  ForgetAttempt(aRow.attempt);
-}
-
-void RequestSystem::ForgetAttempt(AttemptId aId)
-{
-  AttemptRow* attempt = world_.attempts.Find(aId);
-  if (attempt == nullptr) {
-    return;
-  }
-  if (BackendRow* backend = world_.backends.Find(attempt->backend)) {
-    backend->inFlight -= 1;
-    backend->waitingTokens -= attempt->waitingTokens;
-    backend->kvTokens -= attempt->kvTokens;
-  }
-  if (RequestRow* row = world_.requests.Find(attempt->exchange)) {
-    world_.timers.Cancel(row->hedgeTimer);
-    world_.timers.Cancel(std::exchange(row->stallTimer, TimerId{}));
-    row->attempt = AttemptId{};
-  }
-  world_.isDigestDue = true;
-  world_.attempts.Erase(aId);
-}
-
-void RequestSystem::CountUsage(RequestRow& aRow, TimePoint aBegan)
-{
-  if (aRow.isCounted || aRow.team == nullptr) {
-    return;
-  }
-  aRow.isCounted = true;
-  const auto ago = std::chrono::duration_cast<WallTime>(world_.Now() - aBegan);
-  world_.usage.Add(world_.WallNow() - ago, world_.ProcessName(), aRow.team->name);
-}
-
-void RequestSystem::LearnFirstEvent(const Running& aRunning)
-{
-  const AttemptRow& attempt = *aRunning.attempt;
-  const double observedMs = ToMs(world_.Now() - attempt.started);
-  if (aRunning.backend != nullptr) {
-    aRunning.backend->health.NoteSuccess(world_.Now(),
-                                         observedMs / std::max(attempt.expectedMs, 1.0));
-  }
-  ServiceStats& stats = world_.serviceStats[aRunning.request.row->service];
-  if (!aRunning.request.row->call.model) {
-    stats.NotePlainAnswer(observedMs);
-    return;
-  }
-  stats.NoteFirstEvent(
-    { .tokens = static_cast<double>(attempt.waitingTokens), .observedMs = observedMs });
-}
-
 } // namespace gooseberrypath::entry
--- a/entry/request_system.h
+++ b/entry/request_system.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "entry/call_end.h"
+#include "entry/running_attempts.h"
 #include "entry/world.h"
 
 namespace gooseberrypath::entry {
@@ -19,6 +20,7 @@
   explicit RequestSystem(World& aWorld)
     : world_(aWorld)
     , end_(aWorld)
+    , attempts_(aWorld)
   {
   }
 
@@ -38,17 +40,6 @@
   void Handle(const AttemptBroken& aEvent);
 
 private:
-  /// An attempt that is still part of a request, and the request.
-  struct Running
-  {
-    Request request;
-    AttemptId id;
-    AttemptRow* attempt = nullptr;
-    BackendRow* backend = nullptr; // null: forgotten meanwhile
-  };
-
-  std::optional<Running> FindRunning(AttemptId aId);
-
   /// Tells whether the store has not been read yet and soon will be.
   bool IsStarting() const;
 
@@ -60,7 +51,7 @@
 
   /// Chooses a backend and starts an attempt, or ends the request.
   void Dispatch(Request aRequest);
-  void StartAttemptAt(Request aRequest, const struct BackendChoice& aChoice);
+  void StartAttemptAt(Request aRequest, const BackendChoice& aChoice);
 
   /// Sends the call to another backend if it may be repeated, or ends the request.
   /// `aIsProvenNotRun` tells whether the last attempt certainly did not run it.
@@ -68,22 +59,17 @@
   std::optional<std::string> ReasonAgainstRepeat(const RequestRow& aRow,
                                                  bool aIsProvenNotRun);
 
-  /// Takes the attempt out of the backend's sums and the table.
-  void ForgetAttempt(AttemptId aId);
-  void Cancel(RequestRow& aRow);
-
   void OnDue(ExchangeId aId);
   void OnHedge(ExchangeId aId);
 
   /// Looks after a stream that may go on elsewhere when its events stop coming.
   void WatchStall(Request aRequest, TimePoint aLastEvent);
   void OnStallCheck(ExchangeId aId, Duration aLimit);
-  void CountUsage(RequestRow& aRow, TimePoint aBegan);
-  void LearnFirstEvent(const Running& aRunning);
   bool MayRunAgain(const RequestRow& aRow) const;
 
   World& world_;
   CallEnd end_;
+  RunningAttempts attempts_;
   std::vector<ExchangeId> held_; // calls that wait for the first reading of the store
 };
 
--- a/entry/testing/request_system_test.cc
+++ b/entry/testing/request_system_test.cc
@@ -304,6 +304,25 @@
   CHECK(entry.Sent().backend == "booking1");
 }
 
+TEST_CASE("Entry: a backend that falls silent keeps its running calls", "[entry]")
+{
+  // Guards against work that is given up or started again because the backend's entry
+  // lapsed while it was only slow to report.
+  EntryFixture entry;
+  entry.Prepare();
+  entry.Arrive("plans");
+  const StartAttempt attempt = entry.Sent();
+  entry.Post(StreamStarted{ attempt.attempt, { .status = 200, .isSigned = true } });
+  entry.Post(StreamEvents{ attempt.attempt, "id: 1\ndata: a\n\n", "1" });
+  entry.Post(FleetRead{ .changes = { BackendRemoved{ attempt.backend } } });
+  entry.Advance(3s);
+  CHECK(entry.Take<CancelAttempt>().empty());
+  CHECK(entry.Take<StartAttempt>().empty());
+  entry.Post(StreamEvents{ attempt.attempt, "id: 2\ndata: b\n\n", "2" });
+  entry.Post(StreamEnded{ attempt.attempt });
+  CHECK(entry.Take<AnswerStreamEnd>().size() == 1);
+}
+
 TEST_CASE("Entry: a late copy of an older entry changes nothing", "[entry]")
 {
   EntryFixture entry;
