--- a/entry/team_quota.cc
+++ b/entry/team_quota.cc
@@ -43,10 +43,13 @@
 constexpr double kLeastDue = 8;
 constexpr double kLeastCame = 0.6;
 
-// A daemon that hears less than this share of the others fills the shared bucket a little
-// slower than its part: those that it does not hear overspent theirs before they noticed.
+// A daemon that hears less than this share of the others fills the bucket of a team that
+// is near its limit slower than its part: those that it does not hear overspent theirs
+// before they noticed. A team whose bucket is fuller than the given share is below its
+// limit, and nobody overspends for it.
 constexpr double kMostlyHeard = 0.95;
-constexpr double kUnheardCaution = 0.8;
+constexpr double kUnheardCaution = 0.75;
+constexpr double kNearLimit = 0.5;
 
 // What a daemon admitted beyond its even part while it heard the others is paid back when
 // it does not hear them any more, but for what lies further back than a window of the
@@ -159,8 +162,9 @@
 
 double TeamQuota::SharedRate() const
 {
-  const double caution = heardShare_ < kMostlyHeard ? kUnheardCaution : 1;
-  return limit_.rate * heardShare_ * caution;
+  const bool isNearLimit = level_ < kNearLimit * limit_.burst * heardShare_;
+  const bool isCautious = heardShare_ < kMostlyHeard && isNearLimit;
+  return limit_.rate * heardShare_ * (isCautious ? kUnheardCaution : 1);
 }
 
 double TeamQuota::OwnRate() const
