Fleet: the first readings after a start keep their pace

Cause: with a pause of 0.3 s for a daemon that has heard nobody, all daemons read the fleet a second time 0.2 s to 0.5 s after their start, before most backends had announced themselves, and with 81 daemons the next time 4 s to 12 s later. A daemon assumes eight readers until it hears others, as the pause was before; the short pause holds for one that stops hearing them. Test: decisions_test, the pause of a starting daemon (failed before).

--- a/entry/read_pace.h
+++ b/entry/read_pace.h
@@ -14,6 +14,9 @@
 
 namespace gooseberrypath::entry {
 
+/// The number of readers that a daemon assumes until it hears others.
+inline constexpr size_t kReadersAtStart = 8;
+
 /// Returns the time between two readings of a daemon that shares them with others, itself
 /// included in the count.
 Duration FleetPause(size_t aReaders);
--- a/entry/store_port.cc
+++ b/entry/store_port.cc
@@ -112,7 +112,8 @@
 void StorePort::Execute(const SetReaders& aAction)
 {
   // A daemon that no longer hears most others must not wait for them.
-  const bool isAlone = 2 * aAction.count < readers_;
+  const bool isAlone = isReadersKnown_ && 2 * aAction.count < readers_;
+  isReadersKnown_ = true;
   readers_ = aAction.count;
   if (isAlone && fleetAsked_.get() != nullptr) {
     fleetAsked_->fulfill();
--- a/entry/store_port.h
+++ b/entry/store_port.h
@@ -17,6 +17,7 @@
 #include <kj/timer.h>
 
 #include "entry/messages.h"
+#include "entry/read_pace.h"
 #include "gooseberrypath/task_errors.h"
 #include "platform/store_client.h"
 
@@ -91,7 +92,8 @@
   std::optional<uint64_t> fleetNext_;
   uint64_t configVersion_ = 0; // the newest one read
   bool isReadingNewest_ = false;
-  size_t readers_ = 1;
+  size_t readers_ = kReadersAtStart;
+  bool isReadersKnown_ = false; // some were heard
   kj::Own<kj::PromiseFulfiller<void>> fleetAsked_;
   std::optional<bool> isReachable_;
   int failures_ = 0;
--- a/entry/testing/decisions_test.cc
+++ b/entry/testing/decisions_test.cc
@@ -424,6 +424,10 @@
   // store and sends to a leaving backend for longer than the 2 s of the small
   // deployments. Pauses are up to half longer, and a call is given up after 1.2 s.
   CHECK(3 * FleetPause(1) / 2 + 1200ms + 3 * RetryPause(1) / 2 < 2s);
+  // Guards against a second reading before all backends have announced themselves: the
+  // next one comes only after seconds, and the holder takes the part of the fleet that it
+  // knows for the whole.
+  CHECK(FleetPause(kReadersAtStart) >= 800ms);
   CHECK(FleetPause(74) / 74 <= 100ms);
   CHECK(FleetPause(8) / 8 <= 100ms);
   CHECK(FleetPause(380) / 380 <= 100ms);
