--- a/entry/testing/malformed_input_test.cc
+++ b/entry/testing/malformed_input_test.cc
@@ -244,7 +244,8 @@
     if (!entry.Take<ReadDutyState>().empty()) {
       entry.Post(DutyStateRead{
         .isRead = true,
-        .text = EncodeDutyState({ .holder = "d9", .incarnation = 1, .token = 1 }),
+        .text = EncodeDutyState(
+          { .holder = "d9", .incarnation = 1, .token = 1, .firstUnreported = 10 }),
         .end = 1 });
     }
     for (const WriteDutyState& write : entry.Take<WriteDutyState>()) {
