--- a/entry/backend_notice.cc
+++ b/entry/backend_notice.cc
@@ -1,11 +1,75 @@
 #include "entry/backend_notice.h"
 
 #include <algorithm>
+#include <array>
+#include <cstdio>
+#include <utility>
 
 #include "entry/duration_text.h"
 
 namespace gooseberrypath::entry {
 
+namespace {
+
+std::string LimitText(const std::optional<double>& aPerSecond)
+{
+  if (!aPerSecond) {
+    return "none";
+  }
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%g", *aPerSecond);
+  return text.data();
+}
+
+/// Applies what the head says about the limit. The head of a response that is not the
+/// backend's own cannot lift a limit, and a malformed field neither sets nor lifts one.
+void ApplyAnnouncedLimit(World& aWorld, BackendRow& aBackend, const ResponseHead& aHead,
+                         TimePoint aSentAt)
+{
+  if (!aHead.limit.malformed.empty()) {
+    if (!std::exchange(aBackend.hasMalformedLimit, true)) {
+      aWorld.Log(
+        LogLevel::Warning, "backend_limit_malformed", {},
+        { { "backend", aBackend.entry.id }, { "limit", aHead.limit.malformed } });
+    }
+    return;
+  }
+  if (!aHead.hasResponseStamp && !aHead.limit.perSecond) {
+    return;
+  }
+  ApplyLimit(aWorld, aBackend,
+             { .perSecond = aHead.limit.perSecond,
+               .sentAt = aWorld.WallAt(aSentAt),
+               .receivedAt = aWorld.WallNow() },
+             {});
+}
+
+} // namespace
+
+void ApplyLimit(World& aWorld, BackendRow& aBackend, const LimitStatement& aStatement,
+                const std::string& aReportedBy)
+{
+  const auto before = aBackend.limit.InForce();
+  if (!aBackend.limit.Apply(aStatement)) {
+    return;
+  }
+  const auto after = aBackend.limit.InForce();
+  const Duration lasted = before ? aWorld.Now() - aBackend.limitedSince : Duration{};
+  aBackend.limitedSince = aWorld.Now();
+  aWorld.counters.Add(EntryCounter::LimitChanges);
+  const WallTime age = aWorld.WallNow() - aStatement.receivedAt;
+  aWorld.Log(LogLevel::Info, "backend_limit", {},
+             { { "backend", aBackend.entry.id },
+               { "change", !before ? "named"
+                           : after ? "changed"
+                                   : "lifted" },
+               { "per_second", LimitText(after) },
+               { "before", LimitText(before) },
+               { "before_lasted_s", SecondsText(lasted) },
+               { "told_by", aReportedBy.empty() ? "the backend" : aReportedBy },
+               { "age_ms", std::to_string(age.count()) } });
+}
+
 void MarkLeaving(World& aWorld, BackendRow& aBackend, const std::string& aReportedBy)
 {
   if (aBackend.entry.isLeaving) {
@@ -21,11 +85,13 @@
                { "in_flight", std::to_string(aBackend.inFlight) } });
 }
 
-void ApplyBackendNotice(World& aWorld, BackendRow& aBackend, const ResponseHead& aHead)
+void ApplyBackendNotice(World& aWorld, BackendRow& aBackend, const ResponseHead& aHead,
+                        TimePoint aSentAt)
 {
   if (aHead.isMisdirected) {
     return; // the address now belongs to another backend
   }
+  ApplyAnnouncedLimit(aWorld, aBackend, aHead, aSentAt);
   if (aHead.isLeaving) {
     aWorld.isDigestUrgent = aWorld.isDigestUrgent || !aBackend.entry.isLeaving;
     aBackend.announcedLeaving = true;
--- a/entry/backend_notice.h
+++ b/entry/backend_notice.h
@@ -1,7 +1,7 @@
-// Applies what a backend announces in its response headers: that it is leaving, or that
-// it wants no calls for a given time.
+// Applies what a backend announces in its response headers: that it is leaving, that it
+// wants no calls for a given time, or how many requests a second it takes.
 //
-//   ApplyBackendNotice(world, backend, responseHead);
+//   ApplyBackendNotice(world, backend, responseHead, sentAt);
 
 #ifndef ENTRY_BACKEND_NOTICE_H_
 #define ENTRY_BACKEND_NOTICE_H_
@@ -17,9 +17,16 @@
 /// it, or empty if the backend announced it itself.
 void MarkLeaving(World& aWorld, BackendRow& aBackend, const std::string& aReportedBy);
 
-/// Applies the notices in the head of a response from this backend. That it is leaving is
-/// sent to the other daemons at once; a requested back-off applies to this daemon only.
-void ApplyBackendNotice(World& aWorld, BackendRow& aBackend, const ResponseHead& aHead);
+/// Applies a backend's statement about its limit and logs a change. `aReportedBy` is the
+/// peer that reported it, or empty if the backend stated it to this daemon.
+void ApplyLimit(World& aWorld, BackendRow& aBackend, const LimitStatement& aStatement,
+                const std::string& aReportedBy);
+
+/// Applies the notices in the head of a response from this backend to a call that was
+/// sent at `aSentAt`. That it is leaving is sent to the other daemons at once; a
+/// requested back-off applies to this daemon only.
+void ApplyBackendNotice(World& aWorld, BackendRow& aBackend, const ResponseHead& aHead,
+                        TimePoint aSentAt);
 
 } // namespace gooseberrypath::entry
 
--- a/entry/entry_counters.cc
+++ b/entry/entry_counters.cc
@@ -30,6 +30,7 @@
     { "unasked_bytes_total", "Connections closed for bytes that belong to no call" },
     { "streams_stalled_total", "Streams that were moved because no event came" },
     { "quiet_asked_total", "Answers in which a backend asked for no calls" },
+    { "limit_changes_total", "Limits that backends named, changed or lifted" },
     { "attempts_repeated_total", "Calls sent to another backend" },
     { "repeats_denied_total", "Repeats that the retry budget did not allow" },
     { "streams_resumed_total", "Streams that went on at another engine" },
--- a/entry/entry_counters.h
+++ b/entry/entry_counters.h
@@ -30,6 +30,7 @@
   UnsolicitedBytes,   // connections closed for bytes outside a response
   StreamsStalled,
   BackOffsRequested, // responses in which a backend asked for a back-off
+  LimitChanges,      // limits that backends named, changed or lifted
   AttemptsRetried,
   RetriesDenied, // because the retry budget was exhausted
   StreamsResumed,
--- a/entry/model.h
+++ b/entry/model.h
@@ -174,6 +174,16 @@
   std::optional<ModelDemand> model;
 };
 
+/// What the head of a backend's response says about the requests that the backend takes
+/// from all daemons together.
+struct AnnouncedLimit
+{
+  std::optional<double> perSecond; // finite and not negative; empty: no valid limit
+  std::string malformed;           // the field's text if it is not a valid limit
+
+  bool operator==(const AnnouncedLimit&) const = default;
+};
+
 /// The status, fields and properties of a backend's response.
 struct ResponseHead
 {
@@ -187,6 +197,7 @@
   bool hasRequestId = false;       // it echoes a request id
   bool isLeaving = false;          // the backend is leaving and accepts no new calls
   std::optional<Duration> retryAfter; // back-off that a refusing backend asks for
+  AnnouncedLimit limit;
   bool closesConnection = false;
   std::optional<Duration> keepAliveTimeout; // idle time after which the backend closes
 };
--- a/entry/probe_port.cc
+++ b/entry/probe_port.cc
@@ -22,21 +22,30 @@
   tasks_.add(server_.listenHttp(*listener_));
 }
 
+ProbePort::Page ProbePort::PageFor(kj::StringPtr aPath) const
+{
+  if (aPath.endsWith("/metrics")) {
+    return { .contentType = "text/plain", .body = options_.renderMetrics() };
+  }
+  if (aPath.endsWith("/status")) {
+    return { .contentType = "application/json", .body = options_.renderStatus() };
+  }
+  return { .status = isReady_ ? 200 : 503,
+           .contentType = "text/plain",
+           .body = isReady_ ? "ready\n" : "not ready\n" };
+}
+
 kj::Promise<void> ProbePort::request(kj::HttpMethod, kj::StringPtr aUrl,
                                      const kj::HttpHeaders&, kj::AsyncInputStream&,
                                      Response& aResponse)
 {
-  const bool isMetrics = aUrl.endsWith("/metrics");
-  auto body = kj::heap<std::string>(isMetrics  ? options_.renderMetrics()
-                                    : isReady_ ? "ready\n"
-                                               : "not ready\n");
+  auto page = kj::heap<Page>(PageFor(aUrl));
   kj::HttpHeaders headers(HeaderTable());
-  headers.set(kj::HttpHeaderId::CONTENT_TYPE, "text/plain");
-  const int status = isMetrics || isReady_ ? 200 : 503;
-  auto out = aResponse.send(static_cast<kj::uint>(status), ReasonPhrase(status), headers,
-                            body->size());
-  auto written = out->write(body->data(), body->size());
-  return written.attach(kj::mv(out), kj::mv(body));
+  headers.set(kj::HttpHeaderId::CONTENT_TYPE, page->contentType);
+  auto out = aResponse.send(static_cast<kj::uint>(page->status),
+                            ReasonPhrase(page->status), headers, page->body.size());
+  auto written = out->write(page->body.data(), page->body.size());
+  return written.attach(kj::mv(out), kj::mv(page));
 }
 
 } // namespace gooseberrypath::entry
--- a/entry/probe_port.h
+++ b/entry/probe_port.h
@@ -1,6 +1,6 @@
-// HTTP server for the load balancer's readiness probes and for metrics. Paths that end in
-// "/metrics" return the metrics, all others 200 when the daemon is ready and 503 when
-// not.
+// HTTP server for the load balancer's readiness probes, for metrics and for the status.
+// Paths that end in "/metrics" return the metrics, those that end in "/status" the
+// status, all others 200 when the daemon is ready and 503 when not.
 //
 //   ProbePort probe({ .network = network, ..., .address = "10.0.0.1:8362" });
 //   probe.Execute(SetReady{ .isReady = true });
@@ -26,6 +26,7 @@
   kj::Timer& timer;
   std::string address; // "IP:port"
   std::function<std::string()> renderMetrics;
+  std::function<std::string()> renderStatus; // JSON
 };
 
 class ProbePort final : private kj::HttpService
@@ -44,6 +45,16 @@
                             const kj::HttpHeaders& aHeaders, kj::AsyncInputStream& aBody,
                             Response& aResponse) override;
 
+  struct Page
+  {
+    int status = 200;
+    std::string contentType;
+    std::string body;
+  };
+
+  /// Returns what the path asks for.
+  Page PageFor(kj::StringPtr aPath) const;
+
   ProbePortOptions options_;
   bool isReady_ = false;
   kj::HttpServer server_;
--- a/entry/request_system.cc
+++ b/entry/request_system.cc
@@ -318,7 +318,7 @@
   RequestRow& row = *running->request.row;
   const ResponseHead& head = aEvent.head;
   if (running->backend != nullptr) {
-    ApplyBackendNotice(world_, *running->backend, head);
+    ApplyBackendNotice(world_, *running->backend, head, running->attempt->sent);
   }
   if (head.isMisdirected || head.wasNotExecuted) {
     world_.counters.Add(EntryCounter::AttemptsRefused);
@@ -374,7 +374,7 @@
   RequestRow& row = *running->request.row;
   running->attempt->lastEvent = world_.Now();
   if (running->backend != nullptr) {
-    ApplyBackendNotice(world_, *running->backend, aEvent.head);
+    ApplyBackendNotice(world_, *running->backend, aEvent.head, running->attempt->sent);
   }
   if (!aEvent.head.hasResponseStamp || aEvent.head.hasContentEncoding) {
     world_.Emit(CancelAttempt{ aEvent.attempt });
--- a/entry/serve_entry.cc
+++ b/entry/serve_entry.cc
@@ -17,6 +17,7 @@
 #include "entry/digest_port.h"
 #include "entry/entry_core.h"
 #include "entry/event_log.h"
+#include "entry/limit_report.h"
 #include "entry/probe_port.h"
 #include "entry/settings.h"
 #include "entry/store_port.h"
@@ -124,7 +125,8 @@
     , probe_({ .network = aIo.provider->getNetwork(),
                .timer = timer_,
                .address = aSettings.probeAddress,
-               .renderMetrics = [this] { return RenderMetrics(); } })
+               .renderMetrics = [this] { return RenderMetrics(); },
+               .renderStatus = [this] { return RenderStatus(); } })
   {
     ListenForMetrics(aIo.provider->getNetwork());
     if (!aSettings.cloudAddress.empty()) {
@@ -180,7 +182,8 @@
         ProbePortOptions{ .network = aNetwork,
                           .timer = timer_,
                           .address = settings_.metricsAddress,
-                          .renderMetrics = [this] { return RenderMetrics(); } });
+                          .renderMetrics = [this] { return RenderMetrics(); },
+                          .renderStatus = [this] { return RenderStatus(); } });
     });
     KJ_IF_MAYBE (problem, failure) {
       Log("metrics_unavailable", { { "reason", problem->getDescription().cStr() } });
@@ -264,9 +267,11 @@
       Gauge{ "entry_events_failed", "Unexpected errors in the handling of an event",
              static_cast<double>(failedEvents_) }
     };
-    return world.counters.Render() + RenderGauges(gauges);
+    return world.counters.Render() + RenderGauges(gauges) + RenderLimitMetrics(world);
   }
 
+  std::string RenderStatus() const { return RenderLimitStatus(daemon_->GetWorld()); }
+
   void LogEventFailure(std::string_view aReason)
   {
     ++failedEvents_;
--- a/entry/testing/backend_notice_test.cc
+++ b/entry/testing/backend_notice_test.cc
@@ -244,8 +244,9 @@
 {
   World world(EntryOptions{}, TimePoint{ 100s });
   BackendRow backend;
-  ApplyBackendNotice(world, backend, { .status = 503, .retryAfter = 2s });
-  ApplyBackendNotice(world, backend, { .status = 503, .retryAfter = 100ms });
+  const TimePoint sentAt{ 99s };
+  ApplyBackendNotice(world, backend, { .status = 503, .retryAfter = 2s }, sentAt);
+  ApplyBackendNotice(world, backend, { .status = 503, .retryAfter = 100ms }, sentAt);
   CHECK(backend.backOffUntil == TimePoint{ 102s });
 }
 
--- a/entry/world.h
+++ b/entry/world.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "entry/backend_health.h"
+#include "entry/backend_limit.h"
 #include "entry/entry_counters.h"
 #include "entry/messages.h"
 #include "entry/model.h"
@@ -65,6 +66,9 @@
   TimePoint avoidUntil{};        // not selected until then after a connect failure
   TimePoint backOffUntil{};      // end of the back-off that the backend asked for
   bool announcedLeaving = false; // stays true until the backend restarts
+  BackendLimit limit;
+  TimePoint limitedSince{};       // when the limit in force was learned
+  bool hasMalformedLimit = false; // since its start; logged only once
   std::optional<TimePoint> leavesAt;
   std::optional<TimePoint> removedAt; // its entry was removed; it gets no new calls
   uint32_t inFlight = 0;              // calls of this daemon
@@ -211,10 +215,13 @@
   TimePoint Now() const { return timers.Now(); }
 
   /// Returns the wall-clock time.
-  WallTime WallNow() const
+  WallTime WallNow() const { return WallAt(Now()); }
+
+  /// Returns the wall-clock time of a time of this daemon's clock.
+  WallTime WallAt(TimePoint aTime) const
   {
     return options.wallOffset +
-           std::chrono::duration_cast<WallTime>(Now().time_since_epoch());
+           std::chrono::duration_cast<WallTime>(aTime.time_since_epoch());
   }
 
   /// Returns the name of this process in usage counts.
