--- /dev/null
+++ b/entry/testing/limit_simulation.cc
@@ -0,0 +1,859 @@
+#include "entry/testing/limit_simulation.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <sstream>
+
+#include "entry/entry_core.h"
+
+namespace gooseberrypath::entry {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr TimePoint kStart{ 1000s };
+
+// The rule: in some window, a backend gets more requests than its limit allows, times the
+// factor, and the extra ones, from daemons that passed its limit on half a second before.
+// It holds from the contact time after the limit was named.
+constexpr Duration kWindow = 4s;
+constexpr double kAllowedFactor = 1.5;
+constexpr double kAllowedExtra = 5;
+constexpr Duration kTellTime = 500ms;
+constexpr Duration kContactTime = 3s;
+
+// Time after a change in which what a backend gets is not measured against its limit.
+constexpr Duration kSettleTime = 4s;
+
+constexpr double kMeanServiceSeconds = 0.05;
+constexpr double kMeanStreamSeconds = 0.4;
+constexpr double kFailureRate = 0.02; // of responses
+constexpr double kBreakRate = 0.05;   // of streams
+constexpr Duration kCallTimeout = 3s;
+
+double Seconds(Duration aTime)
+{
+  return std::chrono::duration<double>(aTime).count();
+}
+
+Duration FromSeconds(double aSeconds)
+{
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(aSeconds));
+}
+
+ConfigurationPtr PoolConfiguration()
+{
+  auto configuration = std::make_shared<Configuration>();
+  configuration->version = 1;
+  const auto add = [&](const std::string& aName, CallKind aKind, uint32_t aMaxAttempts) {
+    configuration->routes.push_back({ .name = aName,
+                                      .host = "h",
+                                      .pathPrefix = "/" + aName + "/",
+                                      .kind = aKind,
+                                      .timeout = kCallTimeout,
+                                      .latencyObjective = 2s,
+                                      .maxEventGap = 400ms,
+                                      .maxAttempts = aMaxAttempts,
+                                      .isPublic = true,
+                                      .isResumable = aKind == CallKind::Streaming,
+                                      .services = { { "pool", 1 } } });
+  };
+  add("lookup", CallKind::Idempotent, 2);
+  add("order", CallKind::NonIdempotent, 1);
+  add("chat", CallKind::Streaming, 2);
+  configuration->services["pool"] = Service{ .name = "pool" };
+  return configuration;
+}
+
+/// A request that reached a backend.
+struct Arrival
+{
+  TimePoint at;
+  std::string process; // of the daemon that sent it
+};
+
+/// One process of a backend.
+struct Backend
+{
+  BackendEntry entry;
+  std::optional<double> limit; // that it names now
+  bool namesLimit = false;     // it is one of those that will name a limit
+  std::optional<TimePoint> namedAt;
+  std::vector<std::pair<TimePoint, std::optional<double>>> limits; // every change
+  std::vector<Arrival> arrivals;
+  std::map<std::string, TimePoint> toldAt; // by process of a daemon
+};
+
+/// Returns the largest limit that the backend named within the contact time before.
+double LimitInTouch(const Backend& aBackend, TimePoint aAt)
+{
+  double largest = 0;
+  for (size_t i = 0; i < aBackend.limits.size(); ++i) {
+    const auto& [from, limit] = aBackend.limits[i];
+    const bool isLast = i + 1 == aBackend.limits.size();
+    const TimePoint to = isLast ? TimePoint::max() : aBackend.limits[i + 1].first;
+    if (from <= aAt && to > aAt - kContactTime) {
+      largest =
+        std::max(largest, limit.value_or(std::numeric_limits<double>::infinity()));
+    }
+  }
+  return largest;
+}
+
+/// A daemon, which may be down or frozen.
+struct SimulatedDaemon
+{
+  std::string host;
+  std::string address;
+  uint64_t incarnation = 0;
+  std::unique_ptr<EntryCore> core; // null while it is down
+  std::optional<TimePoint> frozenUntil;
+  std::deque<std::function<void()>> frozenEvents;
+  std::optional<TimePoint> wakeUpAt;
+
+  std::string Process() const { return host + "/" + std::to_string(incarnation); }
+};
+
+struct SimulatedCall
+{
+  TimePoint arrived;
+  size_t daemon = 0;
+  bool isRepeat = false;
+};
+
+struct SimulatedAttempt
+{
+  size_t daemon = 0;
+  StartAttempt start;
+  bool isSent = false;
+};
+
+/// Events in the order of their times, and of their creation at equal times.
+class EventQueue
+{
+public:
+  void Add(TimePoint aAt, std::function<void()> aRun)
+  {
+    events_.push({ aAt, ++lastId_, std::move(aRun) });
+  }
+
+  /// Runs the events up to the time, with the clock set to the time of each.
+  void RunUntil(TimePoint aEnd, TimePoint& aNow)
+  {
+    while (!events_.empty() && events_.top().at <= aEnd) {
+      auto run = std::move(const_cast<Item&>(events_.top()).run);
+      aNow = std::max(aNow, events_.top().at);
+      events_.pop();
+      run();
+    }
+    aNow = aEnd;
+  }
+
+private:
+  struct Item
+  {
+    TimePoint at;
+    uint64_t id = 0;
+    std::function<void()> run;
+
+    bool operator<(const Item& aOther) const
+    {
+      return std::pair(at, id) > std::pair(aOther.at, aOther.id);
+    }
+  };
+
+  std::priority_queue<Item> events_;
+  uint64_t lastId_ = 0;
+};
+
+class LimitSimulation
+{
+public:
+  explicit LimitSimulation(const LimitScenario& aScenario)
+    : scenario_(aScenario)
+    , random_(aScenario.seed)
+    , configuration_(PoolConfiguration())
+    , daemons_(aScenario.daemons)
+  {
+  }
+
+  LimitOutcome Run()
+  {
+    AddBackends();
+    for (size_t i = 0; i < daemons_.size(); ++i) {
+      daemons_[i].host = "d" + std::to_string(i);
+      daemons_[i].address = "10.0.0." + std::to_string(i) + ":7500";
+      daemonOfAddress_[daemons_[i].address] = i;
+      queue_.Add(kStart + Random(300ms), [this, i] { StartDaemon(i); });
+    }
+    ScheduleScript();
+    queue_.Add(kStart + 3s, [this] { PostNextCall(); });
+    queue_.RunUntil(kStart + scenario_.length, now_);
+    for (const auto& backend : backends_) {
+      CheckWindows(*backend);
+      MeasureServed(*backend);
+    }
+    return outcome_;
+  }
+
+private:
+  Duration Random(Duration aMax)
+  {
+    return FromSeconds(std::uniform_real_distribution<double>(0, Seconds(aMax))(random_));
+  }
+
+  bool Chance(double aProbability)
+  {
+    return std::uniform_real_distribution<double>(0, 1)(random_) < aProbability;
+  }
+
+  Duration RandomDelay(double aMeanSeconds)
+  {
+    return FromSeconds(std::exponential_distribution<double>(1 / aMeanSeconds)(random_));
+  }
+
+  // Backends.
+
+  void AddBackends()
+  {
+    const size_t count =
+      scenario_.limitedBackends + (scenario_.hasUnlimitedBackend ? 1 : 0);
+    for (size_t i = 0; i < count; ++i) {
+      AddBackend("b" + std::to_string(i), "10.1.0." + std::to_string(i) + ":80",
+                 i < scenario_.limitedBackends);
+    }
+  }
+
+  Backend& AddBackend(const std::string& aId, const std::string& aAddress,
+                      bool aNamesLimit)
+  {
+    backends_.push_back(std::make_unique<Backend>());
+    Backend& backend = *backends_.back();
+    backend.entry = { .id = aId,
+                      .service = "pool",
+                      .address = aAddress,
+                      .dataCentre = "c1",
+                      .slots = 1000,
+                      .startedMs = ++lastStart_,
+                      .sequence = 1 };
+    backend.namesLimit = aNamesLimit;
+    backend.limits.emplace_back(now_, std::nullopt);
+    live_[aAddress] = &backend;
+    return backend;
+  }
+
+  void NameLimit(Backend& aBackend, std::optional<double> aPerSecond)
+  {
+    aBackend.limit = aPerSecond;
+    aBackend.limits.emplace_back(now_, aPerSecond);
+    if (aPerSecond && !aBackend.namedAt) {
+      aBackend.namedAt = now_;
+    }
+  }
+
+  void NameLimits(std::optional<double> aPerSecond)
+  {
+    for (const auto& [address, backend] : live_) {
+      if (backend->namesLimit) {
+        NameLimit(*backend, aPerSecond);
+      }
+    }
+  }
+
+  /// Starts the first limited backend again at its address.
+  void RestartBackend()
+  {
+    Backend& old = *backends_.front();
+    const bool keepsId = scenario_.restart == BackendRestart::SameId;
+    const std::string oldId = old.entry.id;
+    const auto limit = old.limit;
+    Backend& next = AddBackend(keepsId ? oldId : oldId + "x", old.entry.address, true);
+    queue_.Add(now_ + Random(1s), [this, &next, limit] { NameLimit(next, limit); });
+    for (size_t i = 0; i < daemons_.size(); ++i) {
+      queue_.Add(now_ + 100ms + Random(400ms), [this, i, oldId, keepsId, &next] {
+        FleetRead read;
+        if (!keepsId) {
+          read.changes.emplace_back(BackendRemoved{ oldId });
+        }
+        read.changes.emplace_back(next.entry);
+        Post(i, std::make_shared<const Event>(std::move(read)));
+      });
+    }
+  }
+
+  // Daemons.
+
+  void StartDaemon(size_t aDaemon)
+  {
+    SimulatedDaemon& daemon = daemons_[aDaemon];
+    daemon.incarnation = static_cast<uint64_t>(now_.time_since_epoch().count());
+    daemon.core =
+      std::make_unique<EntryCore>(EntryOptions{ .host = daemon.host,
+                                                .incarnation = daemon.incarnation,
+                                                .dataCentre = "c1",
+                                                .dataCentres = { "c1" },
+                                                .peerAddress = daemon.address,
+                                                .seed = random_(),
+                                                .retryBudget = { .extra = 1000 } },
+                                  now_);
+    std::vector<std::string> addresses;
+    if (scenario_.obedience != Obedience::Alone) {
+      for (const SimulatedDaemon& other : daemons_) {
+        addresses.push_back(other.address);
+      }
+    }
+    FleetRead fleet{ .isSnapshot = true, .next = 1 };
+    for (const auto& [address, backend] : live_) {
+      fleet.changes.emplace_back(backend->entry);
+    }
+    const std::vector<Event> events = { StoreReachabilityChanged{ .isReachable = true },
+                                        ConfigurationRead{ configuration_ },
+                                        std::move(fleet),
+                                        PeerAddressesRead{ std::move(addresses) } };
+    const std::string process = daemon.Process();
+    queue_.Add(now_ + 50ms, [this, aDaemon, process, events] {
+      for (const Event& event : events) {
+        PostTo(aDaemon, process, std::make_shared<const Event>(event));
+      }
+    });
+    Pump(aDaemon);
+  }
+
+  void KillDaemon(size_t aDaemon)
+  {
+    SimulatedDaemon& daemon = daemons_[aDaemon];
+    daemon.core.reset();
+    daemon.frozenUntil.reset();
+    daemon.frozenEvents.clear();
+    daemon.wakeUpAt.reset();
+    std::erase_if(attempts_,
+                  [&](const auto& aItem) { return aItem.second.daemon == aDaemon; });
+  }
+
+  void Apply(const DaemonFault& aFault)
+  {
+    SimulatedDaemon& daemon = daemons_[aFault.daemon];
+    if (!daemon.core) {
+      return;
+    }
+    if (aFault.kind == DaemonFaultKind::Freeze) {
+      daemon.frozenUntil = now_ + aFault.lasts;
+      queue_.Add(now_ + aFault.lasts, [this, id = aFault.daemon] { Thaw(id); });
+      return;
+    }
+    if (aFault.kind == DaemonFaultKind::PlannedStop) {
+      Post(aFault.daemon, std::make_shared<const Event>(StopRequested{}));
+      return;
+    }
+    KillDaemon(aFault.daemon);
+    queue_.Add(now_ + aFault.lasts, [this, id = aFault.daemon] { StartDaemon(id); });
+  }
+
+  void Thaw(size_t aDaemon)
+  {
+    SimulatedDaemon& daemon = daemons_[aDaemon];
+    if (!daemon.frozenUntil || *daemon.frozenUntil > now_) {
+      return;
+    }
+    daemon.frozenUntil.reset();
+    for (const auto& event : std::exchange(daemon.frozenEvents, {})) {
+      event();
+    }
+    Pump(aDaemon);
+  }
+
+  /// Passes an event to a daemon, after its freeze if it is frozen. A daemon that is down
+  /// gets nothing.
+  void Post(size_t aDaemon, std::shared_ptr<const Event> aEvent)
+  {
+    PostTo(aDaemon, daemons_[aDaemon].Process(), std::move(aEvent));
+  }
+
+  /// Passes an event to this process of a daemon.
+  void PostTo(size_t aDaemon, const std::string& aProcess,
+              std::shared_ptr<const Event> aEvent)
+  {
+    SimulatedDaemon& daemon = daemons_[aDaemon];
+    if (!daemon.core || daemon.Process() != aProcess) {
+      return;
+    }
+    if (daemon.frozenUntil) {
+      daemon.frozenEvents.emplace_back(
+        [this, aDaemon, aProcess, aEvent] { PostTo(aDaemon, aProcess, aEvent); });
+      return;
+    }
+    daemon.core->SetTime(now_);
+    daemon.core->Handle(*aEvent);
+    Pump(aDaemon);
+  }
+
+  /// Runs a tick of the daemon, executes its actions and schedules its next tick.
+  void Pump(size_t aDaemon)
+  {
+    SimulatedDaemon& daemon = daemons_[aDaemon];
+    if (!daemon.core || daemon.frozenUntil) {
+      return;
+    }
+    daemon.core->Tick(now_);
+    const std::string process = daemon.Process();
+    for (const Action& action : daemon.core->TakeActions()) {
+      if (daemon.core && daemon.Process() == process) {
+        std::visit([&](const auto& aOne) { Execute(aDaemon, aOne); }, action);
+      }
+    }
+    ScheduleWakeUp(aDaemon);
+  }
+
+  void ScheduleWakeUp(size_t aDaemon)
+  {
+    SimulatedDaemon& daemon = daemons_[aDaemon];
+    const auto due = daemon.core ? daemon.core->NextDue() : std::nullopt;
+    if (!due || (daemon.wakeUpAt && *daemon.wakeUpAt <= *due)) {
+      return;
+    }
+    daemon.wakeUpAt = std::max(*due, now_);
+    queue_.Add(*daemon.wakeUpAt, [this, aDaemon, at = *daemon.wakeUpAt] {
+      SimulatedDaemon& woken = daemons_[aDaemon];
+      if (woken.wakeUpAt == at) {
+        woken.wakeUpAt.reset();
+        Pump(aDaemon);
+      }
+    });
+  }
+
+  // The network between daemons.
+
+  bool IsCut(size_t aLeft, size_t aRight) const
+  {
+    const Duration age = now_ - kStart;
+    return scenario_.cut && age >= scenario_.cut->from && age < scenario_.cut->to &&
+           aLeft % 2 != aRight % 2;
+  }
+
+  /// Sends a datagram, which may be lost, late or repeated.
+  void SendDatagram(size_t aFrom, const std::string& aTo,
+                    const std::shared_ptr<const Event>& aEvent)
+  {
+    const auto found = daemonOfAddress_.find(aTo);
+    if (found == daemonOfAddress_.end() || IsCut(aFrom, found->second)) {
+      return;
+    }
+    const int copies = Chance(scenario_.repeatRate) ? 2 : 1;
+    for (int copy = 0; copy < copies; ++copy) {
+      if (Chance(scenario_.lossRate)) {
+        continue;
+      }
+      const Duration delay =
+        Chance(scenario_.lateRate) ? Random(1s) : 500us + Random(2ms);
+      queue_.Add(now_ + delay, [this, to = found->second, aEvent] { Post(to, aEvent); });
+    }
+  }
+
+  void Execute(size_t aDaemon, const SendDigest& aAction)
+  {
+    const auto event = std::make_shared<const Event>(
+      DigestReceived{ .from = daemons_[aDaemon].address, .digest = aAction.digest });
+    for (const std::string& to : aAction.to) {
+      SendDatagram(aDaemon, to, event);
+    }
+  }
+
+  // Attempts at backends.
+
+  void Execute(size_t aDaemon, const StartAttempt& aAction)
+  {
+    const uint64_t id = ++lastAttempt_;
+    attemptIds_[{ aDaemon, aAction.attempt.value }] = id;
+    attempts_[id] = SimulatedAttempt{ .daemon = aDaemon, .start = aAction };
+    queue_.Add(now_ + 500us + Random(1ms), [this, id] { Connect(id); });
+  }
+
+  void Execute(size_t aDaemon, const CancelAttempt& aAction)
+  {
+    const auto found = attemptIds_.find({ aDaemon, aAction.attempt.value });
+    if (found != attemptIds_.end()) {
+      attempts_.erase(found->second);
+    }
+  }
+
+  void Connect(uint64_t aId)
+  {
+    const auto found = attempts_.find(aId);
+    if (found == attempts_.end()) {
+      return;
+    }
+    SimulatedAttempt& attempt = found->second;
+    const size_t daemon = attempt.daemon;
+    if (daemons_[daemon].frozenUntil) {
+      // The connection is established when the daemon runs again.
+      daemons_[daemon].frozenEvents.emplace_back([this, aId] { Connect(aId); });
+      return;
+    }
+    if (now_ > attempt.start.sendBy) {
+      PostForAttempt(aId, AttemptNotSent{ attempt.start.attempt, "too late" }, true);
+      return;
+    }
+    attempt.isSent = true;
+    const auto live = live_.find(attempt.start.address);
+    Backend* backend = live == live_.end() ? nullptr : live->second;
+    if (backend != nullptr) {
+      backend->arrivals.push_back({ now_, daemons_[daemon].Process() });
+      Serve(aId, *backend);
+    }
+    PostForAttempt(aId, AttemptSent{ attempt.start.attempt }, false);
+  }
+
+  /// Schedules the response of the backend.
+  void Serve(uint64_t aId, Backend& aBackend)
+  {
+    const StartAttempt& start = attempts_[aId].start;
+    if (start.backend != aBackend.entry.id) {
+      queue_.Add(now_ + 1ms, [this, aId] {
+        AnswerWith(aId, { .status = 421, .isMisdirected = true });
+      });
+      return;
+    }
+    if (start.isStream) {
+      queue_.Add(now_ + 20ms + RandomDelay(kMeanServiceSeconds),
+                 [this, aId, &aBackend] { StartStream(aId, aBackend); });
+      return;
+    }
+    queue_.Add(now_ + RandomDelay(kMeanServiceSeconds), [this, aId, &aBackend] {
+      ResponseHead head = HeadOf(aBackend);
+      head.status = Chance(kFailureRate) ? 500 : 200;
+      // Responses on different connections overtake each other.
+      const Duration delay =
+        Chance(scenario_.lateRate) ? Random(1s) : 500us + Random(1ms);
+      queue_.Add(now_ + delay, [this, aId, &aBackend, head] {
+        NoteTold(aId, aBackend, head);
+        AnswerWith(aId, head);
+      });
+    });
+  }
+
+  ResponseHead HeadOf(const Backend& aBackend) const
+  {
+    ResponseHead head{ .status = 200, .hasResponseStamp = true };
+    if (scenario_.obedience != Obedience::Ignored) {
+      head.limit.perSecond = aBackend.limit;
+    }
+    return head;
+  }
+
+  /// Records that the daemon passes on a response that names a limit.
+  void NoteTold(uint64_t aId, Backend& aBackend, const ResponseHead&)
+  {
+    const auto found = attempts_.find(aId);
+    if (found != attempts_.end() && aBackend.limit) {
+      aBackend.toldAt.try_emplace(daemons_[found->second.daemon].Process(), now_);
+    }
+  }
+
+  void AnswerWith(uint64_t aId, const ResponseHead& aHead)
+  {
+    const auto found = attempts_.find(aId);
+    if (found != attempts_.end()) {
+      PostForAttempt(aId, AttemptAnswered{ found->second.start.attempt, aHead, "body" },
+                     true);
+    }
+  }
+
+  void StartStream(uint64_t aId, Backend& aBackend)
+  {
+    const auto found = attempts_.find(aId);
+    if (found == attempts_.end()) {
+      return;
+    }
+    const AttemptId attempt = found->second.start.attempt;
+    NoteTold(aId, aBackend, {});
+    PostForAttempt(aId, StreamStarted{ attempt, HeadOf(aBackend) }, false);
+    PostForAttempt(aId, StreamEvents{ attempt, "id: 1\ndata: a\n\n", "1" }, false);
+    const bool breaks = Chance(kBreakRate);
+    queue_.Add(now_ + RandomDelay(kMeanStreamSeconds), [this, aId, attempt, breaks] {
+      if (breaks) {
+        PostForAttempt(aId, AttemptBroken{ attempt, "reset" }, true);
+      } else {
+        PostForAttempt(aId, StreamEnded{ attempt }, true);
+      }
+    });
+  }
+
+  /// Passes an event of an attempt to its daemon.
+  template<typename E>
+  void PostForAttempt(uint64_t aId, const E& aEvent, bool aIsLast)
+  {
+    const auto found = attempts_.find(aId);
+    if (found == attempts_.end()) {
+      return;
+    }
+    const size_t daemon = found->second.daemon;
+    if (aIsLast) {
+      attempts_.erase(found);
+    }
+    Post(daemon, std::make_shared<const Event>(aEvent));
+  }
+
+  // Callers.
+
+  void PostNextCall()
+  {
+    const double rate = scenario_.limit * scenario_.demandFactor *
+                        static_cast<double>(scenario_.limitedBackends);
+    PostCall(false);
+    queue_.Add(now_ + RandomDelay(1 / rate), [this] { PostNextCall(); });
+  }
+
+  void PostCall(bool aIsRepeat)
+  {
+    const size_t used =
+      scenario_.isLoadUneven ? (daemons_.size() + 2) / 3 : daemons_.size();
+    const size_t daemon = random_() % used;
+    if (!daemons_[daemon].core || daemons_[daemon].frozenUntil) {
+      return; // the balancer avoids it, or the caller waits in vain
+    }
+    const ExchangeId id{ ++lastCall_ };
+    calls_[id.value] =
+      SimulatedCall{ .arrived = now_, .daemon = daemon, .isRepeat = aIsRepeat };
+    outcome_.calls += 1;
+    static constexpr std::array<const char*, 4> kRoutes = { "lookup", "order", "chat",
+                                                            "chat" };
+    const std::string route = kRoutes.at(random_() % kRoutes.size());
+    Post(daemon, std::make_shared<const Event>(
+                   CallArrived{ id, Call{ .requestId = "r" + std::to_string(id.value),
+                                          .method = "POST",
+                                          .target = "/" + route + "/1",
+                                          .host = "h",
+                                          .callerTimeout = kCallTimeout,
+                                          .started = now_ } }));
+  }
+
+  void Execute(size_t, const WriteResponse& aAction)
+  {
+    const SimulatedCall call = calls_[aAction.exchange.value];
+    calls_.erase(aAction.exchange.value);
+    if (aAction.status == 200) {
+      outcome_.callsAnswered += 1;
+      return;
+    }
+    if (aAction.status != 503 && aAction.status != 429) {
+      outcome_.callsFailed += 1;
+      return;
+    }
+    outcome_.callsRefused += 1;
+    outcome_.longestRefusal = std::max(outcome_.longestRefusal, now_ - call.arrived);
+    const std::string_view retryAfter = FindHeader(aAction.headers, "Retry-After");
+    if (!call.isRepeat && !retryAfter.empty()) {
+      queue_.Add(now_ + FromSeconds(std::stod(std::string(retryAfter))),
+                 [this] { PostCall(true); });
+    }
+  }
+
+  void Execute(size_t, const FinishStream& aAction)
+  {
+    calls_.erase(aAction.exchange.value);
+    outcome_.callsAnswered += 1;
+  }
+
+  void Execute(size_t, const AbortResponse& aAction)
+  {
+    calls_.erase(aAction.exchange.value);
+    outcome_.callsFailed += 1;
+  }
+
+  void Execute(size_t aDaemon, const ExitProcess&)
+  {
+    KillDaemon(aDaemon);
+    queue_.Add(now_ + 1s, [this, aDaemon] { StartDaemon(aDaemon); });
+  }
+
+  /// Other actions have no effect here.
+  template<typename A>
+  void Execute(size_t, const A&)
+  {
+  }
+
+  // The script and what is measured.
+
+  void ScheduleScript()
+  {
+    queue_.Add(kStart + scenario_.namedAt, [this] { NameLimits(scenario_.limit); });
+    for (const LimitChange& change : scenario_.changes) {
+      queue_.Add(kStart + change.at, [this, change] { NameLimits(change.perSecond); });
+    }
+    if (scenario_.restart != BackendRestart::None) {
+      queue_.Add(kStart + scenario_.restartAt, [this] { RestartBackend(); });
+    }
+    for (const DaemonFault& fault : scenario_.faults) {
+      queue_.Add(kStart + fault.at, [this, fault] { Apply(fault); });
+    }
+  }
+
+  /// Compares each window that begins with a counted arrival with what the limit allows.
+  void CheckWindows(const Backend& aBackend)
+  {
+    if (!aBackend.namedAt) {
+      return;
+    }
+    std::vector<TimePoint> counted;
+    for (const Arrival& arrival : aBackend.arrivals) {
+      const auto told = aBackend.toldAt.find(arrival.process);
+      const bool isCounted = arrival.at >= *aBackend.namedAt + kContactTime &&
+                             told != aBackend.toldAt.end() &&
+                             told->second + kTellTime <= arrival.at;
+      if (isCounted) {
+        counted.push_back(arrival.at);
+      }
+    }
+    size_t end = 0;
+    for (size_t begin = 0; begin < counted.size(); ++begin) {
+      end = std::max(end, begin);
+      while (end < counted.size() && counted[end] < counted[begin] + kWindow) {
+        ++end;
+      }
+      CheckWindow(aBackend, counted[begin], end - begin);
+    }
+  }
+
+  void CheckWindow(const Backend& aBackend, TimePoint aBegin, size_t aCount)
+  {
+    constexpr Duration kStep = 50ms;
+    double named = 0;
+    for (Duration age{}; age < kWindow; age += kStep) {
+      named += LimitInTouch(aBackend, aBegin + age) * Seconds(kStep);
+    }
+    const double allowed = kAllowedFactor * named + kAllowedExtra;
+    const double share = static_cast<double>(aCount) / allowed;
+    if (share > outcome_.worstShare) {
+      outcome_.worstShare = share;
+      std::ostringstream text;
+      text << aBackend.entry.id << " got " << aCount << " requests in 4 s from "
+           << Seconds(aBegin - kStart) << " s, allowed " << allowed;
+      outcome_.worstWindow = text.str();
+    }
+  }
+
+  /// Adds up, in small steps, what the backend named and what it got while its limit was
+  /// settled.
+  void MeasureServed(const Backend& aBackend)
+  {
+    constexpr Duration kStep = 50ms;
+    auto next = aBackend.arrivals.begin();
+    for (TimePoint at = kStart; at < now_; at += kStep) {
+      double got = 0;
+      for (; next != aBackend.arrivals.end() && next->at < at + kStep; ++next) {
+        got += 1;
+      }
+      const auto limit = SettledLimit(aBackend, at);
+      if (!limit) {
+        continue;
+      }
+      const Duration age = at - kStart;
+      const bool isCut = scenario_.cut && age >= scenario_.cut->from &&
+                         age < scenario_.cut->to + kSettleTime;
+      (isCut ? outcome_.namedInCut : outcome_.named) += *limit * Seconds(kStep);
+      (isCut ? outcome_.servedInCut : outcome_.served) += got;
+    }
+  }
+
+  /// Returns the limit if it has not changed for the settle time and the backend lives.
+  std::optional<double> SettledLimit(const Backend& aBackend, TimePoint aAt) const
+  {
+    const bool isReplaced = live_.at(aBackend.entry.address) != &aBackend &&
+                            aAt >= kStart + scenario_.restartAt;
+    if (isReplaced) {
+      return std::nullopt;
+    }
+    std::optional<double> limit;
+    for (const auto& [from, perSecond] : aBackend.limits) {
+      if (from <= aAt) {
+        limit = from + kSettleTime <= aAt ? perSecond : std::nullopt;
+      }
+    }
+    return limit;
+  }
+
+  const LimitScenario scenario_;
+  std::mt19937_64 random_;
+  ConfigurationPtr configuration_;
+  std::vector<SimulatedDaemon> daemons_;
+  std::map<std::string, size_t> daemonOfAddress_;
+  std::vector<std::unique_ptr<Backend>> backends_; // every process that ever ran
+  std::map<std::string, Backend*> live_;           // by address
+  uint64_t lastStart_ = 0;
+  std::map<uint64_t, SimulatedAttempt> attempts_;
+  std::map<std::pair<size_t, uint64_t>, uint64_t> attemptIds_;
+  std::map<uint64_t, SimulatedCall> calls_;
+  uint64_t lastAttempt_ = 0;
+  uint64_t lastCall_ = 0;
+  EventQueue queue_;
+  TimePoint now_ = kStart;
+  LimitOutcome outcome_;
+};
+
+constexpr std::array<double, 4> kLimits = { 0.5, 1, 5, 50 };
+constexpr std::array<double, 3> kDemandFactors = { 0.5, 3, 100 };
+
+} // namespace
+
+LimitScenario DrawLimitScenario(size_t aDaemons, uint64_t aSeed)
+{
+  std::mt19937_64 random(aSeed * 1000003 + aDaemons);
+  const auto chance = [&](double aProbability) {
+    return std::uniform_real_distribution<double>(0, 1)(random) < aProbability;
+  };
+  const auto between = [&](double aFrom, double aTo) {
+    return FromSeconds(std::uniform_real_distribution<double>(aFrom, aTo)(random));
+  };
+  LimitScenario scenario{ .seed = aSeed,
+                          .daemons = aDaemons,
+                          .limitedBackends = 1 + aSeed % 2,
+                          .hasUnlimitedBackend = chance(0.3),
+                          .limit = kLimits.at(aSeed % kLimits.size()),
+                          .demandFactor = kDemandFactors.at(aSeed / kLimits.size() %
+                                                            kDemandFactors.size()),
+                          .isLoadUneven = chance(0.3),
+                          .lossRate = chance(0.5) ? 0.2 : 0.01,
+                          .lateRate = chance(0.5) ? 0.1 : 0,
+                          .repeatRate = chance(0.5) ? 0.1 : 0 };
+  if (chance(0.5)) {
+    const double factor = chance(0.5) ? 4 : 0.25;
+    scenario.changes.push_back(
+      { .at = between(14, 20), .perSecond = scenario.limit * factor });
+    if (chance(0.6)) {
+      scenario.changes.push_back({ .at = between(20, 26), .perSecond = std::nullopt });
+      scenario.changes.push_back({ .at = between(26, 32), .perSecond = scenario.limit });
+    }
+  }
+  if (chance(0.3)) {
+    scenario.restart = chance(0.5) ? BackendRestart::SameId : BackendRestart::OtherId;
+    scenario.restartAt = between(12, 30);
+  }
+  if (chance(0.4)) {
+    const Duration from = between(3, 25);
+    scenario.cut = TimeSpan{ .from = from, .to = from + between(4, 14) };
+  }
+  const size_t maxFaults = std::max<size_t>(4, aDaemons / 20);
+  const size_t faults = chance(0.3) ? 0 : random() % (maxFaults + 1);
+  for (size_t i = 0; i < faults; ++i) {
+    scenario.faults.push_back({ .kind = static_cast<DaemonFaultKind>(random() % 3),
+                                .at = between(5, 35),
+                                .daemon = random() % aDaemons,
+                                .lasts = between(0.5, 4) });
+  }
+  return scenario;
+}
+
+LimitOutcome PlayLimit(const LimitScenario& aScenario)
+{
+  return LimitSimulation(aScenario).Run();
+}
+
+} // namespace gooseberrypath::entry
