--- a/entry/backend_choice.cc
+++ b/entry/backend_choice.cc
@@ -15,6 +15,7 @@
 {
   std::vector<std::pair<const std::string*, const BackendRow*>> rows;
   std::vector<uint64_t> keys;
+  bool hasBackendAtLimit = false; // it is usable, but not among them
 };
 
 // With up to this many daemons, the load reported by peers is recent enough to compare
@@ -41,7 +42,7 @@
 /// Removes the unhealthy backends, unless all are unhealthy.
 void KeepHealthy(Candidates& aCandidates, TimePoint aNow)
 {
-  Candidates healthy;
+  Candidates healthy{ .hasBackendAtLimit = aCandidates.hasBackendAtLimit };
   for (size_t i = 0; i < aCandidates.rows.size(); ++i) {
     if (IsHealthy(*aCandidates.rows[i].second, aNow)) {
       healthy.rows.push_back(aCandidates.rows[i]);
@@ -79,6 +80,18 @@
   aCandidates.keys.resize(aSize);
 }
 
+/// Tells whether the call cannot be sent to the backend because of its limit: there is no
+/// permit, and the call may not wait for one.
+bool IsAtLimit(const World& aWorld, const RequestRow& aRow, const BackendRow& aBackend)
+{
+  if (!aBackend.limit.Enforced()) {
+    return false;
+  }
+  const TimePoint now = aWorld.Now();
+  const bool mayWait = !aRow.permitWaitEnd || now < *aRow.permitWaitEnd;
+  return mayWait ? !aBackend.permits.MayGet(now) : !aBackend.permits.HasPermit(now);
+}
+
 Candidates FindCandidates(const World& aWorld, const RequestRow& aRow,
                           bool aIncludeFailed)
 {
@@ -92,6 +105,10 @@
     if (hasFailed && !aIncludeFailed) {
       continue;
     }
+    if (IsAtLimit(aWorld, aRow, backend)) {
+      found.hasBackendAtLimit = true;
+      continue;
+    }
     found.rows.emplace_back(&id, &backend);
     found.keys.push_back(backend.key);
   }
@@ -169,12 +186,33 @@
                             .uncachedTokens = load.uncachedTokens,
                             .kvTokens = load.neededKvTokens,
                             .inFlight = load.inFlight,
-                            .waitingTokens = static_cast<double>(load.waitingTokens) };
+                            .waitingTokens = static_cast<double>(load.waitingTokens),
+                            .avoidsLimit = candidates.hasBackendAtLimit };
     }
   }
   return best;
 }
 
+std::string DescribeLimits(const World& aWorld, const RequestRow& aRow)
+{
+  constexpr int kMaxNamed = 3;
+  std::string text;
+  int count = 0;
+  for (const auto& [id, backend] : aWorld.backends) {
+    if (backend.entry.service != aRow.service || !IsUsable(backend, aWorld.Now()) ||
+        !IsAtLimit(aWorld, aRow, backend)) {
+      continue;
+    }
+    if (++count <= kMaxNamed) {
+      text += text.empty() ? "" : ", ";
+      text += id + " at " + LimitText(backend.limit.InForce());
+    }
+  }
+  return count <= kMaxNamed
+           ? text
+           : text + " and " + std::to_string(count - kMaxNamed) + " more";
+}
+
 std::optional<Duration> TimeUntilUsable(const World& aWorld, const RequestRow& aRow)
 {
   std::optional<Duration> earliest;
@@ -184,7 +222,10 @@
     if (!isCandidate) {
       continue;
     }
-    const TimePoint usableAt = std::max(backend.avoidUntil, backend.backOffUntil);
+    TimePoint usableAt = std::max(backend.avoidUntil, backend.backOffUntil);
+    if (IsAtLimit(aWorld, aRow, backend)) {
+      usableAt = std::max(usableAt, backend.permits.AskAgainAt());
+    }
     const Duration wait = std::max<Duration>(usableAt - aWorld.Now(), Duration::zero());
     earliest = std::min(earliest.value_or(wait), wait);
   }
--- a/entry/backend_choice.h
+++ b/entry/backend_choice.h
@@ -21,16 +21,21 @@
   uint32_t kvTokens = 0;       // KV cache memory that the call needs
   uint32_t inFlight = 0;       // calls of all daemons, without this one
   double waitingTokens = 0;    // prompt tokens queued ahead of this call
+  bool avoidsLimit = false;    // another backend was passed over because of its limit
 };
 
 /// Returns the usable backend of the call's service with the lowest expected cost, or
 /// nothing if no backend is usable. A backend that already failed this call is only
-/// chosen if there is no other one.
+/// chosen if there is no other one, and one that is at its limit is not chosen.
 std::optional<BackendChoice> ChooseBackend(World& aWorld, const RequestRow& aRow);
 
+/// Returns the backends that the call could be sent to now if they were not at their
+/// limits, with the limits, as text; empty if there is none.
+std::string DescribeLimits(const World& aWorld, const RequestRow& aRow);
+
 /// Returns the time until a backend of the call's service may receive calls: zero if one
-/// can now, else the shortest remaining back-off. Returns nothing if all of them are
-/// leaving or removed.
+/// can now, else the shortest remaining back-off or time at its limit. Returns nothing if
+/// all of them are leaving or removed.
 std::optional<Duration> TimeUntilUsable(const World& aWorld, const RequestRow& aRow);
 
 /// Picks one of the route's services in proportion to their weights. The same request id
--- a/entry/backend_limit.h
+++ b/entry/backend_limit.h
@@ -10,6 +10,7 @@
 #define ENTRY_BACKEND_LIMIT_H_
 
 #include <optional>
+#include <string>
 
 #include "entry/usage_count.h"
 
@@ -26,6 +27,13 @@
   bool operator==(const LimitStatement&) const = default;
 };
 
+/// Tells whether a statement from outside can be one: its limit is finite and not
+/// negative, and its times are in order.
+bool IsValid(const LimitStatement& aStatement);
+
+/// Formats a limit for log lines: "1.2", or "none".
+std::string LimitText(const std::optional<double>& aPerSecond);
+
 class BackendLimit
 {
 public:
@@ -37,6 +45,11 @@
   /// Returns the requests per second that the backend takes, or nothing.
   std::optional<double> InForce() const { return latest_.perSecond; }
 
+  /// Returns the requests per second that the daemons together send, or nothing if no
+  /// limit has to be kept. A limit below one request in four seconds is kept at that
+  /// rate: without any response, a daemon would never learn that the limit has ended.
+  std::optional<double> Enforced() const;
+
   /// Returns the statement that is in force.
   const LimitStatement& Latest() const { return latest_; }
 
--- a/entry/backend_notice.cc
+++ b/entry/backend_notice.cc
@@ -1,8 +1,6 @@
 #include "entry/backend_notice.h"
 
 #include <algorithm>
-#include <array>
-#include <cstdio>
 #include <utility>
 
 #include "entry/duration_text.h"
@@ -11,15 +9,8 @@
 
 namespace {
 
-std::string LimitText(const std::optional<double>& aPerSecond)
-{
-  if (!aPerSecond) {
-    return "none";
-  }
-  std::array<char, 32> text{};
-  std::snprintf(text.data(), text.size(), "%g", *aPerSecond);
-  return text.data();
-}
+// The clocks of daemons differ by less than this, except after a disturbance.
+constexpr WallTime kMaxClockDifference = std::chrono::milliseconds(500);
 
 /// Applies what the head says about the limit. The head of a response that is not the
 /// backend's own cannot lift a limit, and a malformed field neither sets nor lifts one.
@@ -44,20 +35,33 @@
              {});
 }
 
+/// Returns a peer's statement with times that are cautious about its clock: not in the
+/// future, and so early that it raises or lifts a limit only if it is certainly later.
+LimitStatement AsReported(LimitStatement aStatement, WallTime aNow)
+{
+  aStatement.receivedAt = std::min(aStatement.receivedAt, aNow);
+  aStatement.sentAt =
+    std::min(aStatement.sentAt, aStatement.receivedAt) - kMaxClockDifference;
+  return aStatement;
+}
+
 } // namespace
 
 void ApplyLimit(World& aWorld, BackendRow& aBackend, const LimitStatement& aStatement,
                 const std::string& aReportedBy)
 {
+  const LimitStatement statement =
+    aReportedBy.empty() ? aStatement : AsReported(aStatement, aWorld.WallNow());
   const auto before = aBackend.limit.InForce();
-  if (!aBackend.limit.Apply(aStatement)) {
+  if (!aBackend.limit.Apply(statement)) {
     return;
   }
   const auto after = aBackend.limit.InForce();
   const Duration lasted = before ? aWorld.Now() - aBackend.limitedSince : Duration{};
   aBackend.limitedSince = aWorld.Now();
+  aWorld.isDigestUrgent = aWorld.isDigestUrgent || aReportedBy.empty();
   aWorld.counters.Add(EntryCounter::LimitChanges);
-  const WallTime age = aWorld.WallNow() - aStatement.receivedAt;
+  const WallTime age = aWorld.WallNow() - statement.receivedAt;
   aWorld.Log(LogLevel::Info, "backend_limit", {},
              { { "backend", aBackend.entry.id },
                { "change", !before ? "named"
--- a/entry/backend_notice.h
+++ b/entry/backend_notice.h
@@ -18,7 +18,8 @@
 void MarkLeaving(World& aWorld, BackendRow& aBackend, const std::string& aReportedBy);
 
 /// Applies a backend's statement about its limit and logs a change. `aReportedBy` is the
-/// peer that reported it, or empty if the backend stated it to this daemon.
+/// peer that reported it, or empty if the backend stated it to this daemon, which then
+/// sends it to the other daemons at once.
 void ApplyLimit(World& aWorld, BackendRow& aBackend, const LimitStatement& aStatement,
                 const std::string& aReportedBy);
 
--- a/entry/digest.capnp
+++ b/entry/digest.capnp
@@ -4,6 +4,7 @@
 @0xd2a37c9f0b6e4415;
 
 using Cxx = import "/capnp/c++.capnp";
+using Permit = import "permit.capnp";
 $Cxx.namespace("gooseberrypath::entry::wire");
 
 struct Digest {
@@ -25,6 +26,13 @@
   news @15 :List(FleetChange); # the fleet delta: backends that joined or left
   newsFrom @16 :UInt64; # store offset at which the delta begins
   newsNext @17 :UInt64; # store offset behind the last record of the delta
+  limits @18 :List(BackendLimit);
+  grantsPermits @19 :Bool;
+}
+
+struct BackendLimit {
+  backend @0 :UInt32;
+  statement @1 :Permit.LimitStatement;
 }
 
 struct FleetChange {
--- a/entry/digest.capnp.h
+++ b/entry/digest.capnp.h
@@ -10,6 +10,7 @@
 #error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
+#include "permit.capnp.h"
 
 CAPNP_BEGIN_HEADER
 
@@ -17,6 +18,7 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(d62b11838d606aca);
+CAPNP_DECLARE_SCHEMA(a5bf5f45a0e8aef6);
 CAPNP_DECLARE_SCHEMA(95a3ad41633e5dc9);
 CAPNP_DECLARE_SCHEMA(c3362544831ee5a0);
 CAPNP_DECLARE_SCHEMA(ef4d759db683e31b);
@@ -39,7 +41,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d62b11838d606aca, 9, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(d62b11838d606aca, 9, 9)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct BackendLimit {
+  BackendLimit() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a5bf5f45a0e8aef6, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -199,6 +216,11 @@
 
   inline  ::uint64_t getNewsNext() const;
 
+  inline bool hasLimits() const;
+  inline  ::capnp::List< ::gooseberrypath::entry::wire::BackendLimit,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
+
+  inline bool getGrantsPermits() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -314,6 +336,16 @@
   inline  ::uint64_t getNewsNext();
   inline void setNewsNext( ::uint64_t value);
 
+  inline bool hasLimits();
+  inline  ::capnp::List< ::gooseberrypath::entry::wire::BackendLimit,  ::capnp::Kind::STRUCT>::Builder getLimits();
+  inline void setLimits( ::capnp::List< ::gooseberrypath::entry::wire::BackendLimit,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::gooseberrypath::entry::wire::BackendLimit,  ::capnp::Kind::STRUCT>::Builder initLimits(unsigned int size);
+  inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::gooseberrypath::entry::wire::BackendLimit,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::gooseberrypath::entry::wire::BackendLimit,  ::capnp::Kind::STRUCT>> disownLimits();
+
+  inline bool getGrantsPermits();
+  inline void setGrantsPermits(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -340,6 +372,93 @@
 };
 #endif  // !CAPNP_LITE
 
+class BackendLimit::Reader {
+public:
+  typedef BackendLimit Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getBackend() const;
+
+  inline bool hasStatement() const;
+  inline  ::gooseberrypath::entry::wire::LimitStatement::Reader getStatement() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class BackendLimit::Builder {
+public:
+  typedef BackendLimit Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getBackend();
+  inline void setBackend( ::uint32_t value);
+
+  inline bool hasStatement();
+  inline  ::gooseberrypath::entry::wire::LimitStatement::Builder getStatement();
+  inline void setStatement( ::gooseberrypath::entry::wire::LimitStatement::Reader value);
+  inline  ::gooseberrypath::entry::wire::LimitStatement::Builder initStatement();
+  inline void adoptStatement(::capnp::Orphan< ::gooseberrypath::entry::wire::LimitStatement>&& value);
+  inline ::capnp::Orphan< ::gooseberrypath::entry::wire::LimitStatement> disownStatement();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class BackendLimit::Pipeline {
+public:
+  typedef BackendLimit Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::gooseberrypath::entry::wire::LimitStatement::Pipeline getStatement();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class FleetChange::Reader {
 public:
   typedef FleetChange Reads;
@@ -1339,6 +1458,107 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Digest::Reader::hasLimits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool Digest::Builder::hasLimits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::gooseberrypath::entry::wire::BackendLimit,  ::capnp::Kind::STRUCT>::Reader Digest::Reader::getLimits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::BackendLimit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::gooseberrypath::entry::wire::BackendLimit,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::getLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::BackendLimit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void Digest::Builder::setLimits( ::capnp::List< ::gooseberrypath::entry::wire::BackendLimit,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::BackendLimit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::gooseberrypath::entry::wire::BackendLimit,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::initLimits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::BackendLimit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void Digest::Builder::adoptLimits(
+    ::capnp::Orphan< ::capnp::List< ::gooseberrypath::entry::wire::BackendLimit,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::BackendLimit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::gooseberrypath::entry::wire::BackendLimit,  ::capnp::Kind::STRUCT>> Digest::Builder::disownLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::BackendLimit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
+inline bool Digest::Reader::getGrantsPermits() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
+}
+
+inline bool Digest::Builder::getGrantsPermits() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
+}
+inline void Digest::Builder::setGrantsPermits(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t BackendLimit::Reader::getBackend() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t BackendLimit::Builder::getBackend() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void BackendLimit::Builder::setBackend( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool BackendLimit::Reader::hasStatement() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool BackendLimit::Builder::hasStatement() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::gooseberrypath::entry::wire::LimitStatement::Reader BackendLimit::Reader::getStatement() const {
+  return ::capnp::_::PointerHelpers< ::gooseberrypath::entry::wire::LimitStatement>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::gooseberrypath::entry::wire::LimitStatement::Builder BackendLimit::Builder::getStatement() {
+  return ::capnp::_::PointerHelpers< ::gooseberrypath::entry::wire::LimitStatement>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::gooseberrypath::entry::wire::LimitStatement::Pipeline BackendLimit::Pipeline::getStatement() {
+  return  ::gooseberrypath::entry::wire::LimitStatement::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void BackendLimit::Builder::setStatement( ::gooseberrypath::entry::wire::LimitStatement::Reader value) {
+  ::capnp::_::PointerHelpers< ::gooseberrypath::entry::wire::LimitStatement>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::gooseberrypath::entry::wire::LimitStatement::Builder BackendLimit::Builder::initStatement() {
+  return ::capnp::_::PointerHelpers< ::gooseberrypath::entry::wire::LimitStatement>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void BackendLimit::Builder::adoptStatement(
+    ::capnp::Orphan< ::gooseberrypath::entry::wire::LimitStatement>&& value) {
+  ::capnp::_::PointerHelpers< ::gooseberrypath::entry::wire::LimitStatement>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::gooseberrypath::entry::wire::LimitStatement> BackendLimit::Builder::disownStatement() {
+  return ::capnp::_::PointerHelpers< ::gooseberrypath::entry::wire::LimitStatement>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool FleetChange::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/entry/digest_port.cc
+++ b/entry/digest_port.cc
@@ -1,6 +1,5 @@
 #include "entry/digest_port.h"
 
-#include <memory>
 #include <utility>
 
 #include <kj/debug.h>
@@ -39,24 +38,55 @@
 void DigestPort::Execute(const SendDigest& aAction)
 {
   const auto bytes = std::make_shared<const std::string>(EncodeDigest(aAction.digest));
+  for (const std::string& to : aAction.to) {
+    Send(to, bytes);
+  }
+}
+
+void DigestPort::Execute(const SendPermitMessage& aAction)
+{
+  Send(aAction.to,
+       std::make_shared<const std::string>(EncodePermitMessage(aAction.message)));
+}
+
+void DigestPort::Send(const std::string& aTo,
+                      const std::shared_ptr<const std::string>& aBytes)
+{
   if (addressCache_.size() > kMaxCachedAddresses) {
     addressCache_.clear();
   }
-  for (const std::string& to : aAction.to) {
-    auto found = addressCache_.find(to);
-    if (found == addressCache_.end()) {
-      KJ_IF_MAYBE (address, ParseAddress(options_.network, to)) {
-        found = addressCache_.emplace(to, kj::mv(*address)).first;
-      } else {
-        continue; // a peer listed a malformed address
-      }
+  auto found = addressCache_.find(aTo);
+  if (found == addressCache_.end()) {
+    KJ_IF_MAYBE (address, ParseAddress(options_.network, aTo)) {
+      found = addressCache_.emplace(aTo, kj::mv(*address)).first;
+    } else {
+      return; // a peer listed a malformed address
+    }
+  }
+  auto address = found->second->clone();
+  // A send error is treated like a lost datagram: the next message makes up for it.
+  tasks_.add(port_->send(aBytes->data(), aBytes->size(), *address)
+               .then([aBytes](size_t) {}, [aBytes](kj::Exception&&) {})
+               .attach(kj::mv(address)));
+}
+
+void DigestPort::Receive(std::span<const char> aBytes, const std::string& aFrom)
+{
+  if (!IsPermitMessage(aBytes)) {
+    if (auto digest = DecodeDigest(aBytes)) {
+      options_.sink(DigestReceived{ aFrom, *std::move(digest) });
+    } else {
+      ++malformedCount_;
     }
-    auto address = found->second->clone();
-    // A send error is treated like a lost datagram: the next digest carries the state
-    // again.
-    tasks_.add(port_->send(bytes->data(), bytes->size(), *address)
-                 .then([bytes](size_t) {}, [bytes](kj::Exception&&) {})
-                 .attach(kj::mv(address)));
+    return;
+  }
+  auto message = DecodePermitMessage(aBytes);
+  if (!message) {
+    ++malformedCount_;
+  } else if (auto* request = std::get_if<PermitRequest>(&*message)) {
+    options_.sink(PermitRequestReceived{ aFrom, std::move(*request) });
+  } else {
+    options_.sink(PermitReplyReceived{ std::get<PermitReply>(*std::move(message)) });
   }
 }
 
@@ -67,13 +97,12 @@
       [this] {
         const auto content = receiver_->getContent();
         const auto chars = content.value.asChars();
-        auto digest = DecodeDigest({ chars.begin(), chars.size() });
-        if (!digest || content.isTruncated) {
+        if (content.isTruncated) {
           ++malformedCount_;
           return;
         }
-        options_.sink(
-          DigestReceived{ receiver_->getSource().toString().cStr(), *std::move(digest) });
+        Receive({ chars.begin(), chars.size() },
+                receiver_->getSource().toString().cStr());
       },
       // A datagram that was sent earlier and refused by its receiver can surface here as
       // a receive error. The loop continues with the next datagram.
--- a/entry/digest_port.h
+++ b/entry/digest_port.h
@@ -1,4 +1,4 @@
-// Exchanges gossip digests with peer daemons as UDP datagrams.
+// Exchanges gossip digests and permit messages with peer daemons as UDP datagrams.
 //
 //   DigestPort digests({ .network = network, .sink = sink, .address = "10.0.0.1:8361" });
 //   digests.Execute(SendDigest{ .to = { "10.0.0.2:8361" }, .digest = digest });
@@ -8,6 +8,8 @@
 
 #include <functional>
 #include <map>
+#include <memory>
+#include <span>
 #include <string>
 
 #include <kj/async-io.h>
@@ -36,12 +38,21 @@
   /// Sends the digest to each peer, without retries. Malformed addresses are skipped.
   void Execute(const SendDigest& aAction);
 
-  /// Returns the number of received datagrams that were not a valid digest.
+  /// Sends the message without retries. A malformed address is skipped.
+  void Execute(const SendPermitMessage& aAction);
+
+  /// Returns the number of received datagrams that were not a valid message.
   uint64_t MalformedCount() const { return malformedCount_; }
 
 private:
   kj::Promise<void> ReceiveLoop();
 
+  /// Passes a received datagram to the sink, unless it is malformed.
+  void Receive(std::span<const char> aBytes, const std::string& aFrom);
+
+  /// Sends a datagram to the address, unless that is malformed.
+  void Send(const std::string& aTo, const std::shared_ptr<const std::string>& aBytes);
+
   DigestPortOptions options_;
   uint64_t malformedCount_ = 0;
   std::map<std::string, kj::Own<kj::NetworkAddress>> addressCache_;
--- a/entry/entry_counters.h
+++ b/entry/entry_counters.h
@@ -31,6 +31,12 @@
   StreamsStalled,
   BackOffsRequested, // responses in which a backend asked for a back-off
   LimitChanges,      // limits that backends named, changed or lifted
+  LimitsAvoided,     // attempts sent elsewhere because a backend was at its limit
+  LimitsRefused,     // calls refused because all backends were at their limits
+  PermitsAsked,
+  PermitsUnanswered, // requests for permits without a reply
+  PermitsGranted,    // by this daemon
+  PermitsDenied,     // requests that got none from this daemon
   AttemptsRetried,
   RetriesDenied, // because the retry budget was exhausted
   StreamsResumed,
--- a/entry/gossip_system.cc
+++ b/entry/gossip_system.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "entry/limit_gossip.h"
+
 namespace gooseberrypath::entry {
 
 namespace {
@@ -136,7 +138,7 @@
   const PeerDigest& digest = action.digest;
   lastDigestBytes_ = kDigestBaseBytes + 13 * digest.backends.size() +
                      12 * digest.teams.size() + 24 * digest.peers.size() +
-                     24 * digest.leaving.size();
+                     24 * digest.leaving.size() + 34 * digest.limits.size();
   if (!holder.empty()) {
     SendDigest withUsage{ .to = { holder }, .digest = digest };
     // The counts of the last windows are repeated, because the newest digests may have
@@ -170,7 +172,9 @@
                        world_.configuration ? world_.configuration->version : 0,
                      .fleetOffset = world_.fleetOffset,
                      .dutyToken = world_.dutyToken,
-                     .dutyRenewal = world_.dutyRenewal };
+                     .dutyRenewal = world_.dutyRenewal,
+                     .limits = LimitsToGossip(world_, sequence_),
+                     .grantsPermits = world_.grantsPermits };
   for (const auto& [name, rate] : world_.promptTokenRates) {
     digest.demands.push_back(
       { .service = DigestKey(name),
@@ -372,9 +376,9 @@
     world_.Emit(SetReaderCount{ readers });
   }
   // Without changes, digests still come as heartbeats.
-  const double liveDaemons =
-    1 + EstimateLivePeers(ages, std::max(DigestInterval(), kHeartbeatInterval));
   world_.digestInterval = DigestInterval();
+  world_.heartbeatInterval = std::max(world_.digestInterval, kHeartbeatInterval);
+  const double liveDaemons = 1 + EstimateLivePeers(ages, world_.heartbeatInterval);
   for (auto& [name, row] : world_.teams) {
     row.quota.SetDaemonCount(serving);
     row.quota.SetDigestInterval(world_.digestInterval);
--- a/entry/messages.h
+++ b/entry/messages.h
@@ -12,6 +12,7 @@
 #include "entry/duty_state.h"
 #include "entry/model.h"
 #include "entry/peer_digest.h"
+#include "entry/permit_message.h"
 #include "gooseberrypath/actions.h"
 
 namespace gooseberrypath::entry {
@@ -133,6 +134,19 @@
   PeerDigest digest;
 };
 
+/// A peer asks for permits.
+struct PermitRequestReceived
+{
+  std::string from; // "IP:port"
+  PermitRequest request;
+};
+
+/// A peer answers a request for permits.
+struct PermitReplyReceived
+{
+  PermitReply reply;
+};
+
 /// The gossip addresses of the daemons that are registered in the store.
 struct PeerAddressesRead
 {
@@ -188,9 +202,9 @@
   std::variant<ConfigurationRead, FleetRead, StoreReachabilityChanged, RecordIgnored,
                CallArrived, CallerDisconnected, AllCallersDisconnected, AttemptNotSent,
                AttemptSent, AttemptAnswered, StreamStarted, StreamEvents, StreamEnded,
-               AttemptBroken, UnsolicitedBytes, DigestReceived, PeerAddressesRead,
-               DutyStateRead, DutyStateWritten, UsageSent, UsageRead, OrderSent,
-               StopRequested>;
+               AttemptBroken, UnsolicitedBytes, DigestReceived, PermitRequestReceived,
+               PermitReplyReceived, PeerAddressesRead, DutyStateRead, DutyStateWritten,
+               UsageSent, UsageRead, OrderSent, StopRequested>;
 
 // Actions towards callers.
 
@@ -295,6 +309,13 @@
   PeerDigest digest;
 };
 
+/// Sends a permit message to a peer.
+struct SendPermitMessage
+{
+  std::string to; // "IP:port"
+  PermitMessage message;
+};
+
 /// Reads the fleet from the store: a peer knows a change at this offset.
 struct ReadFleet
 {
@@ -364,9 +385,9 @@
   std::variant<WriteResponse, WriteStreamHead, WriteStreamBytes, FinishStream,
                AbortResponse, SetCallerLimits, SetReady, CloseIdleCallerConnections,
                StopAccepting, StartAttempt, CancelAttempt, CloseIdleBackendConnections,
-               SendDigest, ReadFleet, ReadConfiguration, SkipFleetRecords, SetReaderCount,
-               ReadDutyState, WriteDutyState, WriteUsage, ReadUsage, SendUsage, SendOrder,
-               WriteEvent, ExitProcess>;
+               SendDigest, SendPermitMessage, ReadFleet, ReadConfiguration,
+               SkipFleetRecords, SetReaderCount, ReadDutyState, WriteDutyState,
+               WriteUsage, ReadUsage, SendUsage, SendOrder, WriteEvent, ExitProcess>;
 
 } // namespace gooseberrypath::entry
 
--- a/entry/peer_digest.cc
+++ b/entry/peer_digest.cc
@@ -11,6 +11,7 @@
 #include <xxhash.h>
 
 #include "entry/digest.capnp.h"
+#include "entry/limit_wire.h"
 
 namespace gooseberrypath::entry {
 
@@ -70,6 +71,11 @@
     leaving[i].setBornMs(aDigest.leaving[i].startedMs);
     leaving[i].setIsRemoved(aDigest.leaving[i].isRemoved);
   }
+  auto limits = aBuilder.initLimits(aDigest.limits.size());
+  for (uint32_t i = 0; i < limits.size(); ++i) {
+    limits[i].setBackend(aDigest.limits[i].backend);
+    FillStatement(aDigest.limits[i].statement, limits[i].initStatement());
+  }
 }
 
 void FillChange(const BackendEntry& aEntry, wire::FleetChange::Builder aBuilder)
@@ -164,6 +170,11 @@
                                .startedMs = backend.getBornMs(),
                                .isRemoved = backend.getIsRemoved() });
   }
+  digest.grantsPermits = aMessage.getGrantsPermits();
+  for (const auto limit : aMessage.getLimits()) {
+    digest.limits.push_back({ .backend = limit.getBackend(),
+                              .statement = ReadStatement(limit.getStatement()) });
+  }
   if (aMessage.getNews().size() > 0) {
     FleetDelta fleetDelta{ .from = aMessage.getNewsFrom(),
                            .next = aMessage.getNewsNext() };
@@ -190,6 +201,7 @@
   message.setFleetOffset(aDigest.fleetOffset);
   message.setDutyToken(aDigest.dutyToken);
   message.setDutyRenewal(aDigest.dutyRenewal);
+  message.setGrantsPermits(aDigest.grantsPermits);
   FillLists(aDigest, message);
   if (aDigest.fleetDelta) {
     FillFleetDelta(*aDigest.fleetDelta, message);
@@ -222,8 +234,16 @@
     return MakeError(ErrorKind::BadRequest,
                      "a service demand in the digest is negative or not finite");
   }
+  const bool hasValidLimits =
+    std::ranges::all_of(digest->limits, [](const GossipedLimit& aLimit) {
+      return IsValid(aLimit.statement);
+    });
+  if (!hasValidLimits) {
+    return MakeError(ErrorKind::BadRequest, "a backend's limit in the digest is invalid");
+  }
   const bool isTooLong =
     digest->backends.size() > kMaxListLength || digest->usage.size() > kMaxListLength ||
+    digest->limits.size() > kMaxListLength ||
     (digest->fleetDelta && digest->fleetDelta->changes.size() > kMaxListLength);
   if (digest->daemon.empty() || isTooLong) {
     return MakeError(ErrorKind::BadRequest,
--- a/entry/peer_digest.h
+++ b/entry/peer_digest.h
@@ -15,6 +15,7 @@
 #include <string_view>
 #include <vector>
 
+#include "entry/backend_limit.h"
 #include "entry/model.h"
 #include "entry/usage_count.h"
 #include "gooseberrypath/errors.h"
@@ -54,6 +55,13 @@
   bool operator==(const LeavingBackend&) const = default;
 };
 
+/// What the sender knows of a backend's limit.
+struct GossipedLimit
+{
+  uint32_t backend = 0; // hash of the backend's id
+  LimitStatement statement;
+};
+
 /// The state that a daemon shares with its peers.
 struct PeerDigest
 {
@@ -72,6 +80,8 @@
   std::vector<UsageRow> usage;          // calls that the sender itself counted
   std::vector<std::string> peers;       // addresses of other daemons
   std::vector<LeavingBackend> leaving;  // includes backends that were just removed
+  std::vector<GossipedLimit> limits;    // some of the known ones, at first the newest
+  bool grantsPermits = false;           // for the limited backends that it is chosen for
   std::optional<FleetDelta> fleetDelta; // changes that the sender has just read
 };
 
--- a/entry/request_system.cc
+++ b/entry/request_system.cc
@@ -44,6 +44,17 @@
 // Retry-After when no backend is available. The next fleet update may add one.
 constexpr Duration kNoBackendRetryAfter = milliseconds(400);
 
+// Minimum Retry-After when all backends are at their limits. Callers that return sooner
+// would mostly be refused again.
+constexpr Duration kMinLimitRetryAfter = milliseconds(100);
+
+// Longest time for which a call waits for permits of limited backends.
+constexpr Duration kMaxPermitWait = milliseconds(100);
+
+// A stream that is to move from a stalled engine to a limited one tries again after this
+// time, in which a permit comes.
+constexpr Duration kMovePermitTime = milliseconds(20);
+
 // Retry-After when another daemon can serve the call at once.
 constexpr Duration kDrainingRetryAfter = milliseconds(20);
 
@@ -119,6 +130,7 @@
 void RequestSystem::Run()
 {
   RedirectUnsentAttempts();
+  DispatchAwaitingPermit();
   if (waitingCalls_.empty() || IsStarting()) {
     return;
   }
@@ -199,9 +211,7 @@
   row.stage = RequestStage::Choosing;
   const auto choice = ChooseBackend(world_, row);
   if (!choice) {
-    completion_.EndUnserved(
-      aRequest, Error{ ErrorKind::NoBackend, "no backend serves this route now" },
-      TimeUntilUsable(world_, row).value_or(kNoBackendRetryAfter));
+    RefuseUnserved(aRequest);
     return;
   }
   const Duration remaining = row.deadline - world_.Now();
@@ -218,16 +228,70 @@
                             FromMs(choice->expectedMs - maxFirstEventMs / 2));
     return;
   }
-  StartAttemptAt(aRequest, *choice);
+  if (TakePermit(aRequest, *world_.backends.Find(choice->id))) {
+    StartAttemptAt(aRequest, *choice);
+  }
+}
+
+void RequestSystem::RefuseUnserved(RequestRef aRequest)
+{
+  const RequestRow& row = *aRequest.row;
+  const Duration retryAfter = TimeUntilUsable(world_, row).value_or(kNoBackendRetryAfter);
+  const std::string limits = DescribeLimits(world_, row);
+  if (limits.empty()) {
+    completion_.EndUnserved(
+      aRequest, Error{ ErrorKind::NoBackend, "no backend serves this route now" },
+      retryAfter);
+    return;
+  }
+  world_.counters.Add(EntryCounter::LimitsRefused);
+  completion_.EndUnserved(
+    aRequest,
+    Error{ ErrorKind::Overloaded,
+           "the backends are at the requests a second that they take: " + limits },
+    std::max(retryAfter, kMinLimitRetryAfter));
+}
+
+bool RequestSystem::TakePermit(RequestRef aRequest, BackendRow& aBackend)
+{
+  if (!aBackend.limit.Enforced() || aBackend.permits.Take(world_.Now())) {
+    return true;
+  }
+  RequestRow& row = *aRequest.row;
+  row.stage = RequestStage::AwaitingPermit;
+  row.permitBackend = aBackend.entry.id;
+  row.permitWaitEnd = row.permitWaitEnd.value_or(world_.Now() + kMaxPermitWait);
+  aBackend.permits.AddWaiting(world_.Now());
+  world_.permitsWanted.insert(aBackend.entry.id);
+  awaitingPermit_.push_back(aRequest.id);
+  return false;
+}
+
+void RequestSystem::DispatchAwaitingPermit()
+{
+  for (const ExchangeId id : std::exchange(awaitingPermit_, {})) {
+    RequestRow* row = world_.requests.Find(id);
+    if (row == nullptr || row->stage != RequestStage::AwaitingPermit) {
+      continue;
+    }
+    const BackendRow* backend = world_.backends.Find(row->permitBackend);
+    if (backend != nullptr && backend->permits.PendingAsk() != nullptr) {
+      awaitingPermit_.push_back(id);
+    } else {
+      Dispatch({ id, row });
+    }
+  }
 }
 
 void RequestSystem::StartAttemptAt(RequestRef aRequest, const BackendChoice& aChoice)
 {
   RequestRow& row = *aRequest.row;
   const BackendRow& backend = *world_.backends.Find(aChoice.id);
+  world_.counters.Add(EntryCounter::LimitsAvoided, aChoice.avoidsLimit ? 1 : 0);
   const AttemptId id = attempts_.Begin(aRequest, aChoice);
   const TimePoint now = world_.Now();
   row.stage = RequestStage::Running;
+  row.permitWaitEnd.reset();
   const bool isStream = row.route->kind == CallKind::Streaming;
   const std::string& resumeAfterId =
     row.lastEventId.empty() ? row.call.lastEventId : row.lastEventId;
@@ -540,6 +604,8 @@
   // The other backend must be clearly faster than the time that this call has waited.
   RequestRow withoutCurrent = *row;
   withoutCurrent.failedBackends.push_back(running->attempt->backend);
+  withoutCurrent.permitWaitEnd =
+    world_.Now(); // the call keeps its attempt until it moves
   const auto choice = ChooseBackend(world_, withoutCurrent);
   const double waitedMs = ToMs(world_.Now() - running->attempt->started);
   const bool isBetter = choice && choice->id != running->attempt->backend &&
@@ -551,6 +617,7 @@
     running->backend->health.RecordFailure(world_.Now());
   }
   row->failedBackends.push_back(running->attempt->backend);
+  row->permitWaitEnd = world_.Now();
   attempts_.Cancel(*row);
   Retry({ aId, row }, false, "the backend is silent");
 }
@@ -582,15 +649,38 @@
   if (ReasonNotToRetry(*row, false)) {
     return; // it cannot move; the caller decides how long to wait
   }
+  if (!HasPermitToMove(*row, running->attempt->backend)) {
+    row->stallTimer = world_.timers.SubscribeAt(
+      world_.Now() + kMovePermitTime,
+      [this, aId, aLimit](TimePoint) { OnStallCheck(aId, aLimit); });
+    return;
+  }
   world_.counters.Add(EntryCounter::StreamsStalled);
   if (running->backend != nullptr) {
     running->backend->health.RecordFailure(world_.Now());
   }
   row->failedBackends.push_back(running->attempt->backend);
+  row->permitWaitEnd = world_.Now();
   attempts_.Cancel(*row);
   Retry({ aId, row }, false, "the stream stalled");
 }
 
+bool RequestSystem::HasPermitToMove(const RequestRow& aRow, const std::string& aFrom)
+{
+  RequestRow moved = aRow;
+  moved.failedBackends.push_back(aFrom);
+  moved.permitWaitEnd = world_.Now();
+  if (ChooseBackend(world_, moved)) {
+    return true;
+  }
+  moved.permitWaitEnd.reset();
+  if (const auto choice = ChooseBackend(world_, moved)) {
+    world_.backends.Find(choice->id)->permits.AddWaiting(world_.Now());
+    world_.permitsWanted.insert(choice->id);
+  }
+  return false;
+}
+
 void RequestSystem::Handle(const CallerDisconnected& aEvent)
 {
   RequestRow* row = world_.requests.Find(aEvent.exchange);
--- a/entry/request_system.h
+++ b/entry/request_system.h
@@ -30,8 +30,8 @@
 
   void Start();
 
-  /// Admits the calls that waited for the first read of the store, and redirects unsent
-  /// attempts.
+  /// Admits the calls that waited for the first read of the store, redirects unsent
+  /// attempts, and dispatches calls that waited for permits.
   void Run();
 
   void Handle(const CallArrived& aEvent);
@@ -59,6 +59,16 @@
   void Dispatch(RequestRef aRequest);
   void StartAttemptAt(RequestRef aRequest, const BackendChoice& aChoice);
 
+  /// Refuses a call that no backend can serve now.
+  void RefuseUnserved(RequestRef aRequest);
+
+  /// Takes a permit of the backend if it has a limit. Without one, lets the call wait for
+  /// it and returns false.
+  bool TakePermit(RequestRef aRequest, BackendRow& aBackend);
+
+  /// Dispatches the calls again whose permits have come or were denied.
+  void DispatchAwaitingPermit();
+
   /// Sends the call to another backend if a retry is allowed, or ends the request.
   /// `aIsKnownNotExecuted` is true if the last attempt certainly did not execute the
   /// call.
@@ -79,6 +89,10 @@
   /// Moves a stream to another backend if no event came within the limit.
   void OnStallCheck(ExchangeId aId, Duration aLimit);
 
+  /// Returns whether the call could move to another backend at once. If only a permit is
+  /// missing, asks for it.
+  bool HasPermitToMove(const RequestRow& aRow, const std::string& aFrom);
+
   /// Returns whether the route allows a call to be executed more than once.
   bool IsRetrySafe(const RequestRow& aRow) const;
 
@@ -86,6 +100,7 @@
   CallCompletion completion_;
   RunningAttempts attempts_;
   std::vector<ExchangeId> waitingCalls_; // until the store has been read
+  std::vector<ExchangeId> awaitingPermit_;
 };
 
 } // namespace gooseberrypath::entry
--- a/entry/testing/limit_simulation.cc
+++ b/entry/testing/limit_simulation.cc
@@ -8,7 +8,7 @@
 #include <memory>
 #include <queue>
 #include <random>
-#include <set>
+#include <span>
 #include <sstream>
 
 #include "entry/entry_core.h"
@@ -33,6 +33,9 @@
 // Time after a change in which what a backend gets is not measured against its limit.
 constexpr Duration kSettleTime = 4s;
 
+// From this multiple of the limit on, the demand counts as above it.
+constexpr double kClearExcess = 1.25;
+
 constexpr double kMeanServiceSeconds = 0.05;
 constexpr double kMeanStreamSeconds = 0.4;
 constexpr double kFailureRate = 0.02; // of responses
@@ -116,6 +119,7 @@
   uint64_t incarnation = 0;
   std::unique_ptr<EntryCore> core; // null while it is down
   std::optional<TimePoint> frozenUntil;
+  TimePoint thawedAt{};
   std::deque<std::function<void()>> frozenEvents;
   std::optional<TimePoint> wakeUpAt;
 
@@ -295,15 +299,16 @@
   {
     SimulatedDaemon& daemon = daemons_[aDaemon];
     daemon.incarnation = static_cast<uint64_t>(now_.time_since_epoch().count());
-    daemon.core =
-      std::make_unique<EntryCore>(EntryOptions{ .host = daemon.host,
-                                                .incarnation = daemon.incarnation,
-                                                .dataCentre = "c1",
-                                                .dataCentres = { "c1" },
-                                                .peerAddress = daemon.address,
-                                                .seed = random_(),
-                                                .retryBudget = { .extra = 1000 } },
-                                  now_);
+    daemon.core = std::make_unique<EntryCore>(
+      EntryOptions{ .host = daemon.host, // clocks of daemons differ
+                    .incarnation = daemon.incarnation,
+                    .dataCentre = "c1",
+                    .dataCentres = { "c1" },
+                    .peerAddress = daemon.address,
+                    .wallOffset = std::chrono::milliseconds(random_() % 400),
+                    .seed = random_(),
+                    .retryBudget = { .extra = 1000 } },
+      now_);
     std::vector<std::string> addresses;
     if (scenario_.obedience != Obedience::Alone) {
       for (const SimulatedDaemon& other : daemons_) {
@@ -364,6 +369,7 @@
       return;
     }
     daemon.frozenUntil.reset();
+    daemon.thawedAt = now_;
     for (const auto& event : std::exchange(daemon.frozenEvents, {})) {
       event();
     }
@@ -372,14 +378,14 @@
 
   /// Passes an event to a daemon, after its freeze if it is frozen. A daemon that is down
   /// gets nothing.
-  void Post(size_t aDaemon, std::shared_ptr<const Event> aEvent)
+  void Post(size_t aDaemon, const std::shared_ptr<const Event>& aEvent)
   {
-    PostTo(aDaemon, daemons_[aDaemon].Process(), std::move(aEvent));
+    PostTo(aDaemon, daemons_[aDaemon].Process(), aEvent);
   }
 
   /// Passes an event to this process of a daemon.
   void PostTo(size_t aDaemon, const std::string& aProcess,
-              std::shared_ptr<const Event> aEvent)
+              const std::shared_ptr<const Event>& aEvent)
   {
     SimulatedDaemon& daemon = daemons_[aDaemon];
     if (!daemon.core || daemon.Process() != aProcess) {
@@ -466,6 +472,20 @@
     }
   }
 
+  void Execute(size_t aDaemon, const SendPermitMessage& aAction)
+  {
+    const std::string& from = daemons_[aDaemon].address;
+    if (const auto* request = std::get_if<PermitRequest>(&aAction.message)) {
+      SendDatagram(
+        aDaemon, aAction.to,
+        std::make_shared<const Event>(PermitRequestReceived{ from, *request }));
+    } else {
+      SendDatagram(aDaemon, aAction.to,
+                   std::make_shared<const Event>(
+                     PermitReplyReceived{ std::get<PermitReply>(aAction.message) }));
+    }
+  }
+
   // Attempts at backends.
 
   void Execute(size_t aDaemon, const StartAttempt& aAction)
@@ -605,10 +625,8 @@
 
   void PostNextCall()
   {
-    const double rate = scenario_.limit * scenario_.demandFactor *
-                        static_cast<double>(scenario_.limitedBackends);
     PostCall(false);
-    queue_.Add(now_ + RandomDelay(1 / rate), [this] { PostNextCall(); });
+    queue_.Add(now_ + RandomDelay(1 / Demand()), [this] { PostNextCall(); });
   }
 
   void PostCall(bool aIsRepeat)
@@ -648,7 +666,9 @@
       return;
     }
     outcome_.callsRefused += 1;
-    outcome_.longestRefusal = std::max(outcome_.longestRefusal, now_ - call.arrived);
+    if (call.arrived > daemons_[call.daemon].thawedAt) {
+      outcome_.longestRefusal = std::max(outcome_.longestRefusal, now_ - call.arrived);
+    }
     const std::string_view retryAfter = FindHeader(aAction.headers, "Retry-After");
     if (!call.isRepeat && !retryAfter.empty()) {
       queue_.Add(now_ + FromSeconds(std::stod(std::string(retryAfter))),
@@ -674,6 +694,22 @@
     queue_.Add(now_ + 1s, [this, aDaemon] { StartDaemon(aDaemon); });
   }
 
+  void Execute(size_t aDaemon, const WriteEvent& aAction)
+  {
+    const bool isTraced = aAction.event == "backend_limit" ||
+                          aAction.event == "permit_granter" ||
+                          aAction.event == "peer_unheard";
+    if (scenario_.trace == nullptr || !isTraced) {
+      return;
+    }
+    *scenario_.trace << Seconds(now_ - kStart) << " s " << daemons_[aDaemon].host << ' '
+                     << aAction.event;
+    for (const auto& [name, value] : aAction.fields) {
+      *scenario_.trace << ' ' << name << '=' << value;
+    }
+    *scenario_.trace << '\n';
+  }
+
   /// Other actions have no effect here.
   template<typename A>
   void Execute(size_t, const A&)
@@ -718,30 +754,34 @@
       while (end < counted.size() && counted[end] < counted[begin] + kWindow) {
         ++end;
       }
-      CheckWindow(aBackend, counted[begin], end - begin);
+      CheckWindow(aBackend, std::span(counted).subspan(begin, end - begin));
     }
   }
 
-  void CheckWindow(const Backend& aBackend, TimePoint aBegin, size_t aCount)
+  void CheckWindow(const Backend& aBackend, std::span<const TimePoint> aArrivals)
   {
     constexpr Duration kStep = 50ms;
-    double named = 0;
+    const TimePoint begin = aArrivals.front();
+    // The limit may have ended within the last step.
+    double named = std::isfinite(LimitInTouch(aBackend, aArrivals.back()))
+                     ? 0
+                     : std::numeric_limits<double>::infinity();
     for (Duration age{}; age < kWindow; age += kStep) {
-      named += LimitInTouch(aBackend, aBegin + age) * Seconds(kStep);
+      named += LimitInTouch(aBackend, begin + age) * Seconds(kStep);
     }
     const double allowed = kAllowedFactor * named + kAllowedExtra;
-    const double share = static_cast<double>(aCount) / allowed;
+    const double share = static_cast<double>(aArrivals.size()) / allowed;
     if (share > outcome_.worstShare) {
       outcome_.worstShare = share;
       std::ostringstream text;
-      text << aBackend.entry.id << " got " << aCount << " requests in 4 s from "
-           << Seconds(aBegin - kStart) << " s, allowed " << allowed;
+      text << aBackend.entry.id << " got " << aArrivals.size() << " requests in 4 s from "
+           << Seconds(begin - kStart) << " s, allowed " << allowed;
       outcome_.worstWindow = text.str();
     }
   }
 
   /// Adds up, in small steps, what the backend named and what it got while its limit was
-  /// settled.
+  /// settled and below the demand.
   void MeasureServed(const Backend& aBackend)
   {
     constexpr Duration kStep = 50ms;
@@ -752,7 +792,7 @@
         got += 1;
       }
       const auto limit = SettledLimit(aBackend, at);
-      if (!limit) {
+      if (!limit || DemandOfBackend() < kClearExcess * *limit) {
         continue;
       }
       const Duration age = at - kStart;
@@ -763,6 +803,16 @@
     }
   }
 
+  /// Returns the calls per second of callers.
+  double Demand() const
+  {
+    return scenario_.limit * scenario_.demandFactor *
+           static_cast<double>(scenario_.limitedBackends);
+  }
+
+  /// Returns the part of the calls that a backend gets if it is chosen like the others.
+  double DemandOfBackend() const { return Demand() / static_cast<double>(live_.size()); }
+
   /// Returns the limit if it has not changed for the settle time and the backend lives.
   std::optional<double> SettledLimit(const Backend& aBackend, TimePoint aAt) const
   {
--- a/entry/testing/limit_simulation.h
+++ b/entry/testing/limit_simulation.h
@@ -8,6 +8,7 @@
 #define ENTRY_TESTING_LIMIT_SIMULATION_H_
 
 #include <cstdint>
+#include <iosfwd>
 #include <optional>
 #include <string>
 #include <vector>
@@ -81,6 +82,7 @@
   double lateRate = 0;   // of datagrams, by up to a second
   double repeatRate = 0; // of datagrams
   Obedience obedience = Obedience::Shared;
+  std::ostream* trace = nullptr; // gets the daemons' log lines about limits; null: none
 };
 
 /// Draws limit, demand, load, changes and faults. Scenarios of consecutive seeds go
@@ -93,15 +95,17 @@
   /// allows; at most 1 keeps the rule.
   double worstShare = 0;
   std::string worstWindow;
-  double named = 0;  // requests that limited backends named, outside cuts and changes
-  double served = 0; // requests that they got in this time
+  /// Requests that limited backends named, and that they got, while the demand was above
+  /// the limit and the limit had not changed for some seconds. Cuts are separate.
+  double named = 0;
+  double served = 0;
   double namedInCut = 0;
   double servedInCut = 0;
   uint64_t calls = 0;
   uint64_t callsAnswered = 0;
   uint64_t callsRefused = 0;
   uint64_t callsFailed = 0;
-  Duration longestRefusal{}; // from the arrival of a call to its refusal
+  Duration longestRefusal{}; // from the arrival of a call, without freezes
 };
 
 /// Plays a scenario and measures it.
--- a/entry/world.h
+++ b/entry/world.h
@@ -22,6 +22,7 @@
 #include "entry/entry_counters.h"
 #include "entry/messages.h"
 #include "entry/model.h"
+#include "entry/permit_stock.h"
 #include "entry/prompt_cache_index.h"
 #include "entry/retry_budget.h"
 #include "entry/route_index.h"
@@ -69,6 +70,7 @@
   BackendLimit limit;
   TimePoint limitedSince{};       // when the limit in force was learned
   bool hasMalformedLimit = false; // since its start; logged only once
+  PermitStock permits;            // for calls while the backend has a limit
   std::optional<TimePoint> leavesAt;
   std::optional<TimePoint> removedAt; // its entry was removed; it gets no new calls
   uint32_t inFlight = 0;              // calls of this daemon
@@ -96,9 +98,10 @@
 
 enum class RequestStage : uint8_t
 {
-  Choosing, // a backend has to be selected
-  Running,  // an attempt is in progress
-  Ended,    // the final response was sent
+  Choosing,       // a backend has to be selected
+  AwaitingPermit, // a limited backend was selected
+  Running,        // an attempt is in progress
+  Ended,          // the final response was sent
 };
 
 /// A call in progress.
@@ -113,7 +116,9 @@
   TimePoint arrived{};
   TimePoint deadline{}; // of the final response
   RequestStage stage = RequestStage::Choosing;
-  AttemptId attempt; // the current attempt; 0: none
+  AttemptId attempt;                      // the current attempt; 0: none
+  std::string permitBackend;              // id of the backend whose permit it awaits
+  std::optional<TimePoint> permitWaitEnd; // from then on, it waits for no permit
   /// Attempts that may have reached the intended backend. They count against the route's
   /// maximum.
   uint32_t countedAttempts = 0;
@@ -196,7 +201,10 @@
   /// Ids of backends that became unusable in this tick. Attempts at them that were not
   /// sent yet move to another backend.
   std::vector<std::string> unusableBackends;
-  Duration digestInterval{}; // time between two digests of a daemon
+  Duration digestInterval{};    // time between two digests of a daemon with changes
+  Duration heartbeatInterval{}; // longest time between two digests of a daemon
+  bool grantsPermits = false;   // this daemon may be chosen as the granter of a backend
+  std::set<std::string> permitsWanted; // ids of backends whose permits calls wait for
 
   Table<ExchangeId, RequestRow> requests;
   Table<AttemptId, AttemptRow> attempts;
@@ -230,8 +238,9 @@
     return options.host + "/" + std::to_string(options.incarnation);
   }
 
-  /// Returns false: no system of this core needs a second pass in a tick.
-  bool HasWork() const { return false; }
+  /// Tells whether a call that began to wait for a permit in this tick needs a second
+  /// pass of the systems.
+  bool HasWork() const { return !permitsWanted.empty(); }
 
   /// Queues an action.
   void Emit(Action aAction) { outbox.push_back(std::move(aAction)); }
