--- a/entry/backend_notice.cc
+++ b/entry/backend_notice.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "entry/duration_text.h"
+#include "entry/unknown_fields.h"
 
 namespace gooseberrypath::entry {
 
@@ -95,6 +96,7 @@
   if (aHead.isMisdirected) {
     return; // the address now belongs to another backend
   }
+  ReportUnknownFields(aWorld, "response", aHead.unknownFields);
   ApplyAnnouncedLimit(aWorld, aBackend, aHead, aSentAt);
   if (aHead.isLeaving) {
     aWorld.isDigestUrgent = aWorld.isDigestUrgent || !aBackend.entry.isLeaving;
--- a/entry/entry_counters.cc
+++ b/entry/entry_counters.cc
@@ -37,6 +37,7 @@
     { "permits_unanswered_total", "Requests for permits without a reply" },
     { "permits_granted_total", "Permits that this daemon granted" },
     { "permits_denied_total", "Requests for permits that got none from this daemon" },
+    { "unknown_fields_total", "Names of the platform that this version does not know" },
     { "attempts_repeated_total", "Calls sent to another backend" },
     { "repeats_denied_total", "Repeats that the retry budget did not allow" },
     { "streams_resumed_total", "Streams that went on at another engine" },
--- a/entry/entry_counters.h
+++ b/entry/entry_counters.h
@@ -37,6 +37,7 @@
   PermitsUnanswered, // requests for permits without a reply
   PermitsGranted,    // by this daemon
   PermitsDenied,     // requests that got none from this daemon
+  UnknownFields,     // names that the platform uses and this version does not know
   AttemptsRetried,
   RetriesDenied, // because the retry budget was exhausted
   StreamsResumed,
--- a/entry/fleet_system.cc
+++ b/entry/fleet_system.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "entry/backend_notice.h"
+#include "entry/unknown_fields.h"
 
 namespace gooseberrypath::entry {
 
@@ -47,6 +48,7 @@
   if (world_.configuration && world_.configuration->version >= next.version) {
     return;
   }
+  ReportUnknownFields(world_, "configuration", next.unknownFields);
   world_.configuration = aEvent.configuration;
   world_.routes = RouteIndex(next);
   ApplyTeams();
@@ -156,6 +158,7 @@
 bool FleetSystem::Apply(const BackendEntry& aEntry)
 {
   world_.counters.Add(EntryCounter::FleetChanges);
+  ReportUnknownFields(world_, "backend entry", aEntry.unknownFields);
   BackendRow* row = world_.backends.Find(aEntry.id);
   if (row != nullptr) {
     const BackendEntry& known = row->entry;
--- a/entry/model.h
+++ b/entry/model.h
@@ -107,6 +107,7 @@
   std::unordered_map<std::string, size_t> teamOfKey; // API key to index in `teams`
   bool requiresKeys = false;
   CallerLimits limits;
+  std::vector<std::string> unknownFields; // names of members that are not known
 };
 
 using ConfigurationPtr = std::shared_ptr<const Configuration>;
@@ -122,8 +123,9 @@
   bool isLeaving = false;
   std::optional<Duration> leavesIn; // time until it is taken away, if announced
   bool isReclaimable = false;
-  uint64_t startedMs = 0; // its start in Unix milliseconds; 0: unknown
-  uint64_t sequence = 0;  // increases with each change since its start
+  uint64_t startedMs = 0;                 // its start in Unix milliseconds; 0: unknown
+  uint64_t sequence = 0;                  // increases with each change since its start
+  std::vector<std::string> unknownFields; // names of members that are not known
 };
 
 /// The entry of a backend was deleted or expired.
@@ -198,6 +200,7 @@
   bool isLeaving = false;          // the backend is leaving and accepts no new calls
   std::optional<Duration> retryAfter; // back-off that a refusing backend asks for
   AnnouncedLimit limit;
+  std::vector<std::string> unknownFields; // names of the platform that are not known
   bool closesConnection = false;
   std::optional<Duration> keepAliveTimeout; // idle time after which the backend closes
 };
--- a/entry/testing/backend_notice_test.cc
+++ b/entry/testing/backend_notice_test.cc
@@ -271,4 +271,21 @@
   CHECK(second.lastEventId == "5");
 }
 
+TEST_CASE("Entry: each unknown name is logged once, up to a limit", "[entry][notice]")
+{
+  // Guards against a new demand of the platform that nobody sees, and against a log line
+  // for each response.
+  World world(EntryOptions{}, TimePoint{ 100s });
+  BackendRow backend;
+  for (int i = 0; i < 1000; ++i) {
+    ApplyBackendNotice(
+      world, backend,
+      { .status = 200,
+        .unknownFields = { "server-mood", "server-" + std::to_string(i) } },
+      TimePoint{ 99s });
+  }
+  CHECK(world.outbox.size() == 50);
+  CHECK(world.counters.Get(EntryCounter::UnknownFields) == 50);
+}
+
 } // namespace gooseberrypath::entry
--- a/entry/world.h
+++ b/entry/world.h
@@ -215,8 +215,9 @@
   UsageCount usage;
   /// Rate of uncached prompt tokens that this daemon sends to engines, by service.
   std::map<std::string, SmoothedRate, std::less<>> promptTokenRates;
-  uint64_t dutyToken = 0;   // fencing token of the held lease; 0: not held
-  uint64_t dutyRenewal = 0; // number of the lease's latest renewal
+  std::set<std::string> unknownFields; // reported names, with their sources
+  uint64_t dutyToken = 0;              // fencing token of the held lease; 0: not held
+  uint64_t dutyRenewal = 0;            // number of the lease's latest renewal
 
   uint64_t lastId = 0;
 
