--- a/entry/peer_digest.cc
+++ b/entry/peer_digest.cc
@@ -4,14 +4,11 @@
 #include <cmath>
 #include <optional>
 
-#include <capnp/message.h>
-#include <capnp/serialize-packed.h>
-#include <kj/exception.h>
-#include <kj/io.h>
 #include <xxhash.h>
 
 #include "entry/digest.capnp.h"
 #include "entry/limit_wire.h"
+#include "entry/packed_message.h"
 
 namespace gooseberrypath::entry {
 
@@ -19,11 +16,9 @@
 
 constexpr size_t kMaxListLength = 10'000; // entries of a list in a digest
 
-// Limit for the unpacked size of a datagram, in words of 8 bytes. A packed message of
-// zeros unpacks to a thousand times its size, which is more than the memory of a small
-// host.
-constexpr uint64_t kMaxMessageWords = uint64_t{ 64 } * 1024;
-constexpr int kMaxNesting = 8;
+// Unpacked, a message could be larger than the memory of a small host.
+constexpr PackedMessageLimits kLimits{ .maxWords = uint64_t{ 64 } * 1024,
+                                       .maxNesting = 8 };
 
 std::string ToString(capnp::Text::Reader aText)
 {
@@ -190,40 +185,30 @@
 
 std::string EncodeDigest(const PeerDigest& aDigest)
 {
-  capnp::MallocMessageBuilder builder;
-  auto message = builder.initRoot<wire::Digest>();
-  message.setDaemon(ToText(aDigest.daemon));
-  message.setIncarnation(aDigest.incarnation);
-  message.setSequence(aDigest.sequence);
-  message.setIsStopping(aDigest.isStopping);
-  message.setSeesStore(aDigest.canReachStore);
-  message.setConfigVersion(aDigest.configVersion);
-  message.setFleetOffset(aDigest.fleetOffset);
-  message.setDutyToken(aDigest.dutyToken);
-  message.setDutyRenewal(aDigest.dutyRenewal);
-  message.setGrantsPermits(aDigest.grantsPermits);
-  FillLists(aDigest, message);
-  if (aDigest.fleetDelta) {
-    FillFleetDelta(*aDigest.fleetDelta, message);
-  }
-  kj::VectorOutputStream packed;
-  capnp::writePackedMessage(packed, builder);
-  const auto bytes = packed.getArray().asChars();
-  return { bytes.begin(), bytes.size() };
+  return EncodePacked<wire::Digest>([&](auto aBuilder) {
+    aBuilder.setDaemon(ToText(aDigest.daemon));
+    aBuilder.setIncarnation(aDigest.incarnation);
+    aBuilder.setSequence(aDigest.sequence);
+    aBuilder.setIsStopping(aDigest.isStopping);
+    aBuilder.setSeesStore(aDigest.canReachStore);
+    aBuilder.setConfigVersion(aDigest.configVersion);
+    aBuilder.setFleetOffset(aDigest.fleetOffset);
+    aBuilder.setDutyToken(aDigest.dutyToken);
+    aBuilder.setDutyRenewal(aDigest.dutyRenewal);
+    aBuilder.setGrantsPermits(aDigest.grantsPermits);
+    FillLists(aDigest, aBuilder);
+    if (aDigest.fleetDelta) {
+      FillFleetDelta(*aDigest.fleetDelta, aBuilder);
+    }
+  });
 }
 
 Result<PeerDigest> DecodeDigest(std::span<const char> aBytes)
 {
   std::optional<PeerDigest> digest;
-  auto failure = kj::runCatchingExceptions([&] {
-    kj::ArrayInputStream packed(
-      kj::ArrayPtr<const char>(aBytes.data(), aBytes.size()).asBytes());
-    capnp::PackedMessageReader reader(
-      packed, { .traversalLimitInWords = kMaxMessageWords, .nestingLimit = kMaxNesting });
-    digest = ReadDigest(reader.getRoot<wire::Digest>());
-  });
-  KJ_IF_MAYBE (problem, failure) {
-    return MakeError(ErrorKind::BadRequest, problem->getDescription().cStr());
+  if (const auto error = DecodePacked<wire::Digest>(
+        aBytes, kLimits, [&](auto aReader) { digest = ReadDigest(aReader); })) {
+    return tl::make_unexpected(*error);
   }
   const bool hasValidRates =
     std::ranges::all_of(digest->demands, [](const auto& aDemand) {
--- a/entry/permit_message.cc
+++ b/entry/permit_message.cc
@@ -3,12 +3,8 @@
 #include <algorithm>
 #include <optional>
 
-#include <capnp/message.h>
-#include <capnp/serialize-packed.h>
-#include <kj/exception.h>
-#include <kj/io.h>
-
 #include "entry/limit_wire.h"
+#include "entry/packed_message.h"
 #include "entry/permit.capnp.h"
 
 namespace gooseberrypath::entry {
@@ -22,8 +18,7 @@
 constexpr char kTag = '\xff';
 
 // A permit message has one struct with a short text; this is several times its size.
-constexpr uint64_t kMaxMessageWords = 1024;
-constexpr int kMaxNesting = 4;
+constexpr PackedMessageLimits kLimits{ .maxWords = 1024, .maxNesting = 4 };
 
 constexpr size_t kMaxProcessBytes = 256;
 
@@ -68,21 +63,17 @@
 
 std::string EncodePermitMessage(const PermitMessage& aMessage)
 {
-  capnp::MallocMessageBuilder builder;
-  auto message = builder.initRoot<wire::PermitMessage>();
-  std::visit(
-    [&](const auto& aOne) {
-      message.setProcess({ aOne.process.c_str(), aOne.process.size() });
-      message.setId(aOne.id);
-      message.setBackend(aOne.backend);
-      FillStatement(aOne.statement, message.initStatement());
-      Fill(aOne, message);
-    },
-    aMessage);
-  kj::VectorOutputStream packed;
-  capnp::writePackedMessage(packed, builder);
-  const auto bytes = packed.getArray().asChars();
-  return kTag + std::string(bytes.begin(), bytes.size());
+  return kTag + EncodePacked<wire::PermitMessage>([&](auto aBuilder) {
+           std::visit(
+             [&](const auto& aOne) {
+               aBuilder.setProcess({ aOne.process.c_str(), aOne.process.size() });
+               aBuilder.setId(aOne.id);
+               aBuilder.setBackend(aOne.backend);
+               FillStatement(aOne.statement, aBuilder.initStatement());
+               Fill(aOne, aBuilder);
+             },
+             aMessage);
+         });
 }
 
 bool IsPermitMessage(std::span<const char> aBytes)
@@ -96,16 +87,9 @@
     return MakeError(ErrorKind::BadRequest, "the datagram is no permit message");
   }
   std::optional<PermitMessage> message;
-  const auto content = aBytes.subspan(1);
-  auto failure = kj::runCatchingExceptions([&] {
-    kj::ArrayInputStream packed(
-      kj::ArrayPtr<const char>(content.data(), content.size()).asBytes());
-    capnp::PackedMessageReader reader(
-      packed, { .traversalLimitInWords = kMaxMessageWords, .nestingLimit = kMaxNesting });
-    message = Read(reader.getRoot<wire::PermitMessage>());
-  });
-  KJ_IF_MAYBE (problem, failure) {
-    return MakeError(ErrorKind::BadRequest, problem->getDescription().cStr());
+  if (const auto error = DecodePacked<wire::PermitMessage>(
+        aBytes.subspan(1), kLimits, [&](auto aReader) { message = Read(aReader); })) {
+    return tl::make_unexpected(*error);
   }
   const bool isValid = std::visit(
     [](const auto& aOne) {
--- a/entry/request_system.cc
+++ b/entry/request_system.cc
@@ -27,13 +27,6 @@
 // calls. The time is long enough to connect.
 constexpr Duration kSendTimeout = milliseconds(450);
 
-// A resumable stream moves to another engine when no complete event came for this
-// multiple of the route's maximum gap, and not before the minimum. Callers give up after
-// twice as long. An engine that prefills a long prompt meanwhile pauses its streams for
-// less.
-constexpr int kStallGapMultiple = 4;
-constexpr Duration kMinStallTimeout = milliseconds(1000);
-
 // Without a timeout from the caller, only the route's timeout limits the call.
 constexpr Duration kDefaultCallerTimeout = std::chrono::hours(1);
 
@@ -51,10 +44,6 @@
 // Longest time for which a call waits for permits of limited backends.
 constexpr Duration kMaxPermitWait = milliseconds(100);
 
-// A stream that is to move from a stalled engine to a limited one tries again after this
-// time, in which a permit comes.
-constexpr Duration kMovePermitTime = milliseconds(20);
-
 // Retry-After when another daemon can serve the call at once.
 constexpr Duration kDrainingRetryAfter = milliseconds(20);
 
@@ -62,11 +51,6 @@
 // the duration of a call.
 constexpr Duration kRefusedRetryAfter = milliseconds(150);
 
-// A call that may be retried moves to another backend when its first event takes this
-// multiple of the expected time, and not before the minimum delay.
-constexpr double kHedgeFactor = 4;
-constexpr Duration kMinHedgeDelay = milliseconds(250);
-
 // A call is accepted if its first event is expected within this multiple of the latency
 // objective. Engines serve the most urgent calls first, so these begin earlier than
 // expected and get the higher limit.
@@ -105,6 +89,10 @@
 void RequestSystem::Start()
 {
   world_.timers.SubscribeAt(world_.started + kStartupWait, [](TimePoint) {});
+  watch_.Start(
+    { .mayMove = [this](const RequestRow& aRow) { return MayMove(aRow); },
+      .move = [this](RequestRef aRequest,
+                     const std::string& aReason) { Retry(aRequest, false, aReason); } });
 }
 
 void RequestSystem::Handle(const CallArrived& aEvent)
@@ -320,11 +308,7 @@
                             .isStream = isStream,
                             .mayRetry = IsRetrySafe(row) });
   if (IsRetrySafe(row) && row.countedAttempts + 1 < row.route->maxAttempts) {
-    const Duration wait =
-      std::max<Duration>({ kMinHedgeDelay, FromMs(kHedgeFactor * aChoice.expectedMs),
-                           row.route->latencyObjective / 2 });
-    row.hedgeTimer = world_.timers.SubscribeAt(
-      now + wait, [this, exchange = aRequest.id](TimePoint) { OnHedge(exchange); });
+    watch_.ExpectFirstEvent(aRequest, aChoice.expectedMs);
   }
 }
 
@@ -473,7 +457,7 @@
   }
   attempt.lastEvent = world_.Now();
   if (row.stallTimer == TimerId{} && IsRetrySafe(row)) {
-    ScheduleStallCheck(running->request, attempt.lastEvent);
+    watch_.ExpectNextEvent(running->request, attempt.lastEvent);
   }
   if (!row.headSent) {
     row.headSent = true;
@@ -591,96 +575,6 @@
                           Error{ ErrorKind::QueueTimeout, "there is no time left" }, {});
 }
 
-void RequestSystem::OnHedge(ExchangeId aId)
-{
-  RequestRow* row = world_.requests.Find(aId);
-  if (row == nullptr) {
-    return;
-  }
-  const auto running = attempts_.Find(row->attempt);
-  if (!running || running->attempt->hasEvents) {
-    return;
-  }
-  // The other backend must be clearly faster than the time that this call has waited.
-  RequestRow withoutCurrent = *row;
-  withoutCurrent.failedBackends.push_back(running->attempt->backend);
-  withoutCurrent.permitWaitEnd =
-    world_.Now(); // the call keeps its attempt until it moves
-  const auto choice = ChooseBackend(world_, withoutCurrent);
-  const double waitedMs = ToMs(world_.Now() - running->attempt->started);
-  const bool isBetter = choice && choice->id != running->attempt->backend &&
-                        choice->expectedMs < waitedMs / 2;
-  if (!isBetter || ReasonNotToRetry(*row, false)) {
-    return;
-  }
-  if (running->backend != nullptr) {
-    running->backend->health.RecordFailure(world_.Now());
-  }
-  row->failedBackends.push_back(running->attempt->backend);
-  row->permitWaitEnd = world_.Now();
-  attempts_.Cancel(*row);
-  Retry({ aId, row }, false, "the backend is silent");
-}
-
-void RequestSystem::ScheduleStallCheck(RequestRef aRequest, TimePoint aLastEvent)
-{
-  const Duration limit = std::max<Duration>(
-    kMinStallTimeout, kStallGapMultiple * aRequest.row->route->maxEventGap);
-  aRequest.row->stallTimer = world_.timers.SubscribeAt(
-    aLastEvent + limit,
-    [this, id = aRequest.id, limit](TimePoint) { OnStallCheck(id, limit); });
-}
-
-void RequestSystem::OnStallCheck(ExchangeId aId, Duration aLimit)
-{
-  RequestRow* row = world_.requests.Find(aId);
-  if (row == nullptr) {
-    return;
-  }
-  row->stallTimer = TimerId{};
-  const auto running = attempts_.Find(row->attempt);
-  if (!running || !running->attempt->hasEvents) {
-    return; // the next attempt's first event schedules the check again
-  }
-  if (running->attempt->lastEvent + aLimit > world_.Now()) {
-    ScheduleStallCheck(running->request, running->attempt->lastEvent);
-    return;
-  }
-  if (ReasonNotToRetry(*row, false)) {
-    return; // it cannot move; the caller decides how long to wait
-  }
-  if (!HasPermitToMove(*row, running->attempt->backend)) {
-    row->stallTimer = world_.timers.SubscribeAt(
-      world_.Now() + kMovePermitTime,
-      [this, aId, aLimit](TimePoint) { OnStallCheck(aId, aLimit); });
-    return;
-  }
-  world_.counters.Add(EntryCounter::StreamsStalled);
-  if (running->backend != nullptr) {
-    running->backend->health.RecordFailure(world_.Now());
-  }
-  row->failedBackends.push_back(running->attempt->backend);
-  row->permitWaitEnd = world_.Now();
-  attempts_.Cancel(*row);
-  Retry({ aId, row }, false, "the stream stalled");
-}
-
-bool RequestSystem::HasPermitToMove(const RequestRow& aRow, const std::string& aFrom)
-{
-  RequestRow moved = aRow;
-  moved.failedBackends.push_back(aFrom);
-  moved.permitWaitEnd = world_.Now();
-  if (ChooseBackend(world_, moved)) {
-    return true;
-  }
-  moved.permitWaitEnd.reset();
-  if (const auto choice = ChooseBackend(world_, moved)) {
-    world_.backends.Find(choice->id)->permits.AddWaiting(world_.Now());
-    world_.permitsWanted.insert(choice->id);
-  }
-  return false;
-}
-
 void RequestSystem::Handle(const CallerDisconnected& aEvent)
 {
   RequestRow* row = world_.requests.Find(aEvent.exchange);
--- a/entry/request_system.h
+++ b/entry/request_system.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "entry/attempt_watch.h"
 #include "entry/call_completion.h"
 #include "entry/running_attempts.h"
 #include "entry/world.h"
@@ -25,6 +26,7 @@
     : world_(aWorld)
     , completion_(aWorld)
     , attempts_(aWorld)
+    , watch_(aWorld)
   {
   }
 
@@ -81,17 +83,8 @@
   /// Ends a request at its deadline.
   void OnDeadline(ExchangeId aId);
 
-  /// Moves a call with a late first event to a clearly faster backend.
-  void OnHedge(ExchangeId aId);
-
-  /// Schedules the stall check of a resumable stream.
-  void ScheduleStallCheck(RequestRef aRequest, TimePoint aLastEvent);
-  /// Moves a stream to another backend if no event came within the limit.
-  void OnStallCheck(ExchangeId aId, Duration aLimit);
-
-  /// Returns whether the call could move to another backend at once. If only a permit is
-  /// missing, asks for it.
-  bool HasPermitToMove(const RequestRow& aRow, const std::string& aFrom);
+  /// Returns whether the call may leave its current attempt for another one.
+  bool MayMove(const RequestRow& aRow) { return !ReasonNotToRetry(aRow, false); }
 
   /// Returns whether the route allows a call to be executed more than once.
   bool IsRetrySafe(const RequestRow& aRow) const;
@@ -99,6 +92,7 @@
   World& world_;
   CallCompletion completion_;
   RunningAttempts attempts_;
+  AttemptWatch watch_;
   std::vector<ExchangeId> waitingCalls_; // until the store has been read
   std::vector<ExchangeId> awaitingPermit_;
 };
--- a/entry/testing/limit_simulation.cc
+++ b/entry/testing/limit_simulation.cc
@@ -849,6 +849,7 @@
 };
 
 constexpr std::array<double, 4> kLimits = { 0.5, 1, 5, 50 };
+constexpr size_t kManyDaemons = 200;
 constexpr std::array<double, 3> kDemandFactors = { 0.5, 3, 100 };
 
 } // namespace
@@ -859,8 +860,11 @@
   const auto chance = [&](double aProbability) {
     return std::uniform_real_distribution<double>(0, 1)(random) < aProbability;
   };
+  // Runs of many daemons are shorter, so that as many of them can be played.
+  const double timeScale = aDaemons > kManyDaemons ? 0.6 : 1;
   const auto between = [&](double aFrom, double aTo) {
-    return FromSeconds(std::uniform_real_distribution<double>(aFrom, aTo)(random));
+    return FromSeconds(timeScale *
+                       std::uniform_real_distribution<double>(aFrom, aTo)(random));
   };
   LimitScenario scenario{ .seed = aSeed,
                           .daemons = aDaemons,
@@ -870,6 +874,7 @@
                           .demandFactor = kDemandFactors.at(aSeed / kLimits.size() %
                                                             kDemandFactors.size()),
                           .isLoadUneven = chance(0.3),
+                          .length = FromSeconds(40 * timeScale),
                           .lossRate = chance(0.5) ? 0.2 : 0.01,
                           .lateRate = chance(0.5) ? 0.1 : 0,
                           .repeatRate = chance(0.5) ? 0.1 : 0 };
--- a/gooseberrypath/types.cc
+++ b/gooseberrypath/types.cc
@@ -19,6 +19,12 @@
     aLeft, aRight, [](char aL, char aR) { return ToLowerAscii(aL) == ToLowerAscii(aR); });
 }
 
+std::string ToLower(std::string aText)
+{
+  std::ranges::transform(aText, aText.begin(), ToLowerAscii);
+  return aText;
+}
+
 std::string_view FindHeader(const Headers& aHeaders, std::string_view aName)
 {
   for (const Header& header : aHeaders) {
--- a/gooseberrypath/types.h
+++ b/gooseberrypath/types.h
@@ -57,6 +57,9 @@
 using Headers = std::vector<Header>;
 
 /// Returns the value of the first field with this name, compared without case,
+/// Returns the text with its ASCII letters in lower case.
+std::string ToLower(std::string aText);
+
 /// or an empty view.
 std::string_view FindHeader(const Headers& aHeaders, std::string_view aName);
 
