--- a/entry/unknown_fields.cc
+++ b/entry/unknown_fields.cc
@@ -20,7 +20,7 @@
       return;
     }
     const std::string reported = name.substr(0, kMaxNameBytes);
-    if (!aWorld.unknownFields.insert(aSource + " " + reported).second) {
+    if (!aWorld.unknownFields.emplace(aSource, reported).second) {
       continue;
     }
     aWorld.counters.Add(EntryCounter::UnknownFields);
--- a/entry/world.h
+++ b/entry/world.h
@@ -215,9 +215,10 @@
   UsageCount usage;
   /// Rate of uncached prompt tokens that this daemon sends to engines, by service.
   std::map<std::string, SmoothedRate, std::less<>> promptTokenRates;
-  std::set<std::string> unknownFields; // reported names, with their sources
-  uint64_t dutyToken = 0;              // fencing token of the held lease; 0: not held
-  uint64_t dutyRenewal = 0;            // number of the lease's latest renewal
+  /// Sources and names that were reported as not known.
+  std::set<std::pair<std::string, std::string>> unknownFields;
+  uint64_t dutyToken = 0;   // fencing token of the held lease; 0: not held
+  uint64_t dutyRenewal = 0; // number of the lease's latest renewal
 
   uint64_t lastId = 0;
 
