--- a/entry/testing/limit_simulation.cc
+++ b/entry/testing/limit_simulation.cc
@@ -36,6 +36,10 @@
 // From this multiple of the limit on, the demand counts as above it.
 constexpr double kClearExcess = 1.25;
 
+// Offsets in the store of the fleet at the start, and after the restart of a backend.
+constexpr uint64_t kStartOffset = 1;
+constexpr uint64_t kRestartOffset = 2;
+
 constexpr double kMeanServiceSeconds = 0.05;
 constexpr double kMeanStreamSeconds = 0.4;
 constexpr double kFailureRate = 0.02; // of responses
@@ -283,7 +287,7 @@
     queue_.Add(now_ + Random(1s), [this, &next, limit] { NameLimit(next, limit); });
     for (size_t i = 0; i < daemons_.size(); ++i) {
       queue_.Add(now_ + 100ms + Random(400ms), [this, i, oldId, keepsId, &next] {
-        FleetRead read;
+        FleetRead read{ .next = kRestartOffset };
         if (!keepsId) {
           read.changes.emplace_back(BackendRemoved{ oldId });
         }
@@ -315,7 +319,7 @@
         addresses.push_back(other.address);
       }
     }
-    FleetRead fleet{ .isSnapshot = true, .next = 1 };
+    FleetRead fleet{ .isSnapshot = true, .next = kStartOffset };
     for (const auto& [address, backend] : live_) {
       fleet.changes.emplace_back(backend->entry);
     }
