Simulation: daemons, network and faults of the limit simulation in a file of their own

A second simulation (parts of prompts that end engines) needs the same. The order of random draws is kept.

--- a/entry/testing/limit_sharing_test.cc
+++ b/entry/testing/limit_sharing_test.cc
@@ -25,7 +25,8 @@
   return std::to_string(aScenario.daemons) + " daemons, seed " +
          std::to_string(aScenario.seed) + ", limit " + std::to_string(aScenario.limit) +
          ", demand x" + std::to_string(aScenario.demandFactor) + ", faults " +
-         std::to_string(aScenario.faults.size()) + (aScenario.cut ? ", cut" : "") +
+         std::to_string(aScenario.faults.size()) +
+         (aScenario.network.cut ? ", cut" : "") +
          (aScenario.hasUnlimitedBackend ? ", a backend without a limit" : "");
 }
 
@@ -104,13 +105,15 @@
   // cut into two halves and some of them restart.
   for (const size_t daemons : { 8, 95 }) {
     for (const double limit : { 0.5, 1.0, 5.0, 50.0 }) {
-      LimitScenario scenario{
-        .seed = 5, .daemons = daemons, .limit = limit, .length = 60s, .lossRate = 0.01
-      };
+      LimitScenario scenario{ .seed = 5,
+                              .daemons = daemons,
+                              .limit = limit,
+                              .length = 60s,
+                              .network = { .lossRate = 0.01 } };
       const LimitOutcome steady = PlayLimit(scenario);
       INFO(Describe(scenario));
       CHECK(steady.served >= 0.8 * steady.named);
-      scenario.cut = TimeSpan{ .from = 15s, .to = 45s };
+      scenario.network.cut = TimeSpan{ .from = 15s, .to = 45s };
       const LimitOutcome cut = PlayLimit(scenario);
       CHECK(cut.servedInCut >= 0.6 * cut.namedInCut);
       CHECK(cut.worstShare <= 1);
--- a/entry/testing/limit_simulation.cc
+++ b/entry/testing/limit_simulation.cc
@@ -2,16 +2,13 @@
 
 #include <algorithm>
 #include <cmath>
-#include <deque>
-#include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <random>
 #include <span>
 #include <sstream>
 
-#include "entry/entry_core.h"
+#include "entry/testing/daemon_simulation.h"
 
 namespace gooseberrypath::entry {
 
@@ -19,8 +16,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr TimePoint kStart{ 1000s };
-
 // The rule: in some window, a backend gets more requests than its limit allows, times the
 // factor, and the extra ones, from daemons that passed its limit on half a second before.
 // It holds from the contact time after the limit was named.
@@ -46,16 +41,6 @@
 constexpr double kBreakRate = 0.05;   // of streams
 constexpr Duration kCallTimeout = 3s;
 
-double Seconds(Duration aTime)
-{
-  return std::chrono::duration<double>(aTime).count();
-}
-
-Duration FromSeconds(double aSeconds)
-{
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(aSeconds));
-}
-
 ConfigurationPtr PoolConfiguration()
 {
   auto configuration = std::make_shared<Configuration>();
@@ -115,21 +100,6 @@
   return largest;
 }
 
-/// A daemon, which may be down or frozen.
-struct SimulatedDaemon
-{
-  std::string host;
-  std::string address;
-  uint64_t incarnation = 0;
-  std::unique_ptr<EntryCore> core; // null while it is down
-  std::optional<TimePoint> frozenUntil;
-  TimePoint thawedAt{};
-  std::deque<std::function<void()>> frozenEvents;
-  std::optional<TimePoint> wakeUpAt;
-
-  std::string Process() const { return host + "/" + std::to_string(incarnation); }
-};
-
 struct SimulatedCall
 {
   TimePoint arrived;
@@ -137,71 +107,25 @@
   bool isRepeat = false;
 };
 
-struct SimulatedAttempt
+class LimitSimulation : public DaemonSimulation<LimitSimulation>
 {
-  size_t daemon = 0;
-  StartAttempt start;
-  bool isSent = false;
-};
+  friend DaemonSimulation;
 
-/// Events in the order of their times, and of their creation at equal times.
-class EventQueue
-{
-public:
-  void Add(TimePoint aAt, std::function<void()> aRun)
-  {
-    events_.push({ aAt, ++lastId_, std::move(aRun) });
-  }
-
-  /// Runs the events up to the time, with the clock set to the time of each.
-  void RunUntil(TimePoint aEnd, TimePoint& aNow)
-  {
-    while (!events_.empty() && events_.top().at <= aEnd) {
-      auto run = std::move(const_cast<Item&>(events_.top()).run);
-      aNow = std::max(aNow, events_.top().at);
-      events_.pop();
-      run();
-    }
-    aNow = aEnd;
-  }
-
-private:
-  struct Item
-  {
-    TimePoint at;
-    uint64_t id = 0;
-    std::function<void()> run;
-
-    bool operator<(const Item& aOther) const
-    {
-      return std::pair(at, id) > std::pair(aOther.at, aOther.id);
-    }
-  };
-
-  std::priority_queue<Item> events_;
-  uint64_t lastId_ = 0;
-};
-
-class LimitSimulation
-{
 public:
   explicit LimitSimulation(const LimitScenario& aScenario)
-    : scenario_(aScenario)
-    , random_(aScenario.seed)
+    : DaemonSimulation({ .seed = aScenario.seed,
+                         .daemons = aScenario.daemons,
+                         .knowPeers = aScenario.obedience != Obedience::Alone,
+                         .network = aScenario.network })
+    , scenario_(aScenario)
     , configuration_(PoolConfiguration())
-    , daemons_(aScenario.daemons)
   {
   }
 
   LimitOutcome Run()
   {
     AddBackends();
-    for (size_t i = 0; i < daemons_.size(); ++i) {
-      daemons_[i].host = "d" + std::to_string(i);
-      daemons_[i].address = "10.0.0." + std::to_string(i) + ":7500";
-      daemonOfAddress_[daemons_[i].address] = i;
-      queue_.Add(kStart + Random(300ms), [this, i] { StartDaemon(i); });
-    }
+    StartDaemons();
     ScheduleScript();
     queue_.Add(kStart + 3s, [this] { PostNextCall(); });
     queue_.RunUntil(kStart + scenario_.length, now_);
@@ -213,21 +137,6 @@
   }
 
 private:
-  Duration Random(Duration aMax)
-  {
-    return FromSeconds(std::uniform_real_distribution<double>(0, Seconds(aMax))(random_));
-  }
-
-  bool Chance(double aProbability)
-  {
-    return std::uniform_real_distribution<double>(0, 1)(random_) < aProbability;
-  }
-
-  Duration RandomDelay(double aMeanSeconds)
-  {
-    return FromSeconds(std::exponential_distribution<double>(1 / aMeanSeconds)(random_));
-  }
-
   // Backends.
 
   void AddBackends()
@@ -297,242 +206,31 @@
     }
   }
 
-  // Daemons.
-
-  void StartDaemon(size_t aDaemon)
+  std::vector<Event> FirstEvents(size_t)
   {
-    SimulatedDaemon& daemon = daemons_[aDaemon];
-    daemon.incarnation = static_cast<uint64_t>(now_.time_since_epoch().count());
-    daemon.core = std::make_unique<EntryCore>(
-      EntryOptions{ .host = daemon.host, // clocks of daemons differ
-                    .incarnation = daemon.incarnation,
-                    .dataCentre = "c1",
-                    .dataCentres = { "c1" },
-                    .peerAddress = daemon.address,
-                    .wallOffset = std::chrono::milliseconds(random_() % 400),
-                    .seed = random_(),
-                    .retryBudget = { .extra = 1000 } },
-      now_);
-    std::vector<std::string> addresses;
-    if (scenario_.obedience != Obedience::Alone) {
-      for (const SimulatedDaemon& other : daemons_) {
-        addresses.push_back(other.address);
-      }
-    }
     FleetRead fleet{ .isSnapshot = true, .next = kStartOffset };
     for (const auto& [address, backend] : live_) {
       fleet.changes.emplace_back(backend->entry);
     }
-    const std::vector<Event> events = { StoreReachabilityChanged{ .isReachable = true },
-                                        ConfigurationRead{ configuration_ },
-                                        std::move(fleet),
-                                        PeerAddressesRead{ std::move(addresses) } };
-    const std::string process = daemon.Process();
-    queue_.Add(now_ + 50ms, [this, aDaemon, process, events] {
-      for (const Event& event : events) {
-        PostTo(aDaemon, process, std::make_shared<const Event>(event));
-      }
-    });
-    Pump(aDaemon);
-  }
-
-  void KillDaemon(size_t aDaemon)
-  {
-    SimulatedDaemon& daemon = daemons_[aDaemon];
-    daemon.core.reset();
-    daemon.frozenUntil.reset();
-    daemon.frozenEvents.clear();
-    daemon.wakeUpAt.reset();
-    std::erase_if(attempts_,
-                  [&](const auto& aItem) { return aItem.second.daemon == aDaemon; });
-  }
-
-  void Apply(const DaemonFault& aFault)
-  {
-    SimulatedDaemon& daemon = daemons_[aFault.daemon];
-    if (!daemon.core) {
-      return;
-    }
-    if (aFault.kind == DaemonFaultKind::Freeze) {
-      daemon.frozenUntil = now_ + aFault.lasts;
-      queue_.Add(now_ + aFault.lasts, [this, id = aFault.daemon] { Thaw(id); });
-      return;
-    }
-    if (aFault.kind == DaemonFaultKind::PlannedStop) {
-      Post(aFault.daemon, std::make_shared<const Event>(StopRequested{}));
-      return;
-    }
-    KillDaemon(aFault.daemon);
-    queue_.Add(now_ + aFault.lasts, [this, id = aFault.daemon] { StartDaemon(id); });
-  }
-
-  void Thaw(size_t aDaemon)
-  {
-    SimulatedDaemon& daemon = daemons_[aDaemon];
-    if (!daemon.frozenUntil || *daemon.frozenUntil > now_) {
-      return;
-    }
-    daemon.frozenUntil.reset();
-    daemon.thawedAt = now_;
-    for (const auto& event : std::exchange(daemon.frozenEvents, {})) {
-      event();
-    }
-    Pump(aDaemon);
-  }
-
-  /// Passes an event to a daemon, after its freeze if it is frozen. A daemon that is down
-  /// gets nothing.
-  void Post(size_t aDaemon, const std::shared_ptr<const Event>& aEvent)
-  {
-    PostTo(aDaemon, daemons_[aDaemon].Process(), aEvent);
-  }
-
-  /// Passes an event to this process of a daemon.
-  void PostTo(size_t aDaemon, const std::string& aProcess,
-              const std::shared_ptr<const Event>& aEvent)
-  {
-    SimulatedDaemon& daemon = daemons_[aDaemon];
-    if (!daemon.core || daemon.Process() != aProcess) {
-      return;
-    }
-    if (daemon.frozenUntil) {
-      daemon.frozenEvents.emplace_back(
-        [this, aDaemon, aProcess, aEvent] { PostTo(aDaemon, aProcess, aEvent); });
-      return;
-    }
-    daemon.core->SetTime(now_);
-    daemon.core->Handle(*aEvent);
-    Pump(aDaemon);
-  }
-
-  /// Runs a tick of the daemon, executes its actions and schedules its next tick.
-  void Pump(size_t aDaemon)
-  {
-    SimulatedDaemon& daemon = daemons_[aDaemon];
-    if (!daemon.core || daemon.frozenUntil) {
-      return;
-    }
-    daemon.core->Tick(now_);
-    const std::string process = daemon.Process();
-    for (const Action& action : daemon.core->TakeActions()) {
-      if (daemon.core && daemon.Process() == process) {
-        std::visit([&](const auto& aOne) { Execute(aDaemon, aOne); }, action);
-      }
-    }
-    ScheduleWakeUp(aDaemon);
+    return { StoreReachabilityChanged{ .isReachable = true },
+             ConfigurationRead{ configuration_ }, std::move(fleet) };
   }
 
-  void ScheduleWakeUp(size_t aDaemon)
-  {
-    SimulatedDaemon& daemon = daemons_[aDaemon];
-    const auto due = daemon.core ? daemon.core->NextDue() : std::nullopt;
-    if (!due || (daemon.wakeUpAt && *daemon.wakeUpAt <= *due)) {
-      return;
-    }
-    daemon.wakeUpAt = std::max(*due, now_);
-    queue_.Add(*daemon.wakeUpAt, [this, aDaemon, at = *daemon.wakeUpAt] {
-      SimulatedDaemon& woken = daemons_[aDaemon];
-      if (woken.wakeUpAt == at) {
-        woken.wakeUpAt.reset();
-        Pump(aDaemon);
-      }
-    });
-  }
-
-  // The network between daemons.
-
-  bool IsCut(size_t aLeft, size_t aRight) const
-  {
-    const Duration age = now_ - kStart;
-    return scenario_.cut && age >= scenario_.cut->from && age < scenario_.cut->to &&
-           aLeft % 2 != aRight % 2;
-  }
-
-  /// Sends a datagram, which may be lost, late or repeated.
-  void SendDatagram(size_t aFrom, const std::string& aTo,
-                    const std::shared_ptr<const Event>& aEvent)
-  {
-    const auto found = daemonOfAddress_.find(aTo);
-    if (found == daemonOfAddress_.end() || IsCut(aFrom, found->second)) {
-      return;
-    }
-    const int copies = Chance(scenario_.repeatRate) ? 2 : 1;
-    for (int copy = 0; copy < copies; ++copy) {
-      if (Chance(scenario_.lossRate)) {
-        continue;
-      }
-      const Duration delay =
-        Chance(scenario_.lateRate) ? Random(1s) : 500us + Random(2ms);
-      queue_.Add(now_ + delay, [this, to = found->second, aEvent] { Post(to, aEvent); });
-    }
-  }
-
-  void Execute(size_t aDaemon, const SendDigest& aAction)
-  {
-    const auto event = std::make_shared<const Event>(
-      DigestReceived{ .from = daemons_[aDaemon].address, .digest = aAction.digest });
-    for (const std::string& to : aAction.to) {
-      SendDatagram(aDaemon, to, event);
-    }
-  }
-
-  void Execute(size_t aDaemon, const SendPermitMessage& aAction)
-  {
-    const std::string& from = daemons_[aDaemon].address;
-    if (const auto* request = std::get_if<PermitRequest>(&aAction.message)) {
-      SendDatagram(
-        aDaemon, aAction.to,
-        std::make_shared<const Event>(PermitRequestReceived{ from, *request }));
-    } else {
-      SendDatagram(aDaemon, aAction.to,
-                   std::make_shared<const Event>(
-                     PermitReplyReceived{ std::get<PermitReply>(aAction.message) }));
-    }
-  }
+  using DaemonSimulation::Execute;
 
   // Attempts at backends.
 
-  void Execute(size_t aDaemon, const StartAttempt& aAction)
+  void Reach(uint64_t aId)
   {
-    const uint64_t id = ++lastAttempt_;
-    attemptIds_[{ aDaemon, aAction.attempt.value }] = id;
-    attempts_[id] = SimulatedAttempt{ .daemon = aDaemon, .start = aAction };
-    queue_.Add(now_ + 500us + Random(1ms), [this, id] { Connect(id); });
-  }
-
-  void Execute(size_t aDaemon, const CancelAttempt& aAction)
-  {
-    const auto found = attemptIds_.find({ aDaemon, aAction.attempt.value });
-    if (found != attemptIds_.end()) {
-      attempts_.erase(found->second);
-    }
-  }
-
-  void Connect(uint64_t aId)
-  {
-    const auto found = attempts_.find(aId);
-    if (found == attempts_.end()) {
-      return;
-    }
-    SimulatedAttempt& attempt = found->second;
-    const size_t daemon = attempt.daemon;
-    if (daemons_[daemon].frozenUntil) {
-      // The connection is established when the daemon runs again.
-      daemons_[daemon].frozenEvents.emplace_back([this, aId] { Connect(aId); });
-      return;
-    }
-    if (now_ > attempt.start.sendBy) {
-      PostForAttempt(aId, AttemptNotSent{ attempt.start.attempt, "too late" }, true);
-      return;
-    }
+    SimulatedAttempt& attempt = attempts_[aId];
     attempt.isSent = true;
+    const AttemptSent sent{ attempt.start.attempt };
     const auto live = live_.find(attempt.start.address);
-    Backend* backend = live == live_.end() ? nullptr : live->second;
-    if (backend != nullptr) {
-      backend->arrivals.push_back({ now_, daemons_[daemon].Process() });
-      Serve(aId, *backend);
+    if (live != live_.end()) {
+      live->second->arrivals.push_back({ now_, daemons_[attempt.daemon].Process() });
+      Serve(aId, *live->second);
     }
-    PostForAttempt(aId, AttemptSent{ attempt.start.attempt }, false);
+    PostForAttempt(aId, sent, false);
   }
 
   /// Schedules the response of the backend.
@@ -555,7 +253,7 @@
       head.status = Chance(kFailureRate) ? 500 : 200;
       // Responses on different connections overtake each other.
       const Duration delay =
-        Chance(scenario_.lateRate) ? Random(1s) : 500us + Random(1ms);
+        Chance(scenario_.network.lateRate) ? Random(1s) : 500us + Random(1ms);
       queue_.Add(now_ + delay, [this, aId, &aBackend, head] {
         NoteTold(aId, aBackend, head);
         AnswerWith(aId, head);
@@ -610,21 +308,6 @@
     });
   }
 
-  /// Passes an event of an attempt to its daemon.
-  template<typename E>
-  void PostForAttempt(uint64_t aId, const E& aEvent, bool aIsLast)
-  {
-    const auto found = attempts_.find(aId);
-    if (found == attempts_.end()) {
-      return;
-    }
-    const size_t daemon = found->second.daemon;
-    if (aIsLast) {
-      attempts_.erase(found);
-    }
-    Post(daemon, std::make_shared<const Event>(aEvent));
-  }
-
   // Callers.
 
   void PostNextCall()
@@ -638,7 +321,7 @@
     const size_t used =
       scenario_.isLoadUneven ? (daemons_.size() + 2) / 3 : daemons_.size();
     const size_t daemon = random_() % used;
-    if (!daemons_[daemon].core || daemons_[daemon].frozenUntil) {
+    if (!IsServing(daemon)) {
       return; // the balancer avoids it, or the caller waits in vain
     }
     const ExchangeId id{ ++lastCall_ };
@@ -692,12 +375,6 @@
     outcome_.callsFailed += 1;
   }
 
-  void Execute(size_t aDaemon, const ExitProcess&)
-  {
-    KillDaemon(aDaemon);
-    queue_.Add(now_ + 1s, [this, aDaemon] { StartDaemon(aDaemon); });
-  }
-
   void Execute(size_t aDaemon, const WriteEvent& aAction)
   {
     const bool isTraced = aAction.event == "backend_limit" ||
@@ -714,12 +391,6 @@
     *scenario_.trace << '\n';
   }
 
-  /// Other actions have no effect here.
-  template<typename A>
-  void Execute(size_t, const A&)
-  {
-  }
-
   // The script and what is measured.
 
   void ScheduleScript()
@@ -731,9 +402,7 @@
     if (scenario_.restart != BackendRestart::None) {
       queue_.Add(kStart + scenario_.restartAt, [this] { RestartBackend(); });
     }
-    for (const DaemonFault& fault : scenario_.faults) {
-      queue_.Add(kStart + fault.at, [this, fault] { Apply(fault); });
-    }
+    Schedule(scenario_.faults);
   }
 
   /// Compares each window that begins with a counted arrival with what the limit allows.
@@ -800,8 +469,8 @@
         continue;
       }
       const Duration age = at - kStart;
-      const bool isCut = scenario_.cut && age >= scenario_.cut->from &&
-                         age < scenario_.cut->to + kSettleTime;
+      const bool isCut = scenario_.network.cut && age >= scenario_.network.cut->from &&
+                         age < scenario_.network.cut->to + kSettleTime;
       (isCut ? outcome_.namedInCut : outcome_.named) += *limit * Seconds(kStep);
       (isCut ? outcome_.servedInCut : outcome_.served) += got;
     }
@@ -835,20 +504,12 @@
   }
 
   const LimitScenario scenario_;
-  std::mt19937_64 random_;
   ConfigurationPtr configuration_;
-  std::vector<SimulatedDaemon> daemons_;
-  std::map<std::string, size_t> daemonOfAddress_;
   std::vector<std::unique_ptr<Backend>> backends_; // every process that ever ran
   std::map<std::string, Backend*> live_;           // by address
   uint64_t lastStart_ = 0;
-  std::map<uint64_t, SimulatedAttempt> attempts_;
-  std::map<std::pair<size_t, uint64_t>, uint64_t> attemptIds_;
   std::map<uint64_t, SimulatedCall> calls_;
-  uint64_t lastAttempt_ = 0;
   uint64_t lastCall_ = 0;
-  EventQueue queue_;
-  TimePoint now_ = kStart;
   LimitOutcome outcome_;
 };
 
@@ -879,9 +540,9 @@
                                                             kDemandFactors.size()),
                           .isLoadUneven = chance(0.3),
                           .length = FromSeconds(40 * timeScale),
-                          .lossRate = chance(0.5) ? 0.2 : 0.01,
-                          .lateRate = chance(0.5) ? 0.1 : 0,
-                          .repeatRate = chance(0.5) ? 0.1 : 0 };
+                          .network = { .lossRate = chance(0.5) ? 0.2 : 0.01,
+                                       .lateRate = chance(0.5) ? 0.1 : 0,
+                                       .repeatRate = chance(0.5) ? 0.1 : 0 } };
   if (chance(0.5)) {
     const double factor = chance(0.5) ? 4 : 0.25;
     scenario.changes.push_back(
@@ -897,7 +558,7 @@
   }
   if (chance(0.4)) {
     const Duration from = between(3, 25);
-    scenario.cut = TimeSpan{ .from = from, .to = from + between(4, 14) };
+    scenario.network.cut = TimeSpan{ .from = from, .to = from + between(4, 14) };
   }
   const size_t maxFaults = std::max<size_t>(4, aDaemons / 20);
   const size_t faults = chance(0.3) ? 0 : random() % (maxFaults + 1);
--- a/entry/testing/limit_simulation.h
+++ b/entry/testing/limit_simulation.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "entry/testing/daemon_simulation.h"
 #include "gooseberrypath/types.h"
 
 namespace gooseberrypath::entry {
@@ -32,29 +33,6 @@
   std::optional<double> perSecond;
 };
 
-/// A span in which something holds.
-struct TimeSpan
-{
-  Duration from{};
-  Duration to{};
-};
-
-enum class DaemonFaultKind : uint8_t
-{
-  Kill,
-  PlannedStop,
-  Freeze,
-};
-
-/// Something that happens to one daemon. It is back after the time.
-struct DaemonFault
-{
-  DaemonFaultKind kind = DaemonFaultKind::Kill;
-  Duration at{};
-  size_t daemon = 0;
-  Duration lasts{};
-};
-
 enum class BackendRestart : uint8_t
 {
   None,
@@ -76,11 +54,8 @@
   std::vector<LimitChange> changes; // after the limit was first named
   BackendRestart restart = BackendRestart::None;
   Duration restartAt{};
-  std::optional<TimeSpan> cut; // two halves of the daemons do not hear each other
   std::vector<DaemonFault> faults;
-  double lossRate = 0;   // of datagrams between daemons
-  double lateRate = 0;   // of datagrams, by up to a second
-  double repeatRate = 0; // of datagrams
+  NetworkFaults network;
   Obedience obedience = Obedience::Shared;
   std::ostream* trace = nullptr; // gets the daemons' log lines about limits; null: none
 };
