Broken attempts are logged with their cause and the shared parts of their prompt

Ends of connections, silence, malformed and oversized answers are told apart. No decision uses it yet.

--- a/entry/backend_port.cc
+++ b/entry/backend_port.cc
@@ -38,7 +38,7 @@
                 .onEnd = [this] { isResponseComplete_ = true; } })
     , socket_(kj::mv(aStream),
               { .onBytes = [this](std::span<const char> aBytes) { OnBytes(aBytes); },
-                .onClosed = [this](bool aIsReset) { OnClosed(aIsReset); } })
+                .onClosed = [this](SocketEnd aEnd) { OnClosed(aEnd); } })
   {
     socket_.SetPeerTimeout(port_.options_.peerTimeout);
     keepAlive_ = port_.options_.defaultKeepAlive;
@@ -98,7 +98,7 @@
     const bool isValid = reader_.Feed(aBytes);
     if (IsBusy() && !HasResponseBegun() &&
         discardedBytes_ > port_.options_.maxDiscardedBytes) {
-      Fail("too many bytes came before the answer", true);
+      Fail("too many bytes came before the answer", BreakCause::Oversized);
       return;
     }
     HandleParsed(isValid);
@@ -127,7 +127,7 @@
       const bool isOversized = reader_.IsHeadTooLarge();
       Fail(isOversized ? "the head of the answer is too large"
                        : "the answer is malformed",
-           isOversized);
+           isOversized ? BreakCause::Oversized : BreakCause::Malformed);
     }
   }
 
@@ -177,9 +177,10 @@
       return; // an event emitted before led to the cancellation of the attempt
     }
     if (bufferedBytes_ > aLimit) {
-      Fail("a part of the answer is too large", true);
+      Fail("a part of the answer is too large", BreakCause::Oversized);
     } else if (port_.bufferedBytes_ > port_.options_.maxBufferedBytes) {
-      Fail("the answers that are being read are too large together", true);
+      Fail("the answers that are being read are too large together",
+           BreakCause::Oversized);
     }
   }
 
@@ -230,26 +231,42 @@
   }
 
   /// Closes the connection and reports the attempt as broken.
-  void Fail(std::string aReason, bool aIsOversized = false)
+  void Fail(std::string aReason, BreakCause aCause = BreakCause::Malformed)
   {
     const AttemptId attempt = std::exchange(attempt_, AttemptId{});
     ClearBody();
     port_.RemoveBusy(attempt);
-    port_.options_.sink(AttemptBroken{ attempt, std::move(aReason), aIsOversized });
+    port_.options_.sink(AttemptBroken{ attempt, std::move(aReason), aCause });
   }
 
-  void OnClosed(bool aIsReset)
+  void OnClosed(SocketEnd aEnd)
   {
     isClosedByPeer_ = true;
     if (!IsBusy()) {
       port_.RemoveIdle(*this);
       return;
     }
-    if (!aIsReset && reader_.FeedEof()) {
+    if (aEnd == SocketEnd::Closed && reader_.FeedEof()) {
       HandleParsed(true);
     }
     if (IsBusy()) {
-      Fail(aIsReset ? "the connection was reset" : "the connection was closed");
+      FailAtEnd(aEnd);
+    }
+  }
+
+  /// Reports the attempt as broken by the end of its connection.
+  void FailAtEnd(SocketEnd aEnd)
+  {
+    switch (aEnd) {
+      case SocketEnd::Closed:
+        Fail("the connection was closed", BreakCause::Closed);
+        return;
+      case SocketEnd::Reset:
+        Fail("the connection was reset", BreakCause::Reset);
+        return;
+      case SocketEnd::Silent:
+        Fail("the backend acknowledged nothing in time", BreakCause::Silent);
+        return;
     }
   }
 
--- a/entry/caller_port.cc
+++ b/entry/caller_port.cc
@@ -55,7 +55,7 @@
     , timeoutStart_(aPort.options_.now())
     , socket_(kj::mv(aStream),
               { .onBytes = [this](std::span<const char> aBytes) { OnBytes(aBytes); },
-                .onClosed = [this](bool) { OnClosed(); } })
+                .onClosed = [this](SocketEnd) { OnClosed(); } })
   {
   }
 
--- a/entry/entry_counters.cc
+++ b/entry/entry_counters.cc
@@ -25,6 +25,8 @@
     { "attempts_not_sent_total", "Attempts of which no byte reached a backend" },
     { "attempts_refused_total", "Attempts that a backend refused and did not run" },
     { "attempts_broken_total", "Attempts that broke after they were sent" },
+    { "attempts_broken_at_start_total",
+      "Attempts whose connection ended before any event of the answer" },
     { "attempts_withdrawn_total", "Attempts that went elsewhere before they were sent" },
     { "answers_oversized_total", "Answers that were given up because of their size" },
     { "unasked_bytes_total", "Connections closed for bytes that belong to no call" },
--- a/entry/messages.h
+++ b/entry/messages.h
@@ -112,12 +112,27 @@
   AttemptId attempt;
 };
 
+enum class BreakCause : uint8_t
+{
+  Malformed, // the response is not valid
+  Oversized, // the response exceeds the size limit
+  Closed,    // the backend closed the connection
+  Reset,     // the backend or a host on the way reset it
+  Silent,    // the backend acknowledged nothing for the timeout of the connection
+};
+
+/// Tells whether the connection ended, which shows that the backend may have ended too.
+constexpr bool IsConnectionEnd(BreakCause aCause)
+{
+  return aCause == BreakCause::Closed || aCause == BreakCause::Reset;
+}
+
 /// The connection broke or the response is malformed. The call may have been executed.
 struct AttemptBroken
 {
   AttemptId attempt;
   std::string reason;
-  bool isOversized = false; // the response exceeds the size limit
+  BreakCause cause = BreakCause::Malformed;
 };
 
 /// An idle connection to a backend was closed because it received bytes without a call.
--- a/entry/prompt_cache_index.cc
+++ b/entry/prompt_cache_index.cc
@@ -5,6 +5,8 @@
 
 #include <xxhash.h>
 
+#include "entry/prompt_parts.h"
+
 namespace gooseberrypath::entry {
 
 namespace {
@@ -15,13 +17,6 @@
   return XXH64(both.data(), sizeof(both), 0);
 }
 
-/// Returns the parts that other calls may share: all but the last.
-std::span<const PromptPart> SharedParts(const ModelDemand& aDemand)
-{
-  const std::span<const PromptPart> parts(aDemand.parts);
-  return parts.empty() ? parts : parts.first(parts.size() - 1);
-}
-
 } // namespace
 
 uint64_t PromptCacheIndex::EntryKey(uint64_t aEngine, uint64_t aPart)
--- a/entry/request_system.cc
+++ b/entry/request_system.cc
@@ -7,6 +7,7 @@
 #include "entry/backend_notice.h"
 #include "entry/call_validation.h"
 #include "entry/duration_text.h"
+#include "entry/prompt_parts.h"
 #include "entry/stop_system.h"
 
 namespace gooseberrypath::entry {
@@ -491,10 +492,11 @@
     return;
   }
   world_.counters.Add(EntryCounter::AttemptsBroken);
-  if (aEvent.isOversized) {
+  if (aEvent.cause == BreakCause::Oversized) {
     world_.counters.Add(EntryCounter::ResponsesOversized);
   }
   RequestRow& row = *running->request.row;
+  LogBroken(*running, aEvent);
   if (running->backend != nullptr) {
     running->backend->health.RecordFailure(world_.Now());
   }
@@ -503,6 +505,25 @@
   Retry(running->request, false, aEvent.reason);
 }
 
+void RequestSystem::LogBroken(const RunningAttempt& aRunning, const AttemptBroken& aEvent)
+{
+  const AttemptRow& attempt = *aRunning.attempt;
+  const bool isAtStart = !attempt.hasEvents && IsConnectionEnd(aEvent.cause);
+  world_.counters.Add(EntryCounter::AttemptsBrokenAtStart, isAtStart ? 1 : 0);
+  std::string parts;
+  if (const auto& demand = aRunning.request.row->call.model) {
+    for (const PromptPart& part : SharedParts(*demand)) {
+      parts += (parts.empty() ? "" : ",") + PartText(part.id);
+    }
+  }
+  world_.Log(LogLevel::Info, "attempt_broken", aRunning.request.row->call.requestId,
+             { { "backend", attempt.backend },
+               { "reason", aEvent.reason },
+               { "began", attempt.hasEvents ? "yes" : "no" },
+               { "sent_ms_ago", MsText(ToMs(world_.Now() - attempt.sent)) },
+               { "parts", parts } });
+}
+
 std::optional<std::string> RequestSystem::ReasonNotToRetry(const RequestRow& aRow,
                                                            bool aIsKnownNotExecuted)
 {
--- a/entry/request_system.h
+++ b/entry/request_system.h
@@ -80,6 +80,10 @@
   std::optional<std::string> ReasonNotToRetry(const RequestRow& aRow,
                                               bool aIsKnownNotExecuted);
 
+  /// Logs a broken attempt, with whether its answer had begun and the shared parts of its
+  /// prompt.
+  void LogBroken(const RunningAttempt& aRunning, const AttemptBroken& aEvent);
+
   /// Ends a request at its deadline.
   void OnDeadline(ExchangeId aId);
 
--- a/entry/socket.cc
+++ b/entry/socket.cc
@@ -6,6 +6,18 @@
 
 namespace gooseberrypath::entry {
 
+namespace {
+
+/// Returns how the connection ended. kj reports a timeout of the connection (ETIMEDOUT)
+/// as OVERLOADED and a reset as DISCONNECTED.
+SocketEnd EndOf(const kj::Exception& aError)
+{
+  return aError.getType() == kj::Exception::Type::OVERLOADED ? SocketEnd::Silent
+                                                             : SocketEnd::Reset;
+}
+
+} // namespace
+
 Socket::Socket(kj::Own<kj::AsyncIoStream> aStream, SocketOptions aOptions)
   : stream_(kj::mv(aStream))
   , options_(std::move(aOptions))
@@ -13,12 +25,14 @@
   // The loops start in a later turn of the event loop, when the owner is fully
   // constructed. kj stores an error handler that is passed as an lvalue by reference, so
   // each handler is a temporary.
-  readTask_ = kj::evalLater([this] {
-                return ReadLoop();
-              }).eagerlyEvaluate([this](kj::Exception&&) { ReportClosed(true); });
-  writeTask_ = kj::evalLater([this] {
-                 return WriteLoop();
-               }).eagerlyEvaluate([this](kj::Exception&&) { ReportClosed(true); });
+  readTask_ =
+    kj::evalLater([this] {
+      return ReadLoop();
+    }).eagerlyEvaluate([this](kj::Exception&& aError) { ReportClosed(EndOf(aError)); });
+  writeTask_ =
+    kj::evalLater([this] {
+      return WriteLoop();
+    }).eagerlyEvaluate([this](kj::Exception&& aError) { ReportClosed(EndOf(aError)); });
 }
 
 void Socket::SetPeerTimeout(std::chrono::milliseconds aLimit)
@@ -36,7 +50,7 @@
   return stream_->tryRead(readBuffer_.data(), 1, readBuffer_.size())
     .then([this](size_t aRead) -> kj::Promise<void> {
       if (aRead == 0) {
-        ReportClosed(false);
+        ReportClosed(SocketEnd::Closed);
         return kj::READY_NOW;
       }
       if (!areCallbacksDisabled_) {
@@ -94,12 +108,12 @@
   Fulfill(writeFulfiller_);
 }
 
-void Socket::ReportClosed(bool aIsReset)
+void Socket::ReportClosed(SocketEnd aEnd)
 {
   if (std::exchange(isClosed_, true) || areCallbacksDisabled_) {
     return;
   }
-  options_.onClosed(aIsReset);
+  options_.onClosed(aEnd);
 }
 
 } // namespace gooseberrypath::entry
--- a/entry/socket.h
+++ b/entry/socket.h
@@ -22,11 +22,19 @@
 
 namespace gooseberrypath::entry {
 
+/// How a connection ended.
+enum class SocketEnd : uint8_t
+{
+  Closed, // the peer has closed its side
+  Reset,
+  Silent, // the peer timeout passed
+};
+
 struct SocketOptions
 {
   std::function<void(std::span<const char>)> onBytes;
   /// Called once, when the peer has closed its side or the connection broke.
-  std::function<void(bool aIsReset)> onClosed;
+  std::function<void(SocketEnd)> onClosed;
   /// Called after CloseAfterWrites(), when all queued bytes were passed to the operating
   /// system.
   std::function<void()> onFlushed = {};
@@ -64,7 +72,7 @@
   kj::Promise<void> WriteLoop();
 
   /// Calls onClosed unless it was called before.
-  void ReportClosed(bool aIsReset);
+  void ReportClosed(SocketEnd aEnd);
 
   /// Wakes the read or write loop if it waits for this fulfiller.
   void Fulfill(kj::Own<kj::PromiseFulfiller<void>>& aFulfiller);
