--- a/entry/team_quota.cc
+++ b/entry/team_quota.cc
@@ -155,15 +155,9 @@
     kObservedShareWeight * observedShare + (1 - kObservedShareWeight) * equalShare;
 }
 
-size_t TeamQuota::CountedPeers() const
-{
-  return static_cast<size_t>(std::ranges::count_if(
-    peerTotals_, [](const auto& aPeer) { return aPeer.second.has_value(); }));
-}
-
 double TeamQuota::EqualShare() const
 {
-  return 1.0 / static_cast<double>(std::max(CountedPeers() + 1, daemonCount_));
+  return 1.0 / static_cast<double>(std::max(countedPeers_ + 1, daemonCount_));
 }
 
 bool TeamQuota::IsIsolated() const
@@ -228,7 +222,9 @@
 {
   Refill(aNow);
   const double first = aPeerStartedFirst ? aAdmitted : 0;
-  auto& lastTotal = peerTotals_.try_emplace(std::string(aPeer), first).first->second;
+  const auto [known, isNew] = peerTotals_.try_emplace(std::string(aPeer), first);
+  auto& lastTotal = known->second;
+  countedPeers_ += isNew || !lastTotal ? 1 : 0;
   // A total decreases a little when an amount is refunded. A jump beyond what the limit
   // allows in a window is an error of the sender and must not block the team for longer
   // than a window.
@@ -240,6 +236,13 @@
   lastTotal = aAdmitted;
 }
 
+void TeamQuota::ForgetPeer(std::string_view aPeer)
+{
+  auto& lastTotal = peerTotals_[std::string(aPeer)];
+  countedPeers_ -= lastTotal ? 1 : 0;
+  lastTotal.reset();
+}
+
 Duration TeamQuota::RefillTime(TimePoint aNow)
 {
   Refill(aNow);
--- a/entry/team_quota.h
+++ b/entry/team_quota.h
@@ -111,7 +111,7 @@
 
   /// Makes the next total of a peer that is no longer live a new baseline. The shared
   /// bucket fills without the peer's share until then, which accounts for what it admits.
-  void ForgetPeer(std::string_view aPeer) { peerTotals_[std::string(aPeer)].reset(); }
+  void ForgetPeer(std::string_view aPeer);
 
   /// Returns the estimated time until a call can be admitted.
   Duration RefillTime(TimePoint aNow);
@@ -139,9 +139,6 @@
   /// Returns this daemon's share if all daemons have the same one.
   double EqualShare() const;
 
-  /// Returns the number of peers whose last total is known.
-  size_t CountedPeers() const;
-
   /// Estimates what all live daemons admit between two digests, which the shared bucket
   /// does not include yet.
   double EstimateUnreported(TimePoint aNow) const;
@@ -163,6 +160,7 @@
   TimePoint lastRefill_;
   /// The last total of each peer; empty if the next total is a new baseline.
   std::unordered_map<std::string, std::optional<double>> peerTotals_;
+  size_t countedPeers_ = 0; // with a last total
 };
 
 } // namespace gooseberrypath::entry
