--- a/entry/digest.capnp
+++ b/entry/digest.capnp
@@ -28,6 +28,25 @@
   newsNext @17 :UInt64; # store offset behind the last record of the delta
   limits @18 :List(BackendLimit);
   grantsPermits @19 :Bool;
+  answeredParts @20 :List(UInt32); # hashes of prompt parts that were answered
+  brokenStarts @21 :List(BrokenStart);
+  partTrials @22 :List(PartTrials);
+}
+
+struct BrokenStart {
+  backend @0 :UInt32;
+  startedMs @1 :UInt64;
+  call @2 :UInt32;
+  team @3 :UInt32;
+  ageMs @4 :UInt32;
+  parts @5 :List(UInt64);
+}
+
+struct PartTrials {
+  part @0 :UInt64;
+  count @1 :UInt32;
+  lastAgeMs @2 :UInt32;
+  wantedAgeMs @3 :UInt32;
 }
 
 struct BackendLimit {
--- a/entry/digest.capnp.h
+++ b/entry/digest.capnp.h
@@ -18,6 +18,8 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(d62b11838d606aca);
+CAPNP_DECLARE_SCHEMA(be5b643c6d00e406);
+CAPNP_DECLARE_SCHEMA(ad457ea201c839c9);
 CAPNP_DECLARE_SCHEMA(a5bf5f45a0e8aef6);
 CAPNP_DECLARE_SCHEMA(95a3ad41633e5dc9);
 CAPNP_DECLARE_SCHEMA(c3362544831ee5a0);
@@ -41,7 +43,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d62b11838d606aca, 9, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(d62b11838d606aca, 9, 12)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct BrokenStart {
+  BrokenStart() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(be5b643c6d00e406, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PartTrials {
+  PartTrials() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ad457ea201c839c9, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -221,6 +253,15 @@
 
   inline bool getGrantsPermits() const;
 
+  inline bool hasAnsweredParts() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getAnsweredParts() const;
+
+  inline bool hasBrokenStarts() const;
+  inline  ::capnp::List< ::gooseberrypath::entry::wire::BrokenStart,  ::capnp::Kind::STRUCT>::Reader getBrokenStarts() const;
+
+  inline bool hasPartTrials() const;
+  inline  ::capnp::List< ::gooseberrypath::entry::wire::PartTrials,  ::capnp::Kind::STRUCT>::Reader getPartTrials() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -346,6 +387,28 @@
   inline bool getGrantsPermits();
   inline void setGrantsPermits(bool value);
 
+  inline bool hasAnsweredParts();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getAnsweredParts();
+  inline void setAnsweredParts( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setAnsweredParts(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initAnsweredParts(unsigned int size);
+  inline void adoptAnsweredParts(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownAnsweredParts();
+
+  inline bool hasBrokenStarts();
+  inline  ::capnp::List< ::gooseberrypath::entry::wire::BrokenStart,  ::capnp::Kind::STRUCT>::Builder getBrokenStarts();
+  inline void setBrokenStarts( ::capnp::List< ::gooseberrypath::entry::wire::BrokenStart,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::gooseberrypath::entry::wire::BrokenStart,  ::capnp::Kind::STRUCT>::Builder initBrokenStarts(unsigned int size);
+  inline void adoptBrokenStarts(::capnp::Orphan< ::capnp::List< ::gooseberrypath::entry::wire::BrokenStart,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::gooseberrypath::entry::wire::BrokenStart,  ::capnp::Kind::STRUCT>> disownBrokenStarts();
+
+  inline bool hasPartTrials();
+  inline  ::capnp::List< ::gooseberrypath::entry::wire::PartTrials,  ::capnp::Kind::STRUCT>::Builder getPartTrials();
+  inline void setPartTrials( ::capnp::List< ::gooseberrypath::entry::wire::PartTrials,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::gooseberrypath::entry::wire::PartTrials,  ::capnp::Kind::STRUCT>::Builder initPartTrials(unsigned int size);
+  inline void adoptPartTrials(::capnp::Orphan< ::capnp::List< ::gooseberrypath::entry::wire::PartTrials,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::gooseberrypath::entry::wire::PartTrials,  ::capnp::Kind::STRUCT>> disownPartTrials();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -372,6 +435,204 @@
 };
 #endif  // !CAPNP_LITE
 
+class BrokenStart::Reader {
+public:
+  typedef BrokenStart Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getBackend() const;
+
+  inline  ::uint64_t getStartedMs() const;
+
+  inline  ::uint32_t getCall() const;
+
+  inline  ::uint32_t getTeam() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+  inline bool hasParts() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getParts() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class BrokenStart::Builder {
+public:
+  typedef BrokenStart Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getBackend();
+  inline void setBackend( ::uint32_t value);
+
+  inline  ::uint64_t getStartedMs();
+  inline void setStartedMs( ::uint64_t value);
+
+  inline  ::uint32_t getCall();
+  inline void setCall( ::uint32_t value);
+
+  inline  ::uint32_t getTeam();
+  inline void setTeam( ::uint32_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+  inline bool hasParts();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getParts();
+  inline void setParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setParts(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initParts(unsigned int size);
+  inline void adoptParts(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownParts();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class BrokenStart::Pipeline {
+public:
+  typedef BrokenStart Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PartTrials::Reader {
+public:
+  typedef PartTrials Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPart() const;
+
+  inline  ::uint32_t getCount() const;
+
+  inline  ::uint32_t getLastAgeMs() const;
+
+  inline  ::uint32_t getWantedAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PartTrials::Builder {
+public:
+  typedef PartTrials Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPart();
+  inline void setPart( ::uint64_t value);
+
+  inline  ::uint32_t getCount();
+  inline void setCount( ::uint32_t value);
+
+  inline  ::uint32_t getLastAgeMs();
+  inline void setLastAgeMs( ::uint32_t value);
+
+  inline  ::uint32_t getWantedAgeMs();
+  inline void setWantedAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PartTrials::Pipeline {
+public:
+  typedef PartTrials Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class BackendLimit::Reader {
 public:
   typedef BackendLimit Reads;
@@ -1506,6 +1767,276 @@
       ::capnp::bounded<130>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Digest::Reader::hasAnsweredParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool Digest::Builder::hasAnsweredParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader Digest::Reader::getAnsweredParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Digest::Builder::getAnsweredParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void Digest::Builder::setAnsweredParts( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline void Digest::Builder::setAnsweredParts(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Digest::Builder::initAnsweredParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+}
+inline void Digest::Builder::adoptAnsweredParts(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> Digest::Builder::disownAnsweredParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
+inline bool Digest::Reader::hasBrokenStarts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline bool Digest::Builder::hasBrokenStarts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::gooseberrypath::entry::wire::BrokenStart,  ::capnp::Kind::STRUCT>::Reader Digest::Reader::getBrokenStarts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::BrokenStart,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::gooseberrypath::entry::wire::BrokenStart,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::getBrokenStarts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::BrokenStart,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline void Digest::Builder::setBrokenStarts( ::capnp::List< ::gooseberrypath::entry::wire::BrokenStart,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::BrokenStart,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::gooseberrypath::entry::wire::BrokenStart,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::initBrokenStarts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::BrokenStart,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), size);
+}
+inline void Digest::Builder::adoptBrokenStarts(
+    ::capnp::Orphan< ::capnp::List< ::gooseberrypath::entry::wire::BrokenStart,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::BrokenStart,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::gooseberrypath::entry::wire::BrokenStart,  ::capnp::Kind::STRUCT>> Digest::Builder::disownBrokenStarts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::BrokenStart,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+
+inline bool Digest::Reader::hasPartTrials() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
+}
+inline bool Digest::Builder::hasPartTrials() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::gooseberrypath::entry::wire::PartTrials,  ::capnp::Kind::STRUCT>::Reader Digest::Reader::getPartTrials() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::PartTrials,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::gooseberrypath::entry::wire::PartTrials,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::getPartTrials() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::PartTrials,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline void Digest::Builder::setPartTrials( ::capnp::List< ::gooseberrypath::entry::wire::PartTrials,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::PartTrials,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::gooseberrypath::entry::wire::PartTrials,  ::capnp::Kind::STRUCT>::Builder Digest::Builder::initPartTrials(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::PartTrials,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), size);
+}
+inline void Digest::Builder::adoptPartTrials(
+    ::capnp::Orphan< ::capnp::List< ::gooseberrypath::entry::wire::PartTrials,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::PartTrials,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::gooseberrypath::entry::wire::PartTrials,  ::capnp::Kind::STRUCT>> Digest::Builder::disownPartTrials() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::gooseberrypath::entry::wire::PartTrials,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t BrokenStart::Reader::getBackend() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t BrokenStart::Builder::getBackend() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void BrokenStart::Builder::setBackend( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t BrokenStart::Reader::getStartedMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t BrokenStart::Builder::getStartedMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void BrokenStart::Builder::setStartedMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t BrokenStart::Reader::getCall() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t BrokenStart::Builder::getCall() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void BrokenStart::Builder::setCall( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t BrokenStart::Reader::getTeam() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t BrokenStart::Builder::getTeam() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void BrokenStart::Builder::setTeam( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t BrokenStart::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t BrokenStart::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void BrokenStart::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool BrokenStart::Reader::hasParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool BrokenStart::Builder::hasParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader BrokenStart::Reader::getParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder BrokenStart::Builder::getParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void BrokenStart::Builder::setParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void BrokenStart::Builder::setParts(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder BrokenStart::Builder::initParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void BrokenStart::Builder::adoptParts(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> BrokenStart::Builder::disownParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t PartTrials::Reader::getPart() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PartTrials::Builder::getPart() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PartTrials::Builder::setPart( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PartTrials::Reader::getCount() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PartTrials::Builder::getCount() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PartTrials::Builder::setCount( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PartTrials::Reader::getLastAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PartTrials::Builder::getLastAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void PartTrials::Builder::setLastAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PartTrials::Reader::getWantedAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PartTrials::Builder::getWantedAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void PartTrials::Builder::setWantedAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t BackendLimit::Reader::getBackend() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -12,6 +12,7 @@
 #include "entry/duty_system.h"
 #include "entry/fleet_system.h"
 #include "entry/gossip_system.h"
+#include "entry/part_system.h"
 #include "entry/permit_system.h"
 #include "entry/request_system.h"
 #include "entry/stop_system.h"
@@ -20,8 +21,8 @@
 
 namespace gooseberrypath::entry {
 
-using EntryCore = BasicCore<World, FleetSystem, PermitSystem, RequestSystem, DutySystem,
-                            StopSystem, GossipSystem>;
+using EntryCore = BasicCore<World, FleetSystem, PermitSystem, PartSystem, RequestSystem,
+                            DutySystem, StopSystem, GossipSystem>;
 
 } // namespace gooseberrypath::entry
 
--- a/entry/gossip_system.cc
+++ b/entry/gossip_system.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "entry/limit_gossip.h"
+#include "entry/part_gossip.h"
 
 namespace gooseberrypath::entry {
 
@@ -56,6 +57,16 @@
 // Limit for known addresses and peers, several times the size of a fleet.
 constexpr size_t kMaxPeers = 2000;
 
+/// Estimates the size of the evidence about prompt parts in a digest.
+size_t PartBytes(const GossipedParts& aParts)
+{
+  size_t bytes = 4 * aParts.answered.size() + 20 * aParts.trials.size();
+  for (const GossipedStart& start : aParts.starts) {
+    bytes += 24 + 8 * start.parts.size();
+  }
+  return bytes;
+}
+
 /// Returns the process name under which the sender counts usage.
 std::string ProcessNameOf(const PeerDigest& aDigest)
 {
@@ -138,7 +149,8 @@
   const PeerDigest& digest = action.digest;
   lastDigestBytes_ = kDigestBaseBytes + 13 * digest.backends.size() +
                      12 * digest.teams.size() + 24 * digest.peers.size() +
-                     24 * digest.leaving.size() + 34 * digest.limits.size();
+                     24 * digest.leaving.size() + 34 * digest.limits.size() +
+                     PartBytes(digest.parts);
   if (!holder.empty()) {
     SendDigest withUsage{ .to = { holder }, .digest = digest };
     // The counts of the last windows are repeated, because the newest digests may have
@@ -174,7 +186,8 @@
                      .dutyToken = world_.dutyToken,
                      .dutyRenewal = world_.dutyRenewal,
                      .limits = LimitsToGossip(world_, sequence_),
-                     .grantsPermits = world_.grantsPermits };
+                     .grantsPermits = world_.grantsPermits,
+                     .parts = PartsToGossip(world_, sequence_) };
   for (const auto& [name, rate] : world_.promptTokenRates) {
     digest.demands.push_back(
       { .service = DigestKey(name),
--- a/entry/messages.h
+++ b/entry/messages.h
@@ -197,6 +197,12 @@
   bool isAccepted = false;
 };
 
+/// The evidence about prompt parts of all daemons was read from the store, one text each.
+struct PartEvidenceRead
+{
+  std::vector<std::string> texts;
+};
+
 /// The usage counts of all daemons were read from the store, one text each.
 struct UsageRead
 {
@@ -218,8 +224,8 @@
                CallArrived, CallerDisconnected, AllCallersDisconnected, AttemptNotSent,
                AttemptSent, AttemptAnswered, StreamStarted, StreamEvents, StreamEnded,
                AttemptBroken, UnsolicitedBytes, DigestReceived, PermitRequestReceived,
-               PermitReplyReceived, PeerAddressesRead, DutyStateRead, DutyStateWritten,
-               UsageSent, UsageRead, OrderSent, StopRequested>;
+               PermitReplyReceived, PeerAddressesRead, PartEvidenceRead, DutyStateRead,
+               DutyStateWritten, UsageSent, UsageRead, OrderSent, StopRequested>;
 
 // Actions towards callers.
 
@@ -375,6 +381,16 @@
 struct ReadUsage
 {};
 
+/// Writes this daemon's evidence about prompt parts to the store, replacing its earlier
+/// one.
+struct WritePartEvidence
+{
+  std::string text;
+};
+
+struct ReadPartEvidence
+{};
+
 struct SendUsage
 {
   uint64_t token = 0; // fencing token
@@ -402,7 +418,8 @@
                StopAccepting, StartAttempt, CancelAttempt, CloseIdleBackendConnections,
                SendDigest, SendPermitMessage, ReadFleet, ReadConfiguration,
                SkipFleetRecords, SetReaderCount, ReadDutyState, WriteDutyState,
-               WriteUsage, ReadUsage, SendUsage, SendOrder, WriteEvent, ExitProcess>;
+               WriteUsage, ReadUsage, WritePartEvidence, ReadPartEvidence, SendUsage,
+               SendOrder, WriteEvent, ExitProcess>;
 
 } // namespace gooseberrypath::entry
 
--- /dev/null
+++ b/entry/part_evidence.h
@@ -0,0 +1,147 @@
+// Decides which prompt parts end the engines that begin to answer calls with them. The
+// evidence is what the daemons observe: calls whose connection ended before any event of
+// the answer, and parts of calls that were answered.
+//
+// A part is blocked when the connections of two different calls with it ended at two
+// different engines and no call with it has been answered since. A part that was answered
+// shortly before is not suspected. One call counts once, however often it is told, and a
+// call does not count for a part if another of its parts has more such calls.
+//
+//   PartEvidence evidence;
+//   evidence.RecordAnswer(now, part);
+//   evidence.AddOwn(now, BrokenStart{ ... });
+//   evidence.Merge(now, startOfPeer);
+//   evidence.Update(now);
+//   const PartBlock* block = evidence.BlockFor(part, team);
+
+#ifndef ENTRY_PART_EVIDENCE_H_
+#define ENTRY_PART_EVIDENCE_H_
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+#include "gooseberrypath/types.h"
+
+namespace gooseberrypath::entry {
+
+/// Identifies an attempt whose connection ended before any event of its answer.
+struct BrokenStartId
+{
+  uint32_t backend = 0;   // hash of the backend's id
+  uint64_t startedMs = 0; // start of the backend that ended
+  uint32_t call = 0;      // hash of the request id
+
+  auto operator<=>(const BrokenStartId&) const = default; // NOLINT(modernize-use-nullptr)
+};
+
+/// What is known of such an attempt.
+struct BrokenStart
+{
+  BrokenStartId id;
+  uint32_t team = 0; // hash of the team's name; 0: none
+  TimePoint at{};
+  std::vector<uint64_t> parts; // shared parts that may have ended the backend
+  bool isOwn = false;          // an attempt of this daemon
+};
+
+/// A part that gets no calls.
+struct PartBlock
+{
+  uint64_t part = 0;
+  TimePoint since{};        // when this daemon blocked it
+  size_t starts = 0;        // calls at whose start a backend ended
+  std::set<uint32_t> teams; // that sent these calls
+};
+
+/// Trials of a blocked part: calls that are sent to see whether it still ends engines.
+struct PartTrials
+{
+  uint32_t count = 0;   // by all daemons
+  TimePoint lastAt{};   // of the last trial
+  TimePoint wantedAt{}; // of the last call with the part, refused ones included
+};
+
+class PartEvidence
+{
+public:
+  /// Sets for how long a part counts as sound after it was answered.
+  void SetFreshTime(Duration aTime) { freshTime_ = aTime; }
+
+  /// Records that a call with the part was answered at this daemon. Returns whether the
+  /// other daemons should be told.
+  bool RecordAnswer(TimePoint aNow, uint64_t aPart);
+
+  /// Records that a peer told of an answered part. `aPartKey` is its KeyOf().
+  void RecordPeerAnswer(TimePoint aNow, uint32_t aPartKey);
+
+  /// Adds an attempt of this daemon. Parts that count as sound are left out. Returns
+  /// false if no part remains.
+  bool AddOwn(TimePoint aNow, BrokenStart aStart);
+
+  /// Merges an attempt that a peer told of: a part that either side no longer suspects is
+  /// left out. Ignores old attempts whose parts no call wants.
+  void Merge(TimePoint aNow, BrokenStart aStart);
+
+  /// Clears what was blamed on the end of a backend, because it still runs.
+  void RecordAlive(TimePoint aNow, uint32_t aBackend, uint64_t aStartedMs);
+
+  /// Decides anew which parts are blocked, if the evidence has changed, and forgets old
+  /// evidence.
+  void Update(TimePoint aNow);
+
+  /// Returns the block of the part for calls of the team, or null. While all the evidence
+  /// comes from one team, the part is blocked for this team only, so that no team can
+  /// block the parts of another one.
+  const PartBlock* BlockFor(uint64_t aPart, uint32_t aTeam) const;
+
+  const std::map<uint64_t, PartBlock>& Blocks() const { return blocks_; }
+  const std::map<BrokenStartId, BrokenStart>& Starts() const { return starts_; }
+
+  /// Returns how many calls count against the part, blocked or not.
+  size_t StartsOf(uint64_t aPart) const;
+
+  /// Returns the trials of a part; they are created if there are none.
+  PartTrials& TrialsOf(uint64_t aPart) { return trials_[aPart]; }
+
+  /// Merges the trials of a part that a peer told of.
+  void MergeTrials(uint64_t aPart, const PartTrials& aTrials);
+
+  const std::map<uint64_t, PartTrials>& Trials() const { return trials_; }
+
+  /// Returns the hash of a part under which daemons tell that it was answered.
+  static uint32_t KeyOf(uint64_t aPart);
+
+private:
+  /// Tells whether the part was answered within the fresh time before, or later.
+  bool WasAnswered(uint64_t aPart, TimePoint aSince) const;
+
+  /// Removes a part that was answered from all attempts.
+  void RemoveAnswered(uint32_t aPartKey);
+  /// Tells whether evidence of this time is still of use: it is recent, or a call with
+  /// one of the parts came lately.
+  bool IsKept(const BrokenStart& aStart, TimePoint aNow) const;
+
+  void ForgetOld(TimePoint aNow);
+  void LimitAnswers(TimePoint aNow);
+
+  /// Returns the attempts that count against each part.
+  std::map<uint64_t, std::vector<const BrokenStart*>> StartsByPart() const;
+
+  Duration freshTime_ = std::chrono::seconds(2);
+  std::map<BrokenStartId, BrokenStart> starts_;
+  std::unordered_map<uint32_t, std::vector<BrokenStartId>> startsOfKey_; // by key of part
+  std::unordered_map<uint32_t, TimePoint> answeredAt_;                   // likewise
+  std::map<uint64_t, PartBlock> blocks_;
+  std::map<uint64_t, PartTrials> trials_;
+  bool isChanged_ = false;
+  TimePoint forgotAt_{};
+};
+
+} // namespace gooseberrypath::entry
+
+#endif // ENTRY_PART_EVIDENCE_H_
--- /dev/null
+++ b/entry/part_gossip.cc
@@ -0,0 +1,158 @@
+#include "entry/part_gossip.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace gooseberrypath::entry {
+
+namespace {
+
+// The own broken attempts are in each digest for this time, the other evidence in one of
+// this number of digests.
+constexpr Duration kOwnGossipTime = std::chrono::seconds(3);
+constexpr uint64_t kRefreshDigests = 8;
+
+// Bounds of what a digest carries, some 0.8 KB.
+constexpr size_t kMaxOwnStarts = 12;
+constexpr size_t kMaxOtherStarts = 4;
+constexpr size_t kMaxTrials = 8;
+
+// Bound of what a daemon keeps in the store, some 16 KB.
+constexpr size_t kMaxStoredStarts = 64;
+
+uint32_t AgeMs(TimePoint aNow, TimePoint aAt)
+{
+  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(aNow - aAt);
+  return static_cast<uint32_t>(
+    std::clamp<int64_t>(age.count(), 0, std::numeric_limits<uint32_t>::max()));
+}
+
+GossipedStart ToGossip(const BrokenStart& aStart, TimePoint aNow)
+{
+  return { .id = aStart.id,
+           .team = aStart.team,
+           .ageMs = AgeMs(aNow, aStart.at),
+           .parts = aStart.parts };
+}
+
+bool IsTurn(uint64_t aKey, uint64_t aSequence)
+{
+  return aKey % kRefreshDigests == aSequence % kRefreshDigests;
+}
+
+} // namespace
+
+std::string EncodePartEvidence(const World& aWorld)
+{
+  const auto wallMs = [&](TimePoint aTime) { return aWorld.WallAt(aTime).count(); };
+  auto starts = nlohmann::json::array();
+  for (const auto& [id, start] : aWorld.partEvidence.Starts()) {
+    if (start.isOwn && !start.parts.empty() && starts.size() < kMaxStoredStarts) {
+      starts.push_back({ { "backend", id.backend },
+                         { "startedMs", id.startedMs },
+                         { "call", id.call },
+                         { "team", start.team },
+                         { "atMs", wallMs(start.at) },
+                         { "parts", start.parts } });
+    }
+  }
+  auto trials = nlohmann::json::array();
+  for (const auto& [part, known] : aWorld.partEvidence.Trials()) {
+    if (trials.size() < kMaxTrials) {
+      trials.push_back({ { "part", part },
+                         { "count", known.count },
+                         { "lastMs", wallMs(known.lastAt) },
+                         { "wantedMs", wallMs(known.wantedAt) } });
+    }
+  }
+  return nlohmann::json{ { "starts", starts }, { "trials", trials } }.dump();
+}
+
+Result<GossipedParts> DecodePartEvidence(const World& aWorld, std::string_view aText)
+{
+  const int64_t now = aWorld.WallNow().count();
+  const auto age = [&](const nlohmann::json& aWallMs) {
+    return static_cast<uint32_t>(std::clamp<int64_t>(
+      now - aWallMs.get<int64_t>(), 0, std::numeric_limits<uint32_t>::max()));
+  };
+  // A daemon of another version may have written the text, so a field of an unexpected
+  // type is an input error and not a bug.
+  try {
+    const auto root = nlohmann::json::parse(aText);
+    GossipedParts parts;
+    for (const auto& start : root.at("starts")) {
+      parts.starts.push_back({ .id = { .backend = start.at("backend").get<uint32_t>(),
+                                       .startedMs = start.at("startedMs").get<uint64_t>(),
+                                       .call = start.at("call").get<uint32_t>() },
+                               .team = start.at("team").get<uint32_t>(),
+                               .ageMs = age(start.at("atMs")),
+                               .parts = start.at("parts").get<std::vector<uint64_t>>() });
+    }
+    for (const auto& trials : root.at("trials")) {
+      parts.trials.push_back({ .part = trials.at("part").get<uint64_t>(),
+                               .count = trials.at("count").get<uint32_t>(),
+                               .lastAgeMs = age(trials.at("lastMs")),
+                               .wantedAgeMs = age(trials.at("wantedMs")) });
+    }
+    return parts;
+  } catch (const nlohmann::json::exception& problem) {
+    return MakeError(ErrorKind::BadRequest, problem.what());
+  }
+}
+
+GossipedParts PartsToGossip(World& aWorld, uint64_t aSequence)
+{
+  const TimePoint now = aWorld.Now();
+  GossipedParts gossiped{ .answered = std::exchange(aWorld.answeredParts, {}) };
+  std::vector<GossipedStart> others;
+  for (const auto& [id, start] : aWorld.partEvidence.Starts()) {
+    const bool isNew = start.isOwn && start.at + kOwnGossipTime > now;
+    if (isNew && gossiped.starts.size() < kMaxOwnStarts) {
+      gossiped.starts.push_back(ToGossip(start, now));
+    } else if (!isNew && !start.parts.empty() && IsTurn(id.call, aSequence) &&
+               others.size() < kMaxOtherStarts) {
+      others.push_back(ToGossip(start, now));
+    }
+  }
+  gossiped.starts.insert(gossiped.starts.end(), others.begin(), others.end());
+  for (const auto& [part, trials] : aWorld.partEvidence.Trials()) {
+    const bool isNew =
+      trials.lastAt != TimePoint{} && trials.lastAt + kOwnGossipTime > now;
+    if ((isNew || IsTurn(part, aSequence)) && gossiped.trials.size() < kMaxTrials) {
+      gossiped.trials.push_back({ .part = part,
+                                  .count = trials.count,
+                                  .lastAgeMs = AgeMs(now, trials.lastAt),
+                                  .wantedAgeMs = AgeMs(now, trials.wantedAt) });
+    }
+  }
+  return gossiped;
+}
+
+void ApplyGossipedParts(World& aWorld, const GossipedParts& aParts)
+{
+  const TimePoint now = aWorld.Now();
+  const auto before = [&](uint32_t aAgeMs) {
+    return now - std::chrono::milliseconds(aAgeMs);
+  };
+  PartEvidence& evidence = aWorld.partEvidence;
+  for (const GossipedTrials& trials : aParts.trials) {
+    evidence.MergeTrials(
+      trials.part, { .count = trials.count,
+                     .lastAt = trials.count == 0 ? TimePoint{} : before(trials.lastAgeMs),
+                     .wantedAt = before(trials.wantedAgeMs) });
+  }
+  for (const GossipedStart& start : aParts.starts) {
+    evidence.Merge(now, { .id = start.id,
+                          .team = start.team,
+                          .at = before(start.ageMs),
+                          .parts = start.parts });
+  }
+  for (const uint32_t part : aParts.answered) {
+    evidence.RecordPeerAnswer(now, part);
+  }
+}
+
+} // namespace gooseberrypath::entry
--- /dev/null
+++ b/entry/part_guard.cc
@@ -0,0 +1,191 @@
+#include "entry/part_guard.h"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+#include "entry/duration_text.h"
+#include "entry/prompt_parts.h"
+
+namespace gooseberrypath::entry {
+
+namespace {
+
+using std::chrono::seconds;
+
+// A blocked part is tried this time after it was blocked. The longer time holds after a
+// trial, and from this number of engines on.
+constexpr Duration kFirstTrialDelay = seconds(3);
+constexpr Duration kLaterTrialDelay = seconds(20);
+constexpr size_t kCertainStarts = 3;
+
+// After this number of failed trials the part is not tried any more. Each of them ends an
+// engine and breaks the calls that it runs.
+constexpr uint32_t kMaxTrials = 2;
+
+// The number of daemons that may try a part doubles each time that no trial began in this
+// time, so that rare calls get their trial and frequent ones do not collide.
+constexpr Duration kTrialTurn = seconds(3);
+constexpr int64_t kMaxDoublings = 20;
+
+// A daemon that hears at most this share of the daemons tries no part.
+constexpr double kMinAliveShare = 0.5;
+
+// Retry-After for a part that is not tried any more.
+constexpr Duration kBlockedRetryAfter = std::chrono::minutes(10);
+
+// Bound of the answered parts that wait for the next digest.
+constexpr size_t kMaxAnsweredParts = 32;
+
+uint32_t TeamKey(const RequestRow& aRow)
+{
+  return aRow.team == nullptr ? 0 : DigestKey(aRow.team->name);
+}
+
+std::span<const PromptPart> PartsOf(const RequestRow& aRow)
+{
+  return aRow.call.model ? SharedParts(*aRow.call.model) : std::span<const PromptPart>();
+}
+
+uint64_t TrialRank(const std::string& aHost, uint64_t aPart)
+{
+  return XXH64(aHost.data(), aHost.size(), aPart);
+}
+
+} // namespace
+
+std::optional<TimePoint> NextTrialAt(const PartBlock& aBlock, const PartTrials& aTrials)
+{
+  if (aTrials.count >= kMaxTrials) {
+    return std::nullopt;
+  }
+  if (aTrials.count > 0) {
+    return std::max(aBlock.since, aTrials.lastAt) + kLaterTrialDelay;
+  }
+  const bool isCertain = aBlock.starts >= kCertainStarts;
+  return aBlock.since + (isCertain ? kLaterTrialDelay : kFirstTrialDelay);
+}
+
+std::optional<PartRefusal> PartGuard::Check(RequestRow& aRow)
+{
+  if (aRow.isPartTrial && aRow.sentAttempts == 0) {
+    return std::nullopt; // it waited for a permit
+  }
+  PartEvidence& evidence = world_.partEvidence;
+  evidence.Update(world_.Now());
+  const PartBlock* tried = nullptr;
+  for (const PromptPart& part : PartsOf(aRow)) {
+    const PartBlock* block = evidence.BlockFor(part.id, TeamKey(aRow));
+    if (block == nullptr) {
+      continue;
+    }
+    PartTrials& trials = evidence.TrialsOf(part.id);
+    trials.wantedAt = world_.Now();
+    if (aRow.sentAttempts == 0 && tried == nullptr && MayTry(*block, trials)) {
+      tried = block;
+      continue;
+    }
+    const auto next = NextTrialAt(*block, trials);
+    return PartRefusal{
+      .reason = std::to_string(block->starts) +
+                " engines ended as they began to answer calls with the prompt part " +
+                PartText(part.id),
+      .retryAfter = next ? std::max(*next - world_.Now(), kTrialTurn) : kBlockedRetryAfter
+    };
+  }
+  if (tried != nullptr) {
+    PartTrials& trials = evidence.TrialsOf(tried->part);
+    trials.count += 1;
+    trials.lastAt = world_.Now();
+    aRow.isPartTrial = true;
+    world_.isDigestUrgent = true;
+    world_.counters.Add(EntryCounter::PartTrials);
+    world_.Log(
+      LogLevel::Info, "part_trial", aRow.call.requestId,
+      { { "part", PartText(tried->part) }, { "number", std::to_string(trials.count) } });
+  }
+  return std::nullopt;
+}
+
+const PartBlock* PartGuard::FindBlock(const RequestRow& aRow) const
+{
+  for (const PromptPart& part : PartsOf(aRow)) {
+    if (const auto* block = world_.partEvidence.BlockFor(part.id, TeamKey(aRow))) {
+      return block;
+    }
+  }
+  return nullptr;
+}
+
+bool PartGuard::IsSuspected(const RequestRow& aRow) const
+{
+  return std::ranges::any_of(PartsOf(aRow), [&](const PromptPart& aPart) {
+    return world_.partEvidence.StartsOf(aPart.id) > 0;
+  });
+}
+
+bool PartGuard::MayTry(const PartBlock& aBlock, const PartTrials& aTrials) const
+{
+  const TimePoint now = world_.Now();
+  const auto due = NextTrialAt(aBlock, aTrials);
+  if (!due || now < *due || now < world_.observesPartsFrom) {
+    return false;
+  }
+  if (world_.aliveShare <= kMinAliveShare) {
+    return false; // the others may try it, and would not hear of each other's trials
+  }
+  const int64_t turns = std::min((now - *due) / kTrialTurn, kMaxDoublings);
+  return RankFor(aBlock.part) < (size_t{ 1 } << static_cast<size_t>(turns));
+}
+
+size_t PartGuard::RankFor(uint64_t aPart) const
+{
+  const uint64_t own = TrialRank(world_.options.host, aPart);
+  return static_cast<size_t>(std::ranges::count_if(world_.peers, [&](const auto& aItem) {
+    return aItem.second.isAlive && TrialRank(aItem.first, aPart) > own;
+  }));
+}
+
+void PartGuard::RecordAnswer(const RequestRow& aRow)
+{
+  for (const PromptPart& part : PartsOf(aRow)) {
+    const bool isNew = world_.partEvidence.RecordAnswer(world_.Now(), part.id);
+    if (isNew && world_.answeredParts.size() < kMaxAnsweredParts) {
+      world_.answeredParts.push_back(PartEvidence::KeyOf(part.id));
+      world_.isDigestDue = true;
+    }
+  }
+}
+
+void PartGuard::RecordBroken(const RunningAttempt& aRunning)
+{
+  const RequestRow& row = *aRunning.request.row;
+  const TimePoint now = world_.Now();
+  if (aRunning.backend == nullptr || now < world_.observesPartsFrom) {
+    return;
+  }
+  BrokenStart start{ .id = { .backend = aRunning.backend->key,
+                             .startedMs = aRunning.backend->entry.startedMs,
+                             .call = DigestKey(row.call.requestId) },
+                     .team = TeamKey(row),
+                     .at = now,
+                     .isOwn = true };
+  for (const PromptPart& part : PartsOf(row)) {
+    start.parts.push_back(part.id);
+  }
+  if (!world_.partEvidence.AddOwn(now, std::move(start))) {
+    return;
+  }
+  world_.isDigestDue = true;
+  if (now - lastUrgentAt_ >= world_.digestInterval) {
+    lastUrgentAt_ = now;
+    world_.isDigestUrgent = true;
+  }
+}
+
+void PartGuard::RecordAlive(const BackendRow& aBackend)
+{
+  world_.partEvidence.RecordAlive(world_.Now(), aBackend.key, aBackend.entry.startedMs);
+}
+
+} // namespace gooseberrypath::entry
--- /dev/null
+++ b/entry/part_guard.h
@@ -0,0 +1,71 @@
+// Keeps calls with blocked prompt parts away from engines, and records what attempts show
+// about the parts of their prompts.
+//
+//   PartGuard guard(world);
+//   if (const auto refusal = guard.Check(row)) { ... refuse the call ... }
+//   guard.RecordAnswer(row);
+//   guard.RecordBroken(running);
+
+#ifndef ENTRY_PART_GUARD_H_
+#define ENTRY_PART_GUARD_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "entry/running_attempts.h"
+#include "entry/world.h"
+
+namespace gooseberrypath::entry {
+
+/// Why a call is not sent to any engine.
+struct PartRefusal
+{
+  std::string reason;
+  Duration retryAfter{}; // until the part may be free again
+};
+
+class PartGuard
+{
+public:
+  explicit PartGuard(World& aWorld)
+    : world_(aWorld)
+  {
+  }
+
+  /// Returns why the call must not be sent, or nothing. Now and then, one call with a
+  /// blocked part may be sent to try the part.
+  std::optional<PartRefusal> Check(RequestRow& aRow);
+
+  /// Returns the block of one of the call's parts, or null.
+  const PartBlock* FindBlock(const RequestRow& aRow) const;
+
+  /// Records that a backend began to answer the call, so that its parts are sound.
+  void RecordAnswer(const RequestRow& aRow);
+
+  /// Records that the attempt's connection ended before any event of the answer.
+  void RecordBroken(const RunningAttempt& aRunning);
+
+  /// Records that the backend sent something, so that it has not ended.
+  void RecordAlive(const BackendRow& aBackend);
+
+  /// Tells whether a part of the call is suspected of ending engines, blocked or not.
+  bool IsSuspected(const RequestRow& aRow) const;
+
+private:
+  /// Tells whether this daemon may try the part now.
+  bool MayTry(const PartBlock& aBlock, const PartTrials& aTrials) const;
+
+  /// Returns the number of live daemons that may try the part before this one.
+  size_t RankFor(uint64_t aPart) const;
+
+  World& world_;
+  TimePoint lastUrgentAt_{};
+};
+
+/// Returns when a part may be tried again, or nothing if it is not tried any more.
+std::optional<TimePoint> NextTrialAt(const PartBlock& aBlock, const PartTrials& aTrials);
+
+} // namespace gooseberrypath::entry
+
+#endif // ENTRY_PART_GUARD_H_
--- a/entry/peer_digest.cc
+++ b/entry/peer_digest.cc
@@ -9,6 +9,7 @@
 #include "entry/digest.capnp.h"
 #include "entry/limit_wire.h"
 #include "entry/packed_message.h"
+#include "entry/part_wire.h"
 
 namespace gooseberrypath::entry {
 
@@ -71,6 +72,7 @@
     limits[i].setBackend(aDigest.limits[i].backend);
     FillStatement(aDigest.limits[i].statement, limits[i].initStatement());
   }
+  FillParts(aDigest.parts, aBuilder);
 }
 
 void FillChange(const BackendEntry& aEntry, wire::FleetChange::Builder aBuilder)
@@ -170,6 +172,7 @@
     digest.limits.push_back({ .backend = limit.getBackend(),
                               .statement = ReadStatement(limit.getStatement()) });
   }
+  digest.parts = ReadParts(aMessage);
   if (aMessage.getNews().size() > 0) {
     FleetDelta fleetDelta{ .from = aMessage.getNewsFrom(),
                            .next = aMessage.getNewsNext() };
@@ -229,6 +232,8 @@
   const bool isTooLong =
     digest->backends.size() > kMaxListLength || digest->usage.size() > kMaxListLength ||
     digest->limits.size() > kMaxListLength ||
+    digest->parts.starts.size() > kMaxListLength ||
+    digest->parts.answered.size() > kMaxListLength ||
     (digest->fleetDelta && digest->fleetDelta->changes.size() > kMaxListLength);
   if (digest->daemon.empty() || isTooLong) {
     return MakeError(ErrorKind::BadRequest,
--- a/entry/peer_digest.h
+++ b/entry/peer_digest.h
@@ -17,6 +17,7 @@
 
 #include "entry/backend_limit.h"
 #include "entry/model.h"
+#include "entry/part_evidence.h"
 #include "entry/usage_count.h"
 #include "gooseberrypath/errors.h"
 
@@ -62,6 +63,32 @@
   LimitStatement statement;
 };
 
+/// An attempt that broke before its answer began, as the sender knows of it.
+struct GossipedStart
+{
+  BrokenStartId id;
+  uint32_t team = 0; // hash of the team's name
+  uint32_t ageMs = 0;
+  std::vector<uint64_t> parts; // that may have ended the backend
+};
+
+/// The trials of a blocked part, as the sender knows of them.
+struct GossipedTrials
+{
+  uint64_t part = 0;
+  uint32_t count = 0;
+  uint32_t lastAgeMs = 0;   // since the last trial
+  uint32_t wantedAgeMs = 0; // since the last call with the part
+};
+
+/// Evidence about prompt parts.
+struct GossipedParts
+{
+  std::vector<uint32_t> answered; // PartEvidence::KeyOf()
+  std::vector<GossipedStart> starts;
+  std::vector<GossipedTrials> trials;
+};
+
 /// The state that a daemon shares with its peers.
 struct PeerDigest
 {
@@ -82,6 +109,7 @@
   std::vector<LeavingBackend> leaving;  // includes backends that were just removed
   std::vector<GossipedLimit> limits;    // some of the known ones, at first the newest
   bool grantsPermits = false;           // for the limited backends that it is chosen for
+  GossipedParts parts;                  // some of the known evidence, at first the newest
   std::optional<FleetDelta> fleetDelta; // changes that the sender has just read
 };
 
--- a/entry/permit_system.cc
+++ b/entry/permit_system.cc
@@ -93,8 +93,8 @@
   std::erase_if(heardAt_,
                 [&](const auto& aItem) { return aItem.second + kAbsenceTime <= now; });
   const size_t known = std::max(heardAt_.size() + 1, world_.DaemonCount());
-  granters_.SetAliveShare(now, static_cast<double>(alive) / static_cast<double>(known),
-                          PeerTimeout(world_.heartbeatInterval));
+  world_.aliveShare = static_cast<double>(alive) / static_cast<double>(known);
+  granters_.SetAliveShare(now, world_.aliveShare, PeerTimeout(world_.heartbeatInterval));
 }
 
 void PermitSystem::IndexBackends()
--- a/entry/prompt_parts.h
+++ b/entry/prompt_parts.h
@@ -28,6 +28,19 @@
   return text.data();
 }
 
+/// Returns the ids of the parts, separated by commas.
+inline std::string PartsText(std::span<const PromptPart> aParts)
+{
+  std::string text;
+  for (const PromptPart& part : aParts) {
+    if (!text.empty()) {
+      text += ',';
+    }
+    text += PartText(part.id);
+  }
+  return text;
+}
+
 } // namespace gooseberrypath::entry
 
 #endif // ENTRY_PROMPT_PARTS_H_
--- a/entry/request_system.cc
+++ b/entry/request_system.cc
@@ -60,6 +60,13 @@
 
 constexpr uint32_t kMaxUrgency = 9;
 
+// A call that may have ended this number of backends is not sent to another one.
+constexpr uint32_t kMaxBrokenStarts = 2;
+
+// When this number of backends ended with a prompt part, calls with it that wait at other
+// backends are given up too. With fewer, their answers may still show that it is sound.
+constexpr size_t kStoppingStarts = 3;
+
 /// Returns the longest expected time to the first event with which a call is accepted.
 /// Later calls are refused because they are of little use to their callers and delay the
 /// calls behind them.
@@ -119,6 +126,7 @@
 void RequestSystem::Run()
 {
   RedirectUnsentAttempts();
+  StopBlockedAttempts();
   DispatchAwaitingPermit();
   if (waitingCalls_.empty() || IsStarting()) {
     return;
@@ -154,6 +162,44 @@
   }
 }
 
+void RequestSystem::StopBlockedAttempts()
+{
+  if (!std::exchange(world_.hasNewPartBlocks, false)) {
+    return;
+  }
+  std::vector<ExchangeId> blocked;
+  for (const auto& [id, attempt] : world_.attempts) {
+    const RequestRow* row = world_.requests.Find(attempt.exchange);
+    if (row == nullptr || attempt.hasEvents || row->isPartTrial) {
+      continue;
+    }
+    const PartBlock* block = parts_.FindBlock(*row);
+    const bool isStopped =
+      block != nullptr && (!attempt.wasSent || block->starts >= kStoppingStarts);
+    if (isStopped) {
+      blocked.push_back(attempt.exchange);
+    }
+  }
+  for (const ExchangeId id : blocked) {
+    RequestRow* row = world_.requests.Find(id);
+    attempts_.Cancel(*row);
+    world_.counters.Add(EntryCounter::PartsStopped);
+    Dispatch({ id, row });
+  }
+}
+
+bool RequestSystem::RefuseBlocked(RequestRef aRequest)
+{
+  const auto refusal = parts_.Check(*aRequest.row);
+  if (!refusal) {
+    return false;
+  }
+  world_.counters.Add(EntryCounter::PartsRefused);
+  completion_.EndUnserved(aRequest, Error{ ErrorKind::PromptBlocked, refusal->reason },
+                          refusal->retryAfter);
+  return true;
+}
+
 void RequestSystem::Admit(RequestRef aRequest)
 {
   RequestRow& row = *aRequest.row;
@@ -198,6 +244,9 @@
 {
   RequestRow& row = *aRequest.row;
   row.stage = RequestStage::Choosing;
+  if (RefuseBlocked(aRequest)) {
+    return;
+  }
   const auto choice = ChooseBackend(world_, row);
   if (!choice) {
     RefuseUnserved(aRequest);
@@ -389,6 +438,9 @@
   const bool isMalformed =
     head.status < 300 && (!head.hasResponseStamp || head.hasContentEncoding);
   const bool isFailure = head.status >= 500 || isMalformed;
+  if (head.status < 300 && !isMalformed) {
+    parts_.RecordAnswer(row);
+  }
   if (running->backend != nullptr && isFailure) {
     running->backend->health.RecordFailure(world_.Now());
   } else {
@@ -449,6 +501,7 @@
     attempt.hasEvents = true;
     world_.timers.Cancel(row.hedgeTimer);
     attempts_.RecordFirstResponse(*running);
+    parts_.RecordAnswer(row);
     if (running->backend != nullptr) {
       running->backend->waitingTokens -= attempt.waitingTokens;
       world_.isDigestDue = true;
@@ -457,6 +510,9 @@
     attempts_.CountUsage(row, world_.Now());
   }
   attempt.lastEvent = world_.Now();
+  if (running->backend != nullptr) {
+    parts_.RecordAlive(*running->backend);
+  }
   if (row.stallTimer == TimerId{} && IsRetrySafe(row)) {
     watch_.ExpectNextEvent(running->request, attempt.lastEvent);
   }
@@ -497,6 +553,10 @@
   }
   RequestRow& row = *running->request.row;
   LogBroken(*running, aEvent);
+  if (!running->attempt->hasEvents && IsConnectionEnd(aEvent.cause)) {
+    row.brokenStarts += 1;
+    parts_.RecordBroken(*running);
+  }
   if (running->backend != nullptr) {
     running->backend->health.RecordFailure(world_.Now());
   }
@@ -510,18 +570,13 @@
   const AttemptRow& attempt = *aRunning.attempt;
   const bool isAtStart = !attempt.hasEvents && IsConnectionEnd(aEvent.cause);
   world_.counters.Add(EntryCounter::AttemptsBrokenAtStart, isAtStart ? 1 : 0);
-  std::string parts;
-  if (const auto& demand = aRunning.request.row->call.model) {
-    for (const PromptPart& part : SharedParts(*demand)) {
-      parts += (parts.empty() ? "" : ",") + PartText(part.id);
-    }
-  }
+  const auto& demand = aRunning.request.row->call.model;
   world_.Log(LogLevel::Info, "attempt_broken", aRunning.request.row->call.requestId,
              { { "backend", attempt.backend },
                { "reason", aEvent.reason },
                { "began", attempt.hasEvents ? "yes" : "no" },
                { "sent_ms_ago", MsText(ToMs(world_.Now() - attempt.sent)) },
-               { "parts", parts } });
+               { "parts", demand ? PartsText(SharedParts(*demand)) : std::string() } });
 }
 
 std::optional<std::string> RequestSystem::ReasonNotToRetry(const RequestRow& aRow,
@@ -533,6 +588,9 @@
   if (aRow.headSent && aRow.lastEventId.empty()) {
     return "the stream cannot resume because its events have no ids";
   }
+  if (aRow.brokenStarts >= kMaxBrokenStarts && parts_.IsSuspected(aRow)) {
+    return "several backends ended at the start of this call";
+  }
   if (aRow.countedAttempts >= aRow.route->maxAttempts) {
     return "the route's maximum number of attempts is reached";
   }
--- a/entry/request_system.h
+++ b/entry/request_system.h
@@ -14,6 +14,7 @@
 
 #include "entry/attempt_watch.h"
 #include "entry/call_completion.h"
+#include "entry/part_guard.h"
 #include "entry/running_attempts.h"
 #include "entry/world.h"
 
@@ -27,6 +28,7 @@
     , completion_(aWorld)
     , attempts_(aWorld)
     , watch_(aWorld)
+    , parts_(aWorld)
   {
   }
 
@@ -54,6 +56,12 @@
   /// Moves attempts that were not sent yet away from backends that became unusable.
   void RedirectUnsentAttempts();
 
+  /// Ends or redirects the attempts whose prompts have a part that was blocked meanwhile.
+  void StopBlockedAttempts();
+
+  /// Refuses the call if a part of its prompt is blocked. Returns whether it did.
+  bool RefuseBlocked(RequestRef aRequest);
+
   /// Validates a call, charges the quota and dispatches the call, or refuses it.
   void Admit(RequestRef aRequest);
 
@@ -97,6 +105,7 @@
   CallCompletion completion_;
   RunningAttempts attempts_;
   AttemptWatch watch_;
+  PartGuard parts_;
   std::vector<ExchangeId> waitingCalls_; // until the store has been read
   std::vector<ExchangeId> awaitingPermit_;
 };
--- a/entry/store_port.cc
+++ b/entry/store_port.cc
@@ -306,32 +306,55 @@
                }));
 }
 
-void StorePort::Execute(const WriteUsage& aAction)
+void StorePort::WriteOwnValue(std::string_view aTopic, const std::string& aText,
+                              std::string aFailure)
 {
-  tasks_.add(
-    requestClient_
-      .Append(platform::kUsageTopic, { options_.host, aAction.text }, std::nullopt)
-      .then([this](const Result<platform::AppendResult>& aWritten) {
-        if (!aWritten) {
-          Warn("usage_unwritten", options_.host, aWritten.error().message);
+  tasks_.add(requestClient_.Append(aTopic, { options_.host, aText }, std::nullopt)
+               .then([this, failure = std::move(aFailure)](
+                       const Result<platform::AppendResult>& aWritten) {
+                 if (!aWritten) {
+                   Warn(failure, options_.host, aWritten.error().message);
+                 }
+               }));
+}
+
+template<typename E>
+void StorePort::ReadValues(std::string_view aTopic, std::string aFailure)
+{
+  tasks_.add(requestClient_.ReadSnapshot(aTopic).then(
+    [this, failure = std::move(aFailure)](Result<platform::TopicSnapshot> aSnapshot) {
+      if (!aSnapshot) {
+        Warn(failure, options_.host, aSnapshot.error().message);
+        return;
+      }
+      E event;
+      for (platform::KeyedRecord& record : aSnapshot->records) {
+        if (record.value) {
+          event.texts.push_back(*std::move(record.value));
         }
-      }));
+      }
+      options_.sink(std::move(event));
+    }));
+}
+
+void StorePort::Execute(const WriteUsage& aAction)
+{
+  WriteOwnValue(platform::kUsageTopic, aAction.text, "usage_unwritten");
 }
 
 void StorePort::Execute(const ReadUsage&)
 {
-  tasks_.add(requestClient_.ReadSnapshot(platform::kUsageTopic)
-               .then([this](Result<platform::TopicSnapshot> aSnapshot) {
-                 if (!aSnapshot) {
-                   Warn("usage_unread", options_.host, aSnapshot.error().message);
-                   return;
-                 }
-                 UsageRead event;
-                 for (platform::KeyedRecord& record : aSnapshot->records) {
-                   event.texts.push_back(std::move(record.value).value_or("[]"));
-                 }
-                 options_.sink(std::move(event));
-               }));
+  ReadValues<UsageRead>(platform::kUsageTopic, "usage_unread");
+}
+
+void StorePort::Execute(const WritePartEvidence& aAction)
+{
+  WriteOwnValue(platform::kPartsTopic, aAction.text, "part_evidence_unwritten");
+}
+
+void StorePort::Execute(const ReadPartEvidence&)
+{
+  ReadValues<PartEvidenceRead>(platform::kPartsTopic, "part_evidence_unread");
 }
 
 } // namespace gooseberrypath::entry
--- a/entry/store_port.h
+++ b/entry/store_port.h
@@ -58,6 +58,8 @@
   void Execute(const WriteDutyState& aAction);
   void Execute(const WriteUsage& aAction);
   void Execute(const ReadUsage& aAction);
+  void Execute(const WritePartEvidence& aAction);
+  void Execute(const ReadPartEvidence& aAction);
 
   const TaskErrors& Errors() const { return errors_; }
 
@@ -79,6 +81,16 @@
   /// read without changes.
   void EmitFleetRead(const std::vector<platform::KeyedRecord>& aRecords, FleetRead aRead);
 
+  /// Writes this daemon's value of a topic with one value for each daemon. A failure is
+  /// logged as `aFailure`.
+  void WriteOwnValue(std::string_view aTopic, const std::string& aText,
+                     std::string aFailure);
+
+  /// Reads the values of all daemons of such a topic and emits them as `E::texts`. A
+  /// failure is logged as `aFailure`.
+  template<typename E>
+  void ReadValues(std::string_view aTopic, std::string aFailure);
+
   /// Records the result of a call, an empty string on success, and emits an event when
   /// the store becomes reachable or unreachable.
   void UpdateReachability(const std::string& aError);
--- a/entry/testing/daemon_simulation.h
+++ b/entry/testing/daemon_simulation.h
@@ -67,6 +67,7 @@
   double lateRate = 0;         // of datagrams, by up to a second
   double repeatRate = 0;       // of datagrams
   std::optional<TimeSpan> cut; // two halves of the daemons do not hear each other
+  double islandShare = 0;      // in a cut, this share of the daemons hears nobody instead
 };
 
 struct DaemonSimulationOptions
@@ -279,7 +280,19 @@
   {
     const Duration age = now_ - kStart;
     const auto& cut = options_.network.cut;
-    return cut && age >= cut->from && age < cut->to && aLeft % 2 != aRight % 2;
+    if (!cut || age < cut->from || age >= cut->to) {
+      return false;
+    }
+    if (options_.network.islandShare > 0) {
+      return IsIsland(aLeft) || IsIsland(aRight);
+    }
+    return aLeft % 2 != aRight % 2;
+  }
+
+  bool IsIsland(size_t aDaemon) const
+  {
+    return static_cast<double>(aDaemon) <
+           options_.network.islandShare * static_cast<double>(daemons_.size());
   }
 
   /// Sends a datagram, which may be lost, late or repeated.
--- a/entry/testing/part_simulation.cc
+++ b/entry/testing/part_simulation.cc
@@ -199,6 +199,26 @@
       std::max<size_t>(readOffsets_[aDaemon], static_cast<size_t>(aAction.next));
   }
 
+  void Execute(size_t aDaemon, const WritePartEvidence& aAction)
+  {
+    queue_.Add(now_ + 2ms, [this, host = daemons_[aDaemon].host, text = aAction.text] {
+      storedEvidence_[host] = text;
+    });
+    outcome_.storeCalls += 1;
+  }
+
+  void Execute(size_t aDaemon, const ReadPartEvidence&)
+  {
+    PartEvidenceRead read;
+    for (const auto& [host, text] : storedEvidence_) {
+      read.texts.push_back(text);
+    }
+    queue_.Add(now_ + 2ms, [this, aDaemon, process = daemons_[aDaemon].Process(), read] {
+      PostTo(aDaemon, process, std::make_shared<const Event>(read));
+    });
+    outcome_.storeCalls += 1;
+  }
+
   /// Ends an engine. Its connections close, and it is back after some seconds.
   void EndEngine(const std::string& aAddress)
   {
@@ -295,14 +315,14 @@
       return;
     }
     queue_.Add(now_ + kMinFirstEvent + RandomDelay(kPrefillSeconds),
-               [this, aId, engine] { Begin(aId, *engine); });
+               [this, aId, engine] { Begin(aId, engine); });
   }
 
   /// Records that a call with deadly parts reached an engine.
   void NoteSend(const std::string& aRequestId, size_t aDaemon)
   {
     const PartCall* call = CallOf(aRequestId);
-    if (call == nullptr) {
+    if (call == nullptr || IsHarmless()) {
       return;
     }
     const SimulatedDaemon& daemon = daemons_[aDaemon];
@@ -315,11 +335,11 @@
   }
 
   /// The engine begins to answer the attempt, which ends it if a part is deadly.
-  void Begin(uint64_t aId, Engine& aEngine)
+  void Begin(uint64_t aId, const std::shared_ptr<Engine>& aEngine)
   {
     PartCall* call = CallOf(aId);
-    if (!aEngine.attempts.contains(aId) || call == nullptr) {
-      aEngine.attempts.erase(aId);
+    if (!aEngine->attempts.contains(aId) || call == nullptr) {
+      aEngine->attempts.erase(aId);
       return;
     }
     if (!call->deadly.empty() && !IsHarmless()) {
@@ -327,7 +347,7 @@
         deadly_[part].crashes.push_back(now_);
       }
       outcome_.enginesEnded += 1;
-      EndEngine(aEngine.entry.address);
+      EndEngine(aEngine->entry.address);
       return;
     }
     NoteBegun(*call);
@@ -337,8 +357,8 @@
     PostForAttempt(aId, StreamEvents{ attempt, "id: 1\ndata: a\n\n", "1" }, false);
     const bool breaks = Chance(kFailureRate);
     queue_.Add(now_ + RandomDelay(kMeanStreamSeconds),
-               [this, aId, attempt, breaks, &aEngine] {
-                 if (aEngine.attempts.erase(aId) == 0) {
+               [this, aId, attempt, breaks, engine = aEngine] {
+                 if (engine->attempts.erase(aId) == 0) {
                    return;
                  }
                  if (breaks) {
@@ -612,7 +632,8 @@
   std::map<std::string, std::shared_ptr<Engine>> engines_; // newest, by address
   uint64_t lastStart_ = 0;
   std::vector<FleetChange> fleetLog_;
-  std::vector<size_t> readOffsets_; // by daemon
+  std::vector<size_t> readOffsets_;                   // by daemon
+  std::map<std::string, std::string> storedEvidence_; // by host
   std::map<uint64_t, PartCall> calls_;
   std::map<uint64_t, SoundCall> soundCalls_;
   std::map<uint64_t, DeadlyRecord> deadly_; // by part
@@ -655,6 +676,7 @@
   if (chance(0.4)) {
     const Duration from = between(4, 25);
     aScenario.network.cut = TimeSpan{ .from = from, .to = from + between(4, 14) };
+    aScenario.network.islandShare = chance(0.5) ? Seconds(between(0.1, 0.6)) : 0;
   }
   const size_t maxFaults = std::max<size_t>(4, aScenario.daemons / 20);
   const size_t faults = chance(0.3) ? 0 : aRandom() % (maxFaults + 1);
--- a/entry/testing/part_simulation.h
+++ b/entry/testing/part_simulation.h
@@ -82,7 +82,8 @@
 struct PartOutcome
 {
   /// The most calls with one deadly part that reached engines later than the contact time
-  /// after the fifth engine that it ended; at most 3 keeps the rule.
+  /// after the fifth engine that it ended, while it ends engines; at most 3 keeps the
+  /// rule.
   size_t worstSends = 0;
   /// The same for daemons that were in touch, as the rule counts.
   size_t worstSendsInTouch = 0;
@@ -98,6 +99,7 @@
   uint64_t soundBegun = 0;
   uint64_t soundRefusedForPart = 0;
   uint64_t allSoundCalls = 0; // at any time, of all teams
+  uint64_t storeCalls = 0;    // about parts
   uint64_t deadlyCalls = 0;
   uint64_t deadlyRefused = 0;
   uint64_t harmlessCalls = 0; // with parts that no longer crash engines
--- a/entry/world.h
+++ b/entry/world.h
@@ -22,6 +22,7 @@
 #include "entry/entry_counters.h"
 #include "entry/messages.h"
 #include "entry/model.h"
+#include "entry/part_evidence.h"
 #include "entry/permit_stock.h"
 #include "entry/prompt_cache_index.h"
 #include "entry/retry_budget.h"
@@ -128,6 +129,8 @@
   bool headSent = false;        // the head of the stream was sent to the caller
   std::string lastEventId;      // id of the last event that was sent to the caller
   bool isUsageCounted = false;  // the call is included in the usage counts
+  bool isPartTrial = false;     // it is sent although a part of its prompt is blocked
+  uint32_t brokenStarts = 0;    // backends that ended before they began to answer
   std::vector<std::string> failedBackends; // ids of backends at which an attempt failed
   TimerId deadlineTimer;
   TimerId hedgeTimer;
@@ -203,6 +206,7 @@
   std::vector<std::string> unusableBackends;
   Duration digestInterval{};    // time between two digests of a daemon with changes
   Duration heartbeatInterval{}; // longest time between two digests of a daemon
+  double aliveShare = 1; // of the daemons of the last minute, this one included
   bool grantsPermits = false;   // this daemon may be chosen as the granter of a backend
   std::set<std::string> permitsWanted; // ids of backends whose permits calls wait for
 
@@ -212,6 +216,10 @@
   std::map<std::string, RetryBudget, std::less<>> retryBudgets;
   Table<std::string, TeamRow> teams;
   PromptCacheIndex promptCacheIndex{ {} };
+  PartEvidence partEvidence;
+  std::vector<uint32_t> answeredParts; // PartEvidence::KeyOf(), to be told to the peers
+  TimePoint observesPartsFrom{};       // before, this daemon cannot tell sound parts
+  bool hasNewPartBlocks = false;       // attempts with blocked parts may be in progress
   UsageCount usage;
   /// Rate of uncached prompt tokens that this daemon sends to engines, by service.
   std::map<std::string, SmoothedRate, std::less<>> promptTokenRates;
--- a/gooseberrypath/errors.cc
+++ b/gooseberrypath/errors.cc
@@ -33,6 +33,7 @@
   ErrorInfo{ DeadlineExceeded, "deadline_exceeded", 504, MayHaveRun, 1 },
   ErrorInfo{ RateLimited, "rate_limited", 429, NotRun, 1 },
   ErrorInfo{ Overloaded, "overloaded", 503, NotRun, 1 },
+  ErrorInfo{ PromptBlocked, "prompt_blocked", 503, NotRun, 0 },
   ErrorInfo{ Draining, "draining", 503, NotRun, 1 },
   ErrorInfo{ NotReady, "not_ready", 503, NotRun, 1 },
   ErrorInfo{ ResourceInvalid, "resource_invalid", 422, NotRun, 0 },
--- a/gooseberrypath/errors.h
+++ b/gooseberrypath/errors.h
@@ -38,6 +38,7 @@
   DeadlineExceeded, // the deadline passed
   RateLimited,      // over the limit of the team
   Overloaded,       // the daemon or the queues are full
+  PromptBlocked,    // a part of the prompt ended the engines that answered it
   Draining,         // the daemon is stopping
   NotReady,         // the daemon has not read its configuration yet
   ResourceInvalid,  // a resource fails its checks
