--- a/entry/fleet_system.cc
+++ b/entry/fleet_system.cc
@@ -285,6 +285,22 @@
              { { "reason", aEvent.reason } });
 }
 
+void FleetSystem::Handle(const StoreEraRead& aEvent)
+{
+  if (aEvent.era <= world_.storeEra) {
+    return;
+  }
+  const uint64_t before = std::exchange(world_.storeEra, aEvent.era);
+  if (before == 0) {
+    return; // the first one that this process knows
+  }
+  world_.counters.Add(EntryCounter::StoreRestores);
+  world_.Log(LogLevel::Warning, "store_went_back", {},
+             { { "era", std::to_string(aEvent.era) },
+               { "before", std::to_string(before) },
+               { "fleet_offset", std::to_string(world_.nextFleetOffset) } });
+}
+
 void FleetSystem::Handle(const RecordIgnored& aEvent)
 {
   world_.Log(LogLevel::Warning, aEvent.event, {},
--- a/entry/fleet_system.h
+++ b/entry/fleet_system.h
@@ -32,6 +32,7 @@
   void Handle(const FleetRead& aEvent);
   void Handle(const StoreReachabilityChanged& aEvent);
 
+  void Handle(const StoreEraRead& aEvent);
   void Handle(const RecordIgnored& aEvent);
   void Handle(const UnsolicitedBytes& aEvent);
 
--- a/entry/messages.h
+++ b/entry/messages.h
@@ -40,6 +40,13 @@
   std::string reason;
 };
 
+/// The era of the store is known. It rises each time that the store comes back from a
+/// copy, without what was written since that copy. Offsets compare only within an era.
+struct StoreEraRead
+{
+  uint64_t era = 0;
+};
+
 /// A record of the store could not be decoded. The previous value stays in use.
 struct RecordIgnored
 {
@@ -220,12 +227,13 @@
 {};
 
 using Event =
-  std::variant<ConfigurationRead, FleetRead, StoreReachabilityChanged, RecordIgnored,
-               CallArrived, CallerDisconnected, AllCallersDisconnected, AttemptNotSent,
-               AttemptSent, AttemptAnswered, StreamStarted, StreamEvents, StreamEnded,
-               AttemptBroken, UnsolicitedBytes, DigestReceived, PermitRequestReceived,
-               PermitReplyReceived, PeerAddressesRead, PartEvidenceRead, DutyStateRead,
-               DutyStateWritten, UsageSent, UsageRead, OrderSent, StopRequested>;
+  std::variant<ConfigurationRead, FleetRead, StoreReachabilityChanged, StoreEraRead,
+               RecordIgnored, CallArrived, CallerDisconnected, AllCallersDisconnected,
+               AttemptNotSent, AttemptSent, AttemptAnswered, StreamStarted, StreamEvents,
+               StreamEnded, AttemptBroken, UnsolicitedBytes, DigestReceived,
+               PermitRequestReceived, PermitReplyReceived, PeerAddressesRead,
+               PartEvidenceRead, DutyStateRead, DutyStateWritten, UsageSent, UsageRead,
+               OrderSent, StopRequested>;
 
 // Actions towards callers.
 
--- a/entry/store_port.cc
+++ b/entry/store_port.cc
@@ -20,13 +20,30 @@
 
 StorePort::StorePort(StorePortOptions aOptions)
   : options_(std::move(aOptions))
-  , configClient_({ options_.network, options_.timer, options_.address })
-  , fleetClient_({ options_.network, options_.timer, options_.address })
-  , requestClient_({ options_.network, options_.timer, options_.address })
+  , configClient_(ClientOptions())
+  , fleetClient_(ClientOptions())
+  , requestClient_(ClientOptions())
   , tasks_(errors_)
 {
 }
 
+platform::StoreClientOptions StorePort::ClientOptions()
+{
+  return { .network = options_.network,
+           .timer = options_.timer,
+           .address = options_.address,
+           .onEra = [this](uint64_t aEra) { NoteEra(aEra); } };
+}
+
+void StorePort::NoteEra(uint64_t aEra)
+{
+  if (aEra <= era_) {
+    return;
+  }
+  era_ = aEra;
+  options_.sink(StoreEraRead{ aEra });
+}
+
 void StorePort::Start()
 {
   tasks_.add(WatchConfig());
--- a/entry/store_port.h
+++ b/entry/store_port.h
@@ -64,6 +64,8 @@
   const TaskErrors& Errors() const { return errors_; }
 
 private:
+  platform::StoreClientOptions ClientOptions();
+
   /// Reads the configuration, then long-polls for changes in an endless loop.
   kj::Promise<void> WatchConfig();
 
@@ -91,6 +93,9 @@
   template<typename E>
   void ReadValues(std::string_view aTopic, std::string aFailure);
 
+  /// Records an era that the store or a peer named, and emits it when it is new.
+  void NoteEra(uint64_t aEra);
+
   /// Records the result of a call, an empty string on success, and emits an event when
   /// the store becomes reachable or unreachable.
   void UpdateReachability(const std::string& aError);
@@ -123,6 +128,7 @@
   std::optional<uint64_t> fleetOffset_;
   uint64_t newestConfigVersion_ = 0;
   bool isReadingConfig_ = false; // a read for ReadConfiguration is pending
+  uint64_t era_ = 0;             // newest known one of the store; 0: none
   size_t readerCount_ = kInitialReaderCount;
   bool hasReaderCount_ = false; // readerCount_ was set by the core
   kj::Own<kj::PromiseFulfiller<void>> earlyFleetPoll_;
--- a/entry/world.h
+++ b/entry/world.h
@@ -195,6 +195,7 @@
   std::unordered_map<uint32_t, TotalBackendUse> peerUse;
   Table<std::string, PeerRow> peers;              // by name of the host
   std::map<std::string, TimePoint> peerAddresses; // of peers, with the time of discovery
+  uint64_t storeEra = 0;                          // newest known one; 0: none
   uint64_t fleetOffset = 0; // store offset of the last backend that was added or removed
   uint64_t nextFleetOffset = 0; // all store records before this offset are applied
   uint64_t fleetDeltaStart = 0; // each change after this offset is known individually
@@ -206,7 +207,7 @@
   std::vector<std::string> unusableBackends;
   Duration digestInterval{};    // time between two digests of a daemon with changes
   Duration heartbeatInterval{}; // longest time between two digests of a daemon
-  double aliveShare = 1; // of the daemons of the last minute, this one included
+  double aliveShare = 1;        // of the daemons of the last minute, this one included
   bool grantsPermits = false;   // this daemon may be chosen as the granter of a backend
   std::set<std::string> permitsWanted; // ids of backends whose permits calls wait for
 
