Offsets of the store compare only within an era

Cause: offsets, our own and those that peers tell, were compared across the restore. Entries of the copy neither bring back a backend that left nor, for the 2.3 s in which they are written again, remove one that lives. Removed backends are remembered for 60 s instead of 15 s, as a copy may be older. The daemon registers its address again, and writes its evidence about prompt parts again.

--- a/entry/digest.capnp
+++ b/entry/digest.capnp
@@ -31,6 +31,7 @@
   answeredParts @20 :List(UInt32); # hashes of prompt parts that were answered
   brokenStarts @21 :List(BrokenStart);
   partTrials @22 :List(PartTrials);
+  storeEra @23 :UInt64;
 }
 
 struct BrokenStart {
--- a/entry/digest.capnp.h
+++ b/entry/digest.capnp.h
@@ -43,7 +43,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d62b11838d606aca, 9, 12)
+    CAPNP_DECLARE_STRUCT_HEADER(d62b11838d606aca, 10, 12)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -262,6 +262,8 @@
   inline bool hasPartTrials() const;
   inline  ::capnp::List< ::gooseberrypath::entry::wire::PartTrials,  ::capnp::Kind::STRUCT>::Reader getPartTrials() const;
 
+  inline  ::uint64_t getStoreEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -409,6 +411,9 @@
   inline void adoptPartTrials(::capnp::Orphan< ::capnp::List< ::gooseberrypath::entry::wire::PartTrials,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::gooseberrypath::entry::wire::PartTrials,  ::capnp::Kind::STRUCT>> disownPartTrials();
 
+  inline  ::uint64_t getStoreEra();
+  inline void setStoreEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1873,6 +1878,20 @@
       ::capnp::bounded<11>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Digest::Reader::getStoreEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Digest::Builder::getStoreEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void Digest::Builder::setStoreEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t BrokenStart::Reader::getBackend() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/entry/fleet_system.cc
+++ b/entry/fleet_system.cc
@@ -15,8 +15,9 @@
 // of its return. The remaining time covers reading them.
 constexpr Duration kStoreRecoveryTime = std::chrono::milliseconds(2300);
 
-// A removed backend is kept at least this long for the calls that still run on it.
-constexpr Duration kRemovedRetention = std::chrono::seconds(15);
+// A removed backend is kept at least this long, for the calls that still run on it, and
+// so that its entry in an old copy of the store is known to be outdated.
+constexpr Duration kRemovedRetention = std::chrono::seconds(60);
 
 // Largest number of changes that a digest carries. More would fill the link of a small
 // host for a tenth of a second, so each daemon reads them from the store instead.
@@ -82,6 +83,9 @@
 
 void FleetSystem::Handle(const FleetRead& aEvent)
 {
+  if (aEvent.era < world_.storeEra) {
+    return; // the store went back meanwhile
+  }
   world_.isFleetRead = true;
   if (aEvent.isSnapshot) {
     RemoveMissing(aEvent);
@@ -138,7 +142,8 @@
 bool FleetSystem::IsFirstReader(uint64_t aNext) const
 {
   return std::ranges::none_of(world_.peers, [&](const auto& aItem) {
-    return aItem.second.digest.fleetOffset >= aNext;
+    const PeerDigest& digest = aItem.second.digest;
+    return digest.storeEra == world_.storeEra && digest.fleetOffset >= aNext;
   });
 }
 
@@ -151,7 +156,7 @@
   }
   ApplyAll(aDelta.changes);
   world_.nextFleetOffset = aDelta.next;
-  world_.Emit(SkipFleetRecords{ aDelta.next });
+  world_.Emit(SkipFleetRecords{ aDelta.next, world_.storeEra });
   AdvanceFleetOffset(aDelta.next);
 }
 
@@ -165,7 +170,11 @@
     const bool isOlder =
       aEntry.startedMs < known.startedMs ||
       (aEntry.startedMs == known.startedMs && aEntry.sequence < known.sequence);
-    if (isOlder) {
+    // A copy of the store still has the entries of backends that left meanwhile.
+    const bool isFromCopy = row->removedAt && IsStoreRecovering() &&
+                            aEntry.startedMs == known.startedMs &&
+                            aEntry.sequence == known.sequence;
+    if (isOlder || isFromCopy) {
       return false; // a delayed copy of an earlier entry
     }
   }
@@ -294,11 +303,16 @@
   if (before == 0) {
     return; // the first one that this process knows
   }
+  world_.fleetOffset = 0;
+  world_.nextFleetOffset = 0;
+  world_.fleetDeltaStart = 0;
+  world_.fleetDelta.reset();
+  world_.storeRecoveredAt = world_.Now(); // what it lost is written again
+  world_.isDigestUrgent = true;
   world_.counters.Add(EntryCounter::StoreRestores);
-  world_.Log(LogLevel::Warning, "store_went_back", {},
-             { { "era", std::to_string(aEvent.era) },
-               { "before", std::to_string(before) },
-               { "fleet_offset", std::to_string(world_.nextFleetOffset) } });
+  world_.Log(
+    LogLevel::Warning, "store_went_back", {},
+    { { "era", std::to_string(aEvent.era) }, { "before", std::to_string(before) } });
 }
 
 void FleetSystem::Handle(const RecordIgnored& aEvent)
@@ -323,7 +337,7 @@
       MarkLeaving(world_, *row, aEvent.digest.daemon);
     }
   }
-  if (aEvent.digest.fleetDelta) {
+  if (aEvent.digest.fleetDelta && aEvent.digest.storeEra == world_.storeEra) {
     ApplyDelta(*aEvent.digest.fleetDelta);
   }
 }
--- a/entry/gossip_system.cc
+++ b/entry/gossip_system.cc
@@ -182,6 +182,7 @@
                      .canReachStore = world_.isStoreReachable,
                      .configVersion =
                        world_.configuration ? world_.configuration->version : 0,
+                     .storeEra = world_.storeEra,
                      .fleetOffset = world_.fleetOffset,
                      .dutyToken = world_.dutyToken,
                      .dutyRenewal = world_.dutyRenewal,
@@ -268,7 +269,10 @@
     world_.Log(LogLevel::Info, "peer_heard", {},
                { { "peer", digest.daemon }, { "address", aEvent.from } });
   }
-  if (digest.fleetOffset > world_.fleetOffset) {
+  if (digest.storeEra > world_.storeEra) {
+    world_.Emit(NoteStoreEra{ digest.storeEra });
+  }
+  if (digest.storeEra == world_.storeEra && digest.fleetOffset > world_.fleetOffset) {
     world_.Emit(ReadFleet{ digest.fleetOffset });
   }
   if (world_.configuration && digest.configVersion > world_.configuration->version) {
--- a/entry/messages.h
+++ b/entry/messages.h
@@ -31,6 +31,7 @@
   std::vector<FleetChange> changes;
   bool isSnapshot = false;
   uint64_t next = 0; // offset after the last record
+  uint64_t era = 0;  // of the store that was read
 };
 
 /// The store became reachable or unreachable.
@@ -182,6 +183,7 @@
   std::string reason;  // if not read
   std::string text;    // empty: no state was written yet
   uint64_t end = 0;    // expected offset of the next write
+  uint64_t era = 0;    // of the store that was read
 };
 
 enum class WriteOutcome : uint8_t
@@ -361,6 +363,13 @@
 struct SkipFleetRecords
 {
   uint64_t next = 0;
+  uint64_t era = 0; // of the store in which the offset is valid
+};
+
+/// A peer knows that the store has come to this era.
+struct NoteStoreEra
+{
+  uint64_t era = 0;
 };
 
 /// Sets the number of live daemons, including this one, that read the store and share
@@ -377,7 +386,8 @@
 struct WriteDutyState
 {
   std::string text;
-  uint64_t at = 0; // expected offset of this write
+  uint64_t at = 0;  // expected offset of this write
+  uint64_t era = 0; // of the store in which the offset is valid
 };
 
 /// Writes this daemon's usage counts to the store, replacing its earlier ones.
@@ -425,9 +435,9 @@
                AbortResponse, SetCallerLimits, SetReady, CloseIdleCallerConnections,
                StopAccepting, StartAttempt, CancelAttempt, CloseIdleBackendConnections,
                SendDigest, SendPermitMessage, ReadFleet, ReadConfiguration,
-               SkipFleetRecords, SetReaderCount, ReadDutyState, WriteDutyState,
-               WriteUsage, ReadUsage, WritePartEvidence, ReadPartEvidence, SendUsage,
-               SendOrder, WriteEvent, ExitProcess>;
+               SkipFleetRecords, NoteStoreEra, SetReaderCount, ReadDutyState,
+               WriteDutyState, WriteUsage, ReadUsage, WritePartEvidence, ReadPartEvidence,
+               SendUsage, SendOrder, WriteEvent, ExitProcess>;
 
 } // namespace gooseberrypath::entry
 
--- a/entry/part_store_exchange.cc
+++ b/entry/part_store_exchange.cc
@@ -1,6 +1,7 @@
 #include "entry/part_store_exchange.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "entry/part_gossip.h"
 
@@ -70,6 +71,9 @@
 void PartStoreExchange::Check()
 {
   const TimePoint now = world_.Now();
+  if (std::exchange(era_, world_.storeEra) != world_.storeEra) {
+    writtenAt_.reset(); // the store may have lost it
+  }
   const bool mayWrite = !writtenAt_ || now - *writtenAt_ >= kMinWriteInterval;
   if (mayWrite && HasUnwritten()) {
     writtenAt_ = now;
--- a/entry/part_store_exchange.h
+++ b/entry/part_store_exchange.h
@@ -35,6 +35,7 @@
   Duration ReadInterval() const;
 
   World& world_;
+  uint64_t era_ = 0; // of the store, at the last check
   std::optional<TimePoint> readAt_;
   std::optional<TimePoint> writtenAt_;
 };
--- a/entry/peer_digest.cc
+++ b/entry/peer_digest.cc
@@ -137,6 +137,7 @@
                      .isStopping = aMessage.getIsStopping(),
                      .canReachStore = aMessage.getSeesStore(),
                      .configVersion = aMessage.getConfigVersion(),
+                     .storeEra = aMessage.getStoreEra(),
                      .fleetOffset = aMessage.getFleetOffset(),
                      .dutyToken = aMessage.getDutyToken(),
                      .dutyRenewal = aMessage.getDutyRenewal() };
@@ -195,6 +196,7 @@
     aBuilder.setIsStopping(aDigest.isStopping);
     aBuilder.setSeesStore(aDigest.canReachStore);
     aBuilder.setConfigVersion(aDigest.configVersion);
+    aBuilder.setStoreEra(aDigest.storeEra);
     aBuilder.setFleetOffset(aDigest.fleetOffset);
     aBuilder.setDutyToken(aDigest.dutyToken);
     aBuilder.setDutyRenewal(aDigest.dutyRenewal);
--- a/entry/peer_digest.h
+++ b/entry/peer_digest.h
@@ -98,6 +98,7 @@
   bool isStopping = false;    // the sender accepts no more calls
   bool canReachStore = false; // the platform's store responds to the sender
   uint64_t configVersion = 0;
+  uint64_t storeEra = 0;    // newest known one; offsets are valid in it; 0: none
   uint64_t fleetOffset = 0; // store offset of the last backend that joined or left
   uint64_t dutyToken = 0;   // the sender holds the duties with this token; 0: it does not
   uint64_t dutyRenewal = 0; // number of the sender's newest renewal
--- a/entry/store_port.cc
+++ b/entry/store_port.cc
@@ -40,8 +40,19 @@
   if (aEra <= era_) {
     return;
   }
-  era_ = aEra;
+  const bool wentBack = std::exchange(era_, aEra) > 0;
   options_.sink(StoreEraRead{ aEra });
+  if (!wentBack) {
+    return;
+  }
+  configOffset_.reset();
+  fleetOffset_.reset();
+  for (auto* waiting : { &endOfConfigPoll_, &earlyFleetPoll_ }) {
+    if (waiting->get() != nullptr) {
+      (*waiting)->fulfill();
+    }
+  }
+  tasks_.add(RegisterDaemon());
 }
 
 void StorePort::Start()
@@ -67,7 +78,7 @@
     return configClient_.ReadSnapshot(platform::kConfigTopic)
       .then([this](Result<platform::TopicSnapshot> aSnapshot) {
         UpdateReachability(aSnapshot ? "" : aSnapshot.error().message);
-        if (!aSnapshot) {
+        if (!aSnapshot || aSnapshot->era < era_) {
           return WaitForRetry();
         }
         configOffset_ = aSnapshot->end;
@@ -78,6 +89,8 @@
         [this](kj::Exception&& aError) { return WaitAfterException(kj::mv(aError)); })
       .then([this] { return WatchConfig(); });
   }
+  auto end = kj::newPromiseAndFulfiller<void>();
+  endOfConfigPoll_ = kj::mv(end.fulfiller);
   return configClient_
     .Read(platform::kConfigTopic, *configOffset_, options_.configPollTimeout)
     .then([this](Result<platform::RecordBatch> aRead) {
@@ -85,8 +98,10 @@
       if (!aRead) {
         return WaitForRetry();
       }
-      if (aRead->isOffsetExpired) {
+      if (aRead->isOffsetExpired || aRead->era < era_) {
         configOffset_.reset();
+      }
+      if (!configOffset_) {
         return kj::Promise<void>(kj::READY_NOW);
       }
       configOffset_ = aRead->nextOffset;
@@ -94,6 +109,7 @@
       return aRead->records.empty() ? kj::Promise<void>(kj::READY_NOW)
                                     : Wait(options_.configBatchDelay);
     })
+    .exclusiveJoin(end.promise.then([this] { configClient_.DropConnection(); }))
     .catch_([this](kj::Exception&& aError) { return WaitAfterException(kj::mv(aError)); })
     .then([this] { return WatchConfig(); });
 }
@@ -123,7 +139,7 @@
 
 void StorePort::Execute(const SkipFleetRecords& aAction)
 {
-  if (fleetOffset_) {
+  if (fleetOffset_ && aAction.era == era_) {
     fleetOffset_ = std::max(*fleetOffset_, aAction.next);
   }
 }
@@ -153,7 +169,7 @@
       .then([this] { return requestClient_.ReadSnapshot(platform::kConfigTopic); })
       .then([this](const Result<platform::TopicSnapshot>& aSnapshot) {
         isReadingConfig_ = false;
-        if (aSnapshot) {
+        if (aSnapshot && aSnapshot->era >= era_) {
           EmitConfiguration(aSnapshot->records);
         }
       }));
@@ -165,11 +181,13 @@
     return fleetClient_.ReadSnapshot(platform::kFleetTopic)
       .then([this](Result<platform::TopicSnapshot> aSnapshot) {
         UpdateReachability(aSnapshot ? "" : aSnapshot.error().message);
-        if (!aSnapshot) {
+        if (!aSnapshot || aSnapshot->era < era_) {
           return WaitForRetry();
         }
         fleetOffset_ = aSnapshot->end;
-        EmitFleetRead(aSnapshot->records, { .isSnapshot = true, .next = aSnapshot->end });
+        EmitFleetRead(
+          aSnapshot->records,
+          { .isSnapshot = true, .next = aSnapshot->end, .era = aSnapshot->era });
         return WaitForFleetPoll();
       })
       .catch_(
@@ -182,12 +200,14 @@
       if (!aRead) {
         return WaitForRetry();
       }
-      if (aRead->isOffsetExpired) {
+      if (aRead->isOffsetExpired || aRead->era < era_) {
         fleetOffset_.reset();
+      }
+      if (!fleetOffset_) {
         return kj::Promise<void>(kj::READY_NOW);
       }
       fleetOffset_ = std::max(*fleetOffset_, aRead->nextOffset);
-      EmitFleetRead(aRead->records, { .next = aRead->nextOffset });
+      EmitFleetRead(aRead->records, { .next = aRead->nextOffset, .era = aRead->era });
       return WaitForFleetPoll();
     })
     .catch_([this](kj::Exception&& aError) { return WaitAfterException(kj::mv(aError)); })
@@ -290,6 +310,7 @@
                  DutyStateRead event{ .isRead = aSnapshot.has_value() };
                  if (aSnapshot) {
                    event.end = aSnapshot->end;
+                   event.era = aSnapshot->era;
                    for (const platform::KeyedRecord& record : aSnapshot->records) {
                      if (record.key == platform::kDutyKey) {
                        event.text = record.value.value_or("");
@@ -308,14 +329,17 @@
   tasks_.add(requestClient_
                .Append(platform::kDutyTopic,
                        { std::string(platform::kDutyKey), aAction.text }, aAction.at)
-               .then([this](Result<platform::AppendResult> aResult) {
+               .then([this, era = aAction.era](Result<platform::AppendResult> aResult) {
                  DutyStateWritten event;
-                 if (aResult) {
+                 const bool wentBack = aResult && (aResult->era != era || era != era_);
+                 if (wentBack) {
+                   event.reason = "the store went back meanwhile";
+                 } else if (aResult) {
                    event.outcome =
                      aResult->isWritten ? WriteOutcome::Written : WriteOutcome::Conflict;
                    event.end = aResult->end;
                  }
-                 if (event.outcome != WriteOutcome::Written) {
+                 if (event.outcome != WriteOutcome::Written && !wentBack) {
                    event.reason =
                      aResult ? "another write came first" : aResult.error().message;
                  }
--- a/entry/store_port.h
+++ b/entry/store_port.h
@@ -53,6 +53,7 @@
   void Execute(const ReadFleet& aAction);
   void Execute(const ReadConfiguration& aAction);
   void Execute(const SkipFleetRecords& aAction);
+  void Execute(const NoteStoreEra& aAction) { NoteEra(aAction.era); }
   void Execute(const SetReaderCount& aAction);
   void Execute(const ReadDutyState& aAction);
   void Execute(const WriteDutyState& aAction);
@@ -93,7 +94,8 @@
   template<typename E>
   void ReadValues(std::string_view aTopic, std::string aFailure);
 
-  /// Records an era that the store or a peer named, and emits it when it is new.
+  /// Records an era that the store or a peer named. When the store went back, everything
+  /// is read and registered anew.
   void NoteEra(uint64_t aEra);
 
   /// Records the result of a call, an empty string on success, and emits an event when
@@ -132,6 +134,7 @@
   size_t readerCount_ = kInitialReaderCount;
   bool hasReaderCount_ = false; // readerCount_ was set by the core
   kj::Own<kj::PromiseFulfiller<void>> earlyFleetPoll_;
+  kj::Own<kj::PromiseFulfiller<void>> endOfConfigPoll_; // ends a long poll
   std::optional<bool> isReachable_; // no value before the first result
   int consecutiveFailures_ = 0;
   TaskErrors errors_;
