A stream that ends inside an event, or before any, is broken off

A stream without length or chunks whose engine ended right after the head looked like a complete empty one. Cause: what was left of an event at the end of a response was passed on, and the end of the connection alone counted as the end of the stream. Such an attempt breaks now, so the call goes on at another engine after its last event, or the caller's stream is broken off.

Evidence: of the tests with faulty backends the three of these cases failed before (stopped inside an event, before its empty line, inside a character; framed; without any event). The others pass on the code of before and stay: a response that stops at any byte, an error after a stream that broke off, HTTP/1.0, 204, 304 and HEAD.

--- a/entry/backend_port.cc
+++ b/entry/backend_port.cc
@@ -50,6 +50,8 @@
     attempt_ = aAction.attempt;
     requestId_ = aAction.requestId;
     isStream_ = aAction.isStream;
+    isResumed_ = !aAction.lastEventId.empty();
+    hasEvents_ = false;
     hasSentEarlierCall_ = std::exchange(hasSentCall_, true);
     discardedBytes_ = 0;
     head_ = ResponseHead{};
@@ -158,6 +160,7 @@
       CompleteEvents events = splitter_.Feed(aBytes);
       SetBufferedBytes(splitter_.PartialEvent().size());
       if (!events.bytes.empty()) {
+        hasEvents_ = true;
         port_.options_.sink(
           StreamEvents{ attempt_, std::move(events.bytes), std::move(events.lastId) });
       }
@@ -202,14 +205,16 @@
   /// connection.
   void Complete()
   {
-    const AttemptId attempt = attempt_;
     const bool isStream = IsEventStream();
+    if (isStream && FailIncompleteStream()) {
+      return;
+    }
+    const AttemptId attempt = attempt_;
     const bool isReusable = !hasSeenOtherResponse_ && !head_.closesConnection &&
                             reader_.BufferedBytes() == 0 && socket_.QueuedBytes() == 0 &&
                             !isClosedByPeer_;
     attempt_ = AttemptId{};
     std::string body = std::move(body_);
-    std::string rest = splitter_.PartialEvent();
     ClearBody();
     if (head_.keepAliveTimeout) {
       keepAlive_ = *head_.keepAliveTimeout;
@@ -224,12 +229,27 @@
       port_.options_.sink(AttemptAnswered{ attempt, std::move(head_), std::move(body) });
       return;
     }
-    if (!rest.empty()) {
-      port_.options_.sink(StreamEvents{ attempt, std::move(rest), {} });
-    }
     port_.options_.sink(StreamEnded{ attempt });
   }
 
+  /// Fails a stream that ended inside an event, or with its connection before any event.
+  /// Returns whether it did.
+  bool FailIncompleteStream()
+  {
+    const bool isCloseDelimited = isClosedByPeer_ && reader_.EndsWithConnection();
+    const BreakCause cause =
+      isCloseDelimited ? BreakCause::Closed : BreakCause::Malformed;
+    if (!splitter_.PartialEvent().empty()) {
+      Fail("the stream ended inside an event", cause);
+      return true;
+    }
+    if (isCloseDelimited && !hasEvents_ && !isResumed_) {
+      Fail("the connection was closed before any event of the stream", cause);
+      return true;
+    }
+    return false;
+  }
+
   /// Closes the connection and reports the attempt as broken.
   void Fail(std::string aReason, BreakCause aCause = BreakCause::Malformed)
   {
@@ -275,6 +295,8 @@
   AttemptId attempt_; // 0 while the connection is idle
   std::string requestId_;
   bool isStream_ = false;
+  bool isResumed_ = false; // the call goes on after events of an earlier attempt
+  bool hasEvents_ = false; // an event of the stream was passed on
   bool isResponseComplete_ = false;
   bool hasSentCall_ = false;          // on this connection
   bool hasSentEarlierCall_ = false;   // before the current call
--- a/entry/http_reader.h
+++ b/entry/http_reader.h
@@ -78,6 +78,9 @@
   /// Returns the number of buffered bytes that follow the last message.
   size_t BufferedBytes() const { return buffered_.size(); }
 
+  /// Tells whether the end of the connection ends the body of the current response.
+  bool EndsWithConnection() const { return head_.isCloseDelimited; }
+
   /// Tells whether parsing failed because the head or the trailers exceed maxHeadBytes.
   bool IsHeadTooLarge() const { return isHeadTooLarge_; }
 
