A refusal that a backend repeats is not taken for the same call sent again

A faulty backend may write an earlier refusal once more on a kept connection. A call no longer goes over a connection on which it was refused, and a connection on which another backend answered (421, possibly without an id) is not used again.

Evidence: both tests failed before; split over reads, without an id and before the next call was written passed before and stay.

--- a/entry/backend_port.cc
+++ b/entry/backend_port.cc
@@ -16,6 +16,9 @@
 
 constexpr Duration kSweepInterval = std::chrono::milliseconds(500);
 
+// A connection on which more calls were refused is closed.
+constexpr size_t kMaxRefusedIds = 32;
+
 } // namespace
 
 /// An attempt whose connection to the backend is being established.
@@ -71,6 +74,14 @@
     ClearBody();
   }
 
+  /// Tells whether the backend refused a call with this id on the connection. It may
+  /// repeat the refusal, which could be taken for the response to the same call sent
+  /// again.
+  bool HasRefused(std::string_view aRequestId) const
+  {
+    return std::ranges::find(refusedIds_, aRequestId) != refusedIds_.end();
+  }
+
   /// Tells whether the connection, which is idle, may carry another call.
   bool IsReusable(TimePoint aNow, bool aMayRetry) const
   {
@@ -210,9 +221,13 @@
       return;
     }
     const AttemptId attempt = attempt_;
+    if (head_.wasNotExecuted) {
+      refusedIds_.push_back(requestId_);
+    }
     const bool isReusable = !hasSeenOtherResponse_ && !head_.closesConnection &&
-                            reader_.BufferedBytes() == 0 && socket_.QueuedBytes() == 0 &&
-                            !isClosedByPeer_;
+                            !head_.isMisdirected && reader_.BufferedBytes() == 0 &&
+                            socket_.QueuedBytes() == 0 && !isClosedByPeer_ &&
+                            refusedIds_.size() <= kMaxRefusedIds;
     attempt_ = AttemptId{};
     std::string body = std::move(body_);
     ClearBody();
@@ -298,12 +313,13 @@
   bool isResumed_ = false; // the call goes on after events of an earlier attempt
   bool hasEvents_ = false; // an event of the stream was passed on
   bool isResponseComplete_ = false;
-  bool hasSentCall_ = false;          // on this connection
-  bool hasSentEarlierCall_ = false;   // before the current call
-  bool hasSeenOtherResponse_ = false; // a response to another call was read
-  size_t discardedBytes_ = 0;         // received before the response to this call
-  size_t bufferedBytes_ = 0;          // of the response, not yet passed on
-  bool isClosedByPeer_ = false;       // or the connection was reset
+  bool hasSentCall_ = false;            // on this connection
+  bool hasSentEarlierCall_ = false;     // before the current call
+  bool hasSeenOtherResponse_ = false;   // a response to another call was read
+  size_t discardedBytes_ = 0;           // received before the response to this call
+  size_t bufferedBytes_ = 0;            // of the response, not yet passed on
+  bool isClosedByPeer_ = false;         // or the connection was reset
+  std::vector<std::string> refusedIds_; // of calls that were refused on this connection
   ResponseHead head_;
   std::string body_;
   SseEventSplitter splitter_;
@@ -384,7 +400,8 @@
   auto& connections = found->second;
   // The most recently used connection is the least likely to be closed by the backend.
   if (connections.empty() ||
-      !connections.back()->IsReusable(options_.now(), aAction.mayRetry)) {
+      !connections.back()->IsReusable(options_.now(), aAction.mayRetry) ||
+      connections.back()->HasRefused(aAction.requestId)) {
     return {};
   }
   kj::Own<Connection> connection = kj::mv(connections.back());
--- a/entry/testing/faulty_backend_test.cc
+++ b/entry/testing/faulty_backend_test.cc
@@ -18,6 +18,10 @@
 
 const std::string kFields =
   "Gooseberrypath-Request-Id: r1\r\nGooseberrypath-Response-Stamp: s\r\n";
+const std::string kRefusal =
+  "HTTP/1.1 503 Busy\r\nGooseberrypath-Request-Id: r1\r\n"
+  "Gooseberrypath-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+
 /// A backend port and one backend, which gets calls over raw connections.
 struct FaultyBackend
 {
@@ -64,6 +68,71 @@
 
 } // namespace
 
+TEST_CASE("A refusal that a backend repeats is not taken for a later call",
+          "[entry][faulty]")
+{
+  // Guards against 'not run' for a call that runs, and against a second run elsewhere.
+  FaultyBackend backend;
+  RawPeer peer = backend.Accept();
+  peer.Write(kRefusal);
+  CHECK(backend.loop.WaitFor<AttemptAnswered>().head.wasNotExecuted);
+  REQUIRE(backend.port.IdleCount() == 1);
+  SECTION("of a call with the same id")
+  {
+    backend.Send(2, "r1");
+    backend.Settle();
+    peer.Write(kRefusal);
+    backend.Settle();
+    CHECK(backend.loop.Count<AttemptAnswered>() == 0);
+    RawPeer next = backend.loop.Accept(*backend.listener);
+    next.ReadUntil("call-body");
+    next.Write("HTTP/1.1 200 OK\r\n" + kFields + "Content-Length: 2\r\n\r\nok");
+    CHECK(backend.loop.WaitFor<AttemptAnswered>().body == "ok");
+  }
+  SECTION("of a call with another id, split over reads")
+  {
+    backend.Send(2, "r2");
+    peer.ReadUntil("call-body");
+    peer.Write(kRefusal.substr(0, 30));
+    backend.Settle();
+    peer.Write(kRefusal.substr(30));
+    backend.Settle();
+    CHECK(backend.loop.Count<AttemptAnswered>() == 0);
+    peer.Write("HTTP/1.1 200 OK\r\nGooseberrypath-Request-Id: r2\r\n"
+               "Gooseberrypath-Response-Stamp: s\r\nContent-Length: 2\r\n\r\nok");
+    CHECK(backend.loop.WaitFor<AttemptAnswered>().body == "ok");
+  }
+  SECTION("without an id")
+  {
+    backend.Send(2, "r2");
+    peer.ReadUntil("call-body");
+    peer.Write("HTTP/1.1 503 Busy\r\nGooseberrypath-Not-Executed: 1\r\n"
+               "Content-Length: 0\r\n\r\n");
+    CHECK(backend.loop.WaitFor<AttemptBroken>().attempt == AttemptId{ 2 });
+    CHECK(backend.loop.Count<AttemptAnswered>() == 0);
+  }
+  SECTION("before the next call is written")
+  {
+    peer.Write(kRefusal);
+    backend.loop.WaitFor<UnsolicitedBytes>();
+    backend.Send(2, "r2");
+    RawPeer next = backend.loop.Accept(*backend.listener);
+    next.ReadUntil("call-body");
+    CHECK(backend.loop.Count<AttemptAnswered>() == 0);
+  }
+}
+
+TEST_CASE("A connection on which another backend answered is not used again",
+          "[entry][faulty]")
+{
+  // Guards against a repeated 421 without an id that is taken for the next call.
+  FaultyBackend backend;
+  RawPeer peer = backend.Accept();
+  peer.Write("HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n");
+  CHECK(backend.loop.WaitFor<AttemptAnswered>().head.isMisdirected);
+  CHECK(backend.port.IdleCount() == 0);
+}
+
 TEST_CASE("A response that stops at any byte is not complete", "[entry][faulty]")
 {
   // Guards against a 200 with an empty or short body that looks whole.
