Blocked parts in the status, suspected ones in the log; tests of the evidence about parts

An operator sees which parts are blocked, with the engines that ended, the teams, the trials and the time of the next one, and which parts a call made suspicious. Tests: one call counts once however often it is told, explained parts, living engines, bounded tables, the end of a block, a hostile caller, the encoding.

--- a/entry/limit_report.cc
+++ b/entry/limit_report.cc
@@ -1,7 +1,5 @@
 #include "entry/limit_report.h"
 
-#include <nlohmann/json.hpp>
-
 namespace gooseberrypath::entry {
 
 namespace {
@@ -52,7 +50,7 @@
   return text;
 }
 
-std::string RenderLimitStatus(const World& aWorld)
+nlohmann::json LimitStatus(const World& aWorld)
 {
   auto limits = nlohmann::json::array();
   ForEachLimit(aWorld, [&](const BackendRow& aRow, double aPerSecond) {
@@ -62,8 +60,7 @@
                        { "per_second", aPerSecond },
                        { "known_s", known.count() } });
   });
-  const nlohmann::json status = { { "limits", std::move(limits) } };
-  return status.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+  return limits;
 }
 
 } // namespace gooseberrypath::entry
--- a/entry/limit_report.h
+++ b/entry/limit_report.h
@@ -1,4 +1,4 @@
-// The limits of backends that are in force, for operators: as metrics and as a JSON
+// The limits of backends that are in force, for operators: as metrics and in the JSON
 // status.
 //
 //   std::string text = RenderLimitMetrics(world);
@@ -8,6 +8,8 @@
 
 #include <string>
 
+#include <nlohmann/json.hpp>
+
 #include "entry/world.h"
 
 namespace gooseberrypath::entry {
@@ -15,9 +17,9 @@
 /// Returns the limits in the Prometheus text format, one line for each limited backend.
 std::string RenderLimitMetrics(const World& aWorld);
 
-/// Returns a JSON object with the limits in force: the backend, its requests per second
-/// and for how many seconds this daemon has known them.
-std::string RenderLimitStatus(const World& aWorld);
+/// Returns the limits in force as a JSON array: the backend, its requests per second and
+/// for how many seconds this daemon has known them.
+nlohmann::json LimitStatus(const World& aWorld);
 
 } // namespace gooseberrypath::entry
 
--- a/entry/part_guard.cc
+++ b/entry/part_guard.cc
@@ -173,9 +173,11 @@
   for (const PromptPart& part : PartsOf(row)) {
     start.parts.push_back(part.id);
   }
+  const BrokenStartId id = start.id;
   if (!world_.partEvidence.AddOwn(now, std::move(start))) {
     return;
   }
+  LogSuspected(row, id);
   world_.isDigestDue = true;
   if (now - lastUrgentAt_ >= world_.digestInterval) {
     lastUrgentAt_ = now;
@@ -183,6 +185,24 @@
   }
 }
 
+void PartGuard::LogSuspected(const RequestRow& aRow, const BrokenStartId& aId) const
+{
+  const auto& starts = world_.partEvidence.Starts();
+  const auto start = starts.find(aId);
+  if (start == starts.end()) {
+    return; // the table is full
+  }
+  std::string parts;
+  for (const uint64_t part : start->second.parts) {
+    if (!parts.empty()) {
+      parts += ',';
+    }
+    parts += PartText(part);
+  }
+  world_.Log(LogLevel::Info, "part_suspected", aRow.call.requestId,
+             { { "parts", parts } });
+}
+
 void PartGuard::RecordAlive(const BackendRow& aBackend)
 {
   world_.partEvidence.RecordAlive(world_.Now(), aBackend.key, aBackend.entry.startedMs);
--- a/entry/part_guard.h
+++ b/entry/part_guard.h
@@ -56,6 +56,9 @@
   /// Tells whether this daemon may try the part now.
   bool MayTry(const PartBlock& aBlock, const PartTrials& aTrials) const;
 
+  /// Logs the parts of a recorded attempt that are suspected.
+  void LogSuspected(const RequestRow& aRow, const BrokenStartId& aId) const;
+
   /// Returns the number of live daemons that may try the part before this one.
   size_t RankFor(uint64_t aPart) const;
 
--- a/entry/serve_entry.cc
+++ b/entry/serve_entry.cc
@@ -20,6 +20,7 @@
 #include "entry/limit_report.h"
 #include "entry/probe_port.h"
 #include "entry/settings.h"
+#include "entry/status_report.h"
 #include "entry/store_port.h"
 #include "gooseberrypath/daemon.h"
 #include "platform/settings_file.h"
@@ -126,7 +127,7 @@
                .timer = timer_,
                .address = aSettings.probeAddress,
                .renderMetrics = [this] { return RenderMetrics(); },
-               .renderStatus = [this] { return RenderStatus(); } })
+               .renderStatus = [this] { return RenderStatus(daemon_->GetWorld()); } })
   {
     ListenForMetrics(aIo.provider->getNetwork());
     if (!aSettings.cloudAddress.empty()) {
@@ -178,12 +179,12 @@
   void ListenForMetrics(kj::Network& aNetwork)
   {
     auto failure = kj::runCatchingExceptions([&] {
-      metrics_.emplace(
-        ProbePortOptions{ .network = aNetwork,
-                          .timer = timer_,
-                          .address = settings_.metricsAddress,
-                          .renderMetrics = [this] { return RenderMetrics(); },
-                          .renderStatus = [this] { return RenderStatus(); } });
+      metrics_.emplace(ProbePortOptions{
+        .network = aNetwork,
+        .timer = timer_,
+        .address = settings_.metricsAddress,
+        .renderMetrics = [this] { return RenderMetrics(); },
+        .renderStatus = [this] { return RenderStatus(daemon_->GetWorld()); } });
     });
     KJ_IF_MAYBE (problem, failure) {
       Log("metrics_unavailable", { { "reason", problem->getDescription().cStr() } });
@@ -255,11 +256,13 @@
   std::string RenderMetrics() const
   {
     const World& world = daemon_->GetWorld();
-    const std::array<Gauge, 5> gauges{
+    const std::array<Gauge, 6> gauges{
       Gauge{ "entry_requests", "Calls being served",
              static_cast<double>(world.requests.Size()) },
       Gauge{ "entry_backends", "Backends that are known",
              static_cast<double>(world.backends.Size()) },
+      Gauge{ "entry_blocked_parts", "Prompt parts that are blocked",
+             static_cast<double>(world.partEvidence.Blocks().size()) },
       Gauge{ "entry_caller_connections", "Open connections of callers",
              static_cast<double>(callers_.ConnectionCount()) },
       Gauge{ "entry_duty_token", "Fencing token of the duties held here, or 0",
@@ -270,8 +273,6 @@
     return world.counters.Render() + RenderGauges(gauges) + RenderLimitMetrics(world);
   }
 
-  std::string RenderStatus() const { return RenderLimitStatus(daemon_->GetWorld()); }
-
   void LogEventFailure(std::string_view aReason)
   {
     ++failedEvents_;
--- a/entry/testing/backend_limit_test.cc
+++ b/entry/testing/backend_limit_test.cc
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 
 #include "entry/limit_report.h"
+#include "entry/status_report.h"
 #include "entry/testing/entry_fixture.h"
 
 namespace gooseberrypath::entry {
@@ -130,8 +131,7 @@
   CHECK(FieldOf(named[0], "told_by") == "the backend");
   CHECK(FieldOf(named[0], "age_ms") == "0");
   CHECK(RenderLimitMetrics(entry.GetWorld()).find(attempt.backend) != std::string::npos);
-  CHECK(RenderLimitStatus(entry.GetWorld()).find("\"per_second\":1.2") !=
-        std::string::npos);
+  CHECK(RenderStatus(entry.GetWorld()).find("\"per_second\":1.2") != std::string::npos);
   const StartAttempt next = entry.SendCallTo(attempt.backend);
   entry.Advance(20ms);
   entry.RespondWith(next, {});
@@ -140,7 +140,7 @@
   CHECK(FieldOf(lifted[0], "change") == "lifted");
   CHECK(FieldOf(lifted[0], "before") == "1.2");
   CHECK_FALSE(entry.LimitOf(attempt.backend));
-  CHECK(RenderLimitStatus(entry.GetWorld()) == "{\"limits\":[]}\n");
+  CHECK(RenderStatus(entry.GetWorld()) == "{\"blocked_parts\":[],\"limits\":[]}\n");
 }
 
 TEST_CASE("Entry: the head of a stream names a limit", "[entry][limit]")
--- /dev/null
+++ b/entry/testing/part_evidence_test.cc
@@ -0,0 +1,251 @@
+// Tests what counts as evidence against a part of a prompt, who is refused for it, and
+// how a block ends.
+
+#include <catch2/catch.hpp>
+
+#include "entry/part_gossip.h"
+#include "entry/status_report.h"
+#include "entry/testing/entry_fixture.h"
+
+namespace gooseberrypath::entry {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr uint64_t kDeadly = 0xdead;
+constexpr uint64_t kShared = 0x5a5a;
+constexpr TimePoint kNow{ 1000s };
+
+BrokenStart StartOf(uint32_t aBackend, uint32_t aCall, std::vector<uint64_t> aParts,
+                    uint32_t aTeam = 1)
+{
+  return { .id = { .backend = aBackend, .startedMs = 1, .call = aCall },
+           .team = aTeam,
+           .at = kNow,
+           .parts = std::move(aParts) };
+}
+
+/// Callers of two teams, and a daemon that has run for long enough to judge parts.
+struct PartFixture : public EntryFixture
+{
+  PartFixture()
+  {
+    Configuration configuration = TestConfiguration();
+    configuration.teams.push_back({ .name = "other" });
+    configuration.teamOfKey["o"] = 1;
+    Prepare(std::move(configuration));
+    Advance(4s);
+  }
+
+  ExchangeId PostPartCall(std::vector<uint64_t> aParts, const std::string& aKey = "k")
+  {
+    ModelDemand demand{ .promptTokens = 10, .maxOutputTokens = 10 };
+    for (const uint64_t part : aParts) {
+      demand.parts.push_back({ .id = part, .tokens = 5 });
+    }
+    demand.parts.push_back({ .id = 0x1000000 + ++own_, .tokens = 5 });
+    return PostCall("plans", aKey, std::move(demand));
+  }
+
+  /// Sends a call with the parts, whose engine ends before it begins to answer.
+  void EndEngineWith(std::vector<uint64_t> aParts, const std::string& aKey = "k")
+  {
+    PostPartCall(std::move(aParts), aKey);
+    const StartAttempt attempt = SendLatestAttempt();
+    REQUIRE_FALSE(attempt.backend.empty());
+    Post(AttemptBroken{ attempt.attempt, "closed", BreakCause::Closed });
+    AddBackend(attempt.backend + "x", "assistant");
+    Post(FleetRead{ .changes = { BackendRemoved{ attempt.backend } } });
+    TakeActions<WriteResponse>();
+  }
+
+  void Answer(std::vector<uint64_t> aParts, const std::string& aKey = "k")
+  {
+    PostPartCall(std::move(aParts), aKey);
+    const StartAttempt attempt = SendLatestAttempt();
+    Post(StreamStarted{ attempt.attempt, { .status = 200, .hasResponseStamp = true } });
+    Post(StreamEvents{ attempt.attempt, "id: 1\ndata: a\n\n", "1" });
+    Post(StreamEnded{ attempt.attempt });
+  }
+
+  bool IsSent() { return !TakeActions<StartAttempt>().empty(); }
+
+private:
+  uint64_t own_ = 0;
+};
+
+} // namespace
+
+TEST_CASE("Entry: one call counts once against a part", "[entry][part]")
+{
+  // Guards against a block because one crash is told twice, or one call was repeated.
+  PartEvidence evidence;
+  evidence.AddOwn(kNow, StartOf(1, 7, { kDeadly }));
+  evidence.Merge(kNow, StartOf(1, 7, { kDeadly })); // told back by a peer
+  evidence.Merge(kNow, StartOf(2, 7, { kDeadly })); // the same call at another engine
+  evidence.Merge(kNow, StartOf(1, 8, { kDeadly })); // another call at the same engine
+  SECTION("the same call or the same engine is no second evidence")
+  {
+    PartEvidence other;
+    other.Merge(kNow, StartOf(1, 7, { kDeadly }));
+    other.Merge(kNow, StartOf(2, 7, { kDeadly }));
+    other.Update(kNow);
+    CHECK(other.BlockFor(kDeadly, 1) == nullptr);
+  }
+  SECTION("two calls at two engines block")
+  {
+    evidence.Update(kNow);
+    REQUIRE(evidence.BlockFor(kDeadly, 1) != nullptr);
+    CHECK(evidence.BlockFor(kDeadly, 1)->starts == 2);
+  }
+  SECTION("an answer that a peer tells frees the part")
+  {
+    evidence.Update(kNow);
+    evidence.RecordPeerAnswer(kNow + 1s, PartEvidence::KeyOf(kDeadly));
+    evidence.Merge(kNow + 1s, StartOf(1, 7, { kDeadly })); // told again by a slow peer
+    evidence.Update(kNow + 1s);
+    CHECK(evidence.BlockFor(kDeadly, 1) == nullptr);
+  }
+}
+
+TEST_CASE("Entry: a part that another one explains is not blocked", "[entry][part]")
+{
+  // Guards against sound parts that are blocked because they come with a deadly one.
+  PartEvidence evidence;
+  evidence.Merge(kNow, StartOf(1, 1, { kDeadly, kShared }));
+  evidence.Merge(kNow, StartOf(2, 2, { kDeadly, kShared }));
+  evidence.Merge(kNow, StartOf(3, 3, { kDeadly }));
+  evidence.Update(kNow);
+  CHECK(evidence.BlockFor(kDeadly, 1) != nullptr);
+  CHECK(evidence.BlockFor(kShared, 1) == nullptr);
+}
+
+TEST_CASE("Entry: an engine that goes on to answer has not ended", "[entry][part]")
+{
+  // Guards against a block by connections that are reset at living engines.
+  PartEvidence evidence;
+  evidence.Merge(kNow, StartOf(1, 1, { kDeadly }));
+  evidence.Merge(kNow, StartOf(2, 2, { kDeadly }));
+  evidence.RecordAlive(kNow + 300ms, 1, 1);
+  evidence.Update(kNow + 300ms);
+  CHECK(evidence.BlockFor(kDeadly, 1) == nullptr);
+}
+
+TEST_CASE("Entry: the tables of parts are bounded", "[entry][part]")
+{
+  // Guards against a caller who fills the memory with parts that nobody else sends.
+  PartEvidence evidence;
+  for (uint32_t i = 0; i < 20000; ++i) {
+    evidence.Merge(kNow, StartOf(i, i, { i, i + 1 }));
+    evidence.RecordPeerAnswer(kNow, 0x80000000U + i);
+  }
+  evidence.Update(kNow);
+  CHECK(evidence.Starts().size() <= 512);
+  evidence.Update(kNow + 121s);
+  CHECK(evidence.Starts().empty());
+}
+
+TEST_CASE(
+  "Entry: calls with a blocked part are refused at once and free it when answered",
+  "[entry][part]")
+{
+  // Guards against calls that end a third engine, and against a block without end.
+  PartFixture entry;
+  entry.EndEngineWith({ kShared, kDeadly });
+  entry.Answer({ kShared });
+  entry.EndEngineWith({ kShared, kDeadly });
+  entry.PostPartCall({ kShared, kDeadly });
+  CHECK_FALSE(entry.IsSent());
+  const auto refused = entry.TakeActions<WriteResponse>();
+  REQUIRE(refused.size() == 1);
+  CHECK(refused[0].status == 503);
+  CHECK(refused[0].body.find("prompt_blocked") != std::string::npos);
+  CHECK(refused[0].body.find("not_run") != std::string::npos);
+  CHECK_FALSE(FindHeader(refused[0].headers, "Retry-After").empty());
+  CHECK(RenderStatus(entry.GetWorld()).find("\"part\":\"dead\"") != std::string::npos);
+  entry.PostPartCall({ kShared });
+  CHECK(entry.IsSent());
+  entry.Advance(4s);
+  entry.Answer({ kShared, kDeadly }); // the trial
+  entry.PostPartCall({ kShared, kDeadly });
+  CHECK(entry.IsSent());
+}
+
+TEST_CASE("Entry: a blocked part that ends its trials is not tried any more",
+          "[entry][part]")
+{
+  // Guards against an engine that ends every few seconds to see whether a part is sound.
+  PartFixture entry;
+  entry.EndEngineWith({ kDeadly });
+  entry.EndEngineWith({ kDeadly });
+  size_t sent = 0;
+  for (int second = 0; second < 300; ++second) {
+    entry.PostPartCall({ kDeadly });
+    if (const StartAttempt attempt = entry.SendLatestAttempt();
+        !attempt.backend.empty()) {
+      ++sent;
+      entry.Post(AttemptBroken{ attempt.attempt, "closed", BreakCause::Closed });
+    }
+    entry.Advance(1s);
+    entry.actions.clear();
+  }
+  CHECK(sent >= 1);
+  CHECK(sent <= 2);
+}
+
+TEST_CASE("Entry: no team can block the parts of another one", "[entry][part]")
+{
+  // Guards against a hostile or broken caller who sends another team's parts together
+  // with one that ends engines. He reaches what his own team sends, until a second team's
+  // calls end engines with the part too.
+  PartFixture entry;
+  entry.EndEngineWith({ kShared, kDeadly }, "o");
+  entry.EndEngineWith({ kShared, kDeadly }, "o");
+  entry.PostPartCall({ kShared }, "o");
+  CHECK_FALSE(entry.IsSent());
+  entry.PostPartCall({ kShared }, "k");
+  CHECK(entry.IsSent());
+  entry.Answer({ kShared }, "k");
+  entry.PostPartCall({ kShared }, "o");
+  CHECK(entry.IsSent());
+  entry.PostPartCall({ kShared, kDeadly }, "o");
+  CHECK_FALSE(entry.IsSent());
+}
+
+TEST_CASE("Entry: evidence about parts survives the wire and the store", "[entry][part]")
+{
+  // Guards against evidence that is lost or changed between daemons.
+  PeerDigest digest{ .daemon = "d2" };
+  digest.storeEra = 4;
+  digest.parts.answered = { 5, 6 };
+  digest.parts.starts = { { .id = { .backend = 1, .startedMs = 2, .call = 3 },
+                            .team = 4,
+                            .ageMs = 5,
+                            .parts = { kDeadly, kShared } } };
+  digest.parts.trials = {
+    { .part = kDeadly, .count = 1, .lastAgeMs = 2, .wantedAgeMs = 3 }
+  };
+  const std::string bytes = EncodeDigest(digest);
+  const auto decoded = DecodeDigest(bytes);
+  REQUIRE(decoded);
+  CHECK(decoded->storeEra == 4);
+  CHECK(decoded->parts.answered == digest.parts.answered);
+  REQUIRE(decoded->parts.starts.size() == 1);
+  CHECK(decoded->parts.starts[0].id == digest.parts.starts[0].id);
+  CHECK(decoded->parts.starts[0].parts == digest.parts.starts[0].parts);
+  REQUIRE(decoded->parts.trials.size() == 1);
+  CHECK(decoded->parts.trials[0].wantedAgeMs == 3);
+
+  PartFixture entry;
+  entry.EndEngineWith({ kDeadly });
+  const std::string text = EncodePartEvidence(entry.GetWorld());
+  const auto stored = DecodePartEvidence(entry.GetWorld(), text);
+  REQUIRE(stored);
+  REQUIRE(stored->starts.size() == 1);
+  CHECK(stored->starts[0].parts == std::vector<uint64_t>{ kDeadly });
+  CHECK_FALSE(DecodePartEvidence(entry.GetWorld(), "junk"));
+  CHECK_FALSE(DecodePartEvidence(entry.GetWorld(), "{\"starts\":[{}],\"trials\":[]}"));
+}
+
+} // namespace gooseberrypath::entry
