--- a/entry/testing/duty_system_test.cc
+++ b/entry/testing/duty_system_test.cc
@@ -87,8 +87,8 @@
 TEST_CASE("Entry: holders act one at a time when the store goes back to a copy",
           "[entry][duty]")
 {
-  // Guards against two reports for a window and tokens that fall after the store comes back
-  // from a copy, while the holder or all daemons are killed.
+  // Guards against two reports for a window and tokens that fall after the store comes
+  // back from a copy, while the holder or all daemons are killed.
   size_t calls = 0;
   for (uint64_t seed = 1; seed <= 100; ++seed) {
     DutySimulation simulation(seed, true, 8, true);
--- a/entry/testing/part_blocking_test.cc
+++ b/entry/testing/part_blocking_test.cc
@@ -145,10 +145,11 @@
     totals.Add(seed, PlayParts(scenario));
     totals.AddWithoutFault(PlayPartsWithoutFault(scenario));
   }
-  const double with = totals.sum.soundBegun / static_cast<double>(totals.sum.soundCalls);
-  const double without =
-    totals.withoutFault.soundBegun / static_cast<double>(totals.withoutFault.soundCalls);
-  CHECK(with >= 0.95 * without);
+  const auto share = [](const PartOutcome& aOutcome) {
+    return static_cast<double>(aOutcome.soundBegun) /
+           static_cast<double>(aOutcome.soundCalls);
+  };
+  CHECK(share(totals.sum) >= 0.95 * share(totals.withoutFault));
   CHECK(totals.sum.deadlyRefused > totals.sum.deadlyCalls / 2);
 }
 
--- a/entry/testing/part_evidence_test.cc
+++ b/entry/testing/part_evidence_test.cc
@@ -38,7 +38,8 @@
     Advance(4s);
   }
 
-  ExchangeId PostPartCall(std::vector<uint64_t> aParts, const std::string& aKey = "k")
+  ExchangeId PostPartCall(const std::vector<uint64_t>& aParts,
+                          const std::string& aKey = "k")
   {
     ModelDemand demand{ .promptTokens = 10, .maxOutputTokens = 10 };
     for (const uint64_t part : aParts) {
@@ -49,9 +50,9 @@
   }
 
   /// Sends a call with the parts, whose engine ends before it begins to answer.
-  void EndEngineWith(std::vector<uint64_t> aParts, const std::string& aKey = "k")
+  void EndEngineWith(const std::vector<uint64_t>& aParts, const std::string& aKey = "k")
   {
-    PostPartCall(std::move(aParts), aKey);
+    PostPartCall(aParts, aKey);
     const StartAttempt attempt = SendLatestAttempt();
     REQUIRE_FALSE(attempt.backend.empty());
     Post(AttemptBroken{ attempt.attempt, "closed", BreakCause::Closed });
@@ -60,9 +61,9 @@
     TakeActions<WriteResponse>();
   }
 
-  void Answer(std::vector<uint64_t> aParts, const std::string& aKey = "k")
+  void Answer(const std::vector<uint64_t>& aParts, const std::string& aKey = "k")
   {
-    PostPartCall(std::move(aParts), aKey);
+    PostPartCall(aParts, aKey);
     const StartAttempt attempt = SendLatestAttempt();
     Post(StreamStarted{ attempt.attempt, { .status = 200, .hasResponseStamp = true } });
     Post(StreamEvents{ attempt.attempt, "id: 1\ndata: a\n\n", "1" });
