--- a/entry/testing/part_evidence_test.cc
+++ b/entry/testing/part_evidence_test.cc
@@ -1,6 +1,9 @@
 // Tests what counts as evidence against a part of a prompt, who is refused for it, and
 // how a block ends.
 
+#include <chrono>
+#include <iostream>
+
 #include <catch2/catch.hpp>
 
 #include "entry/part_gossip.h"
@@ -249,4 +252,45 @@
   CHECK_FALSE(DecodePartEvidence(entry.GetWorld(), "{\"starts\":[{}],\"trials\":[]}"));
 }
 
+TEST_CASE("Entry: cost of the evidence about parts", "[.][part_cost]")
+{
+  // Prints the figures of docs/CAPACITY.md.
+  const auto bytesOf = [](size_t aAnswered, size_t aStarts, size_t aTrials) {
+    PeerDigest digest{ .daemon = "edge-cm-a-1", .incarnation = 1'780'000'000'000 };
+    for (uint32_t i = 0; i < aAnswered; ++i) {
+      digest.parts.answered.push_back(PartEvidence::KeyOf(i));
+    }
+    for (uint32_t i = 0; i < aStarts; ++i) {
+      digest.parts.starts.push_back(
+        { .id = { .backend = PartEvidence::KeyOf(i),
+                  .startedMs = uint64_t{ 1'780'000'000'000 } + i,
+                  .call = PartEvidence::KeyOf(i + 1) },
+          .team = 77,
+          .ageMs = 12'345,
+          .parts = { 0xb136d718ef79eb57 + i } });
+    }
+    for (uint32_t i = 0; i < aTrials; ++i) {
+      digest.parts.trials.push_back({ .part = 0xb136d718ef79eb57 + i, .count = 1 });
+    }
+    return EncodeDigest(digest).size();
+  };
+  std::cout << "bytes: nothing " << bytesOf(0, 0, 0) << ", 4 answered "
+            << bytesOf(4, 0, 0) << ", a start " << bytesOf(0, 1, 0) << ", the most "
+            << bytesOf(32, 16, 8) << "\nbytes of memory: a start "
+            << sizeof(BrokenStart) + sizeof(BrokenStartId) << " and its parts\n";
+  PartEvidence evidence;
+  for (uint32_t i = 0; i < 512; ++i) {
+    evidence.Merge(kNow, StartOf(i, i, { i }));
+  }
+  constexpr int kRounds = 100'000;
+  const auto began = std::chrono::steady_clock::now();
+  for (uint32_t i = 0; i < kRounds; ++i) {
+    evidence.RecordPeerAnswer(kNow, 0x80000000U + i % 2000);
+  }
+  const std::chrono::duration<double, std::micro> spent =
+    std::chrono::steady_clock::now() - began;
+  std::cout << "microseconds for an answered part of a peer: " << spent.count() / kRounds
+            << '\n';
+}
+
 } // namespace gooseberrypath::entry
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -43,8 +43,15 @@
 CUTTING = ("daemon_pause", "daemon_kill", "backend_pause", "backend_kill", "link_")
 
 
-def make_schedule(seed, seconds):
-    """About one fault a second, half of them soon after the one before."""
+# A store that comes back from a copy, and how old the copy may be, in seconds.
+RESTORE = "store_restored"
+RESTORE_LENGTH = (0.0, 5.0)
+RESTORE_AGE = (0.5, 9.0)
+
+
+def make_schedule(seed, seconds, restores=False):
+    """About one fault a second, half of them soon after the one before. With `restores`,
+    the store also goes back to a copy, some times at once."""
     chance = random.Random(seed)
     faults = []
     at = 1.0
@@ -53,7 +60,16 @@
         length = chance.uniform(*KINDS[kind])
         faults.append(Fault(at, kind, length, chance.randrange(1 << 20)))
         at += chance.uniform(0.05, 0.3) if chance.random() < 0.5 else chance.uniform(0.5, 2)
-    return faults
+    if restores:
+        faults += make_restores(seed, seconds)
+    return sorted(faults, key=lambda fault: fault.at)
+
+
+def make_restores(seed, seconds):
+    """One to three restores. They leave the other faults of the seed as they are."""
+    chance = random.Random(f"restores {seed}")
+    return [Fault(chance.uniform(2, seconds - 2), RESTORE, chance.uniform(*RESTORE_LENGTH),
+                  chance.randrange(1 << 20)) for _ in range(chance.randint(1, 3))]
 
 
 def overlapping(faults, prefixes, begin, end):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -23,7 +23,7 @@
 from platform_standin import Quiet, Server, Store
 from soak import checks
 from soak.callers import Connection, new_attempt
-from soak.faults import make_schedule
+from soak.faults import RESTORE_AGE, make_schedule
 from soak.proxy import Mode, Proxy
 
 DAEMONS = 3
@@ -131,11 +131,11 @@
 
 
 class Soak:
-    def __init__(self, seed, seconds, folder):
+    def __init__(self, seed, seconds, folder, restores=False):
         self.seconds = seconds
         self.folder = folder
         self.chance = random.Random(seed)
-        self.faults = make_schedule(seed, seconds)
+        self.faults = make_schedule(seed, seconds, restores)
         self.store = Store()
         self.cloud = Cloud()
         self.backends = []
@@ -360,6 +360,18 @@
     async def _store_forgets(self, _):
         self.store.forget_history()
 
+    async def _store_restored(self, fault):
+        """The store comes back from a copy; what was lost is written again."""
+        await self._store_down(fault)
+        self.store.go_back(random.Random(fault.target).uniform(*RESTORE_AGE))
+        await asyncio.sleep(random.Random(fault.target + 1).uniform(0, RETURN_S))
+        self.store.put_config(configuration(self.version))
+        for backend in self.backends:
+            if backend.process.poll() is None:
+                self._announce(backend, "draining" if backend.is_leaving else "ready")
+            else:
+                self.store.put("keyed.servers", backend.name, None)
+
     async def _config_change(self, _):
         self.version += 1
         self.store.put_config(configuration(self.version))
@@ -383,10 +395,10 @@
                 f"{len(self.stops)} planned stops, {len(self.cloud.calls)} reports")
 
 
-def run_seed(seed, seconds):
+def run_seed(seed, seconds, restores=False):
     """Plays one seed; returns (what broke, a summary, the folder with the logs)."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    soak = Soak(seed, seconds, folder)
+    soak = Soak(seed, seconds, folder, restores)
     try:
         broken = asyncio.run(soak.run())
         return broken, soak.summary(), folder
@@ -399,10 +411,12 @@
     parser.add_argument("--first", type=int, default=1, help="the first seed")
     parser.add_argument("--seeds", type=int, default=1, help="how many seeds are played")
     parser.add_argument("--seconds", type=float, default=12, help="of calls a seed")
+    parser.add_argument("--restores", action="store_true",
+                        help="the store also goes back to a copy")
     options = parser.parse_args()
     failed = []
     for seed in range(options.first, options.first + options.seeds):
-        broken, summary, folder = run_seed(seed, options.seconds)
+        broken, summary, folder = run_seed(seed, options.seconds, options.restores)
         print(f"seed {seed}: {summary}, {len(broken)} broken; logs in {folder}", flush=True)
         for text in broken[:10]:
             print("   ", text, flush=True)
--- a/tests/soak_test.py
+++ b/tests/soak_test.py
@@ -104,6 +104,11 @@
                 broken, summary, folder = run_seed(seed, SECONDS)
                 self.assertEqual(broken, [], f"{summary}; logs in {folder}")
 
+    def test_a_store_that_goes_back(self):
+        """Guards against what a copy of the store undoes, with real processes."""
+        broken, summary, folder = run_seed(1, SECONDS, restores=True)
+        self.assertEqual(broken, [], f"{summary}; logs in {folder}")
+
 
 if __name__ == "__main__":
     unittest.main(verbosity=2)
