A part that is blocked again is tried again

A part that was tried twice, freed by an answer and blocked once more got no trial any more, so its calls were refused until none came for 10 minutes. Trials from before the first engine of a block ended belong to an earlier block now. The test failed before.

--- a/entry/part_evidence.cc
+++ b/entry/part_evidence.cc
@@ -201,8 +201,10 @@
     const auto known = blocks_.find(part);
     PartBlock block{ .part = part,
                      .since = known == blocks_.end() ? aNow : known->second.since,
+                     .firstAt = aNow,
                      .starts = count };
     for (const BrokenStart* start : starts) {
+      block.firstAt = std::min(block.firstAt, start->at);
       block.teams.insert(start->team);
     }
     next.emplace(part, std::move(block));
--- a/entry/part_evidence.h
+++ b/entry/part_evidence.h
@@ -54,6 +54,7 @@
 {
   uint64_t part = 0;
   TimePoint since{};        // when this daemon blocked it
+  TimePoint firstAt{};      // end of the first of these backends
   size_t starts = 0;        // calls at whose start a backend ended
   std::set<uint32_t> teams; // that sent these calls
 };
--- a/entry/part_guard.cc
+++ b/entry/part_guard.cc
@@ -56,10 +56,12 @@
 
 std::optional<TimePoint> NextTrialAt(const PartBlock& aBlock, const PartTrials& aTrials)
 {
-  if (aTrials.count >= kMaxTrials) {
+  // Earlier trials belong to an earlier block, which an answer has ended.
+  const uint32_t count = aTrials.lastAt >= aBlock.firstAt ? aTrials.count : 0;
+  if (count >= kMaxTrials) {
     return std::nullopt;
   }
-  if (aTrials.count > 0) {
+  if (count > 0) {
     return std::max(aBlock.since, aTrials.lastAt) + kLaterTrialDelay;
   }
   const bool isCertain = aBlock.starts >= kCertainStarts;
--- a/entry/testing/part_evidence_test.cc
+++ b/entry/testing/part_evidence_test.cc
@@ -198,6 +198,24 @@
   CHECK(sent <= 2);
 }
 
+TEST_CASE("Entry: a part that is blocked again is tried again", "[entry][part]")
+{
+  // Guards against a part that was freed and is then refused for good, because its
+  // earlier trials count.
+  PartFixture entry;
+  for (int round = 0; round < 3; ++round) {
+    entry.EndEngineWith({ kDeadly });
+    entry.EndEngineWith({ kDeadly });
+    entry.PostPartCall({ kDeadly });
+    CHECK_FALSE(entry.IsSent());
+    entry.Advance(4s);
+    entry.Answer({ kDeadly }); // the trial
+    entry.PostPartCall({ kDeadly });
+    CHECK(entry.IsSent());
+    entry.Advance(8s);
+  }
+}
+
 TEST_CASE("Entry: no team can block the parts of another one", "[entry][part]")
 {
   // Guards against a hostile or broken caller who sends another team's parts together
