A peer's word on the era of the store only makes the daemon read the store

A corrupt datagram with a very high era would have made all answers of the store look outdated. The store itself is asked, at once and once for each era that a peer names.

--- a/entry/store_port.cc
+++ b/entry/store_port.cc
@@ -47,12 +47,27 @@
   }
   configOffset_.reset();
   fleetOffset_.reset();
+  ReadNow();
+  tasks_.add(RegisterDaemon());
+}
+
+void StorePort::ReadNow()
+{
   for (auto* waiting : { &endOfConfigPoll_, &earlyFleetPoll_ }) {
     if (waiting->get() != nullptr) {
       (*waiting)->fulfill();
     }
   }
-  tasks_.add(RegisterDaemon());
+}
+
+void StorePort::Execute(const NoteStoreEra& aAction)
+{
+  // Only the store itself is believed: a corrupt datagram must not make its answers look
+  // outdated.
+  if (aAction.era > std::max(era_, eraOfPeers_)) {
+    eraOfPeers_ = aAction.era;
+    ReadNow();
+  }
 }
 
 void StorePort::Start()
--- a/entry/store_port.h
+++ b/entry/store_port.h
@@ -53,7 +53,7 @@
   void Execute(const ReadFleet& aAction);
   void Execute(const ReadConfiguration& aAction);
   void Execute(const SkipFleetRecords& aAction);
-  void Execute(const NoteStoreEra& aAction) { NoteEra(aAction.era); }
+  void Execute(const NoteStoreEra& aAction);
   void Execute(const SetReaderCount& aAction);
   void Execute(const ReadDutyState& aAction);
   void Execute(const WriteDutyState& aAction);
@@ -94,14 +94,18 @@
   template<typename E>
   void ReadValues(std::string_view aTopic, std::string aFailure);
 
-  /// Records an era that the store or a peer named. When the store went back, everything
-  /// is read and registered anew.
+  /// Records an era that the store named. When the store went back, everything is read
+  /// and registered anew.
   void NoteEra(uint64_t aEra);
 
   /// Records the result of a call, an empty string on success, and emits an event when
   /// the store becomes reachable or unreachable.
   void UpdateReachability(const std::string& aError);
 
+  /// Ends the long poll and the pause between two polls of the fleet, so that the store
+  /// is read now.
+  void ReadNow();
+
   /// Waits for the duration with random jitter.
   kj::Promise<void> Wait(Duration aTime);
 
@@ -131,6 +135,7 @@
   uint64_t newestConfigVersion_ = 0;
   bool isReadingConfig_ = false; // a read for ReadConfiguration is pending
   uint64_t era_ = 0;             // newest known one of the store; 0: none
+  uint64_t eraOfPeers_ = 0;      // newest one that a peer named
   size_t readerCount_ = kInitialReaderCount;
   bool hasReaderCount_ = false; // readerCount_ was set by the core
   kj::Own<kj::PromiseFulfiller<void>> earlyFleetPoll_;
--- a/entry/testing/duty_simulation.h
+++ b/entry/testing/duty_simulation.h
@@ -385,10 +385,12 @@
       });
   }
 
-  void Execute(Host& aHost, const NoteStoreEra& aAction)
+  void Execute(Host& aHost, const NoteStoreEra&)
   {
-    Schedule(aHost, RandomDelay(1, 2), {},
-             [era = aAction.era] { return Event(StoreEraRead{ era }); });
+    if (!IsUnreachable(aHost) && aHost.core->GetWorld().storeEra < storeEra_) {
+      Schedule(aHost, RandomDelay(2, 60), {},
+               [era = storeEra_] { return Event(StoreEraRead{ era }); });
+    }
   }
 
   bool IsUnreachable(const Host& aHost) const
