--- a/entry/duty_system.h
+++ b/entry/duty_system.h
@@ -8,6 +8,11 @@
 // its own write succeeds. So two daemons never act at the same time, whichever messages
 // are late or lost.
 //
+// The store may come back from a copy that lacks the newest states. The state therefore
+// names the era of the store in which it was written. One of an earlier era may be
+// outdated: a holder with a valid lease writes its own state again, and another daemon
+// waits for a whole lease from the moment at which it learned of the new era.
+//
 //   DutySystem duties(world);
 //   duties.Start(); // runs on a timer; events come through Handle
 
