A duty state that cannot be read is logged in every era of the store

Operators saw no line when the store failed to give the duty state: since the era was compared first, and a failure names none, so it looked like a late answer of an earlier era. A failure and an outdated answer are both logged now, and the handler is split into what it does with a current and with an outdated state. The test failed before (no line in both cases).

--- a/entry/duty_system.cc
+++ b/entry/duty_system.cc
@@ -217,14 +217,12 @@
 void DutySystem::Handle(const DutyStateRead& aEvent)
 {
   isReadPending_ = false;
-  if (aEvent.era < era_) {
-    writeOffset_.reset(); // the store went back meanwhile
-    return;
-  }
-  if (!aEvent.isRead) {
+  const bool isOutdated = aEvent.isRead && aEvent.era < era_;
+  if (!aEvent.isRead || isOutdated) {
     writeOffset_.reset();
-    world_.Log(LogLevel::Warning, "duty_state_unread", {},
-               { { "reason", aEvent.reason } });
+    world_.Log(
+      LogLevel::Warning, "duty_state_unread", {},
+      { { "reason", isOutdated ? "the store went back meanwhile" : aEvent.reason } });
     return;
   }
   const auto state = DecodeDutyState(aEvent.text);
@@ -234,31 +232,31 @@
     return;
   }
   writeOffset_ = aEvent.end;
+  const bool wasHolder = IsHolder();
   if (state->era < era_ && state->token > 0) {
     ApplyOutdated(*state);
-    if (!IsHolder() && !world_.stoppingSince && !pendingWrite_ && MayAcquire(state_)) {
-      Acquire();
-    }
-    return;
+  } else {
+    ApplyCurrent(*state);
   }
-  const bool isNewState = !hasReadState_ || std::pair(state->token, state->renewal) !=
+  if (!wasHolder && !world_.stoppingSince && !pendingWrite_ && MayAcquire(state_)) {
+    Acquire();
+  }
+}
+
+void DutySystem::ApplyCurrent(const DutyState& aState)
+{
+  const bool isNewState = !hasReadState_ || std::pair(aState.token, aState.renewal) !=
                                               std::pair(state_.token, state_.renewal);
   if (isNewState) {
     lastHolderSign_ = world_.Now();
   }
-  state_ = *state;
+  state_ = aState;
   hasReadState_ = true;
   world_.usage.Merge(state_.counts);
-  if (IsHolder()) {
-    const bool isStillHolder = state_.holder == world_.options.host &&
-                               state_.incarnation == world_.options.incarnation;
-    if (!isStillHolder) {
-      RecordLoss("another daemon acquired the lease");
-    }
-    return;
-  }
-  if (!world_.stoppingSince && !pendingWrite_ && MayAcquire(state_)) {
-    Acquire();
+  const bool isStillHolder = state_.holder == world_.options.host &&
+                             state_.incarnation == world_.options.incarnation;
+  if (IsHolder() && !isStillHolder) {
+    RecordLoss("another daemon acquired the lease");
   }
 }
 
--- a/entry/duty_system.h
+++ b/entry/duty_system.h
@@ -73,6 +73,9 @@
   /// turn.
   bool MayAcquire(const DutyState& aState) const;
 
+  /// Applies a state that was written in this era of the store.
+  void ApplyCurrent(const DutyState& aState);
+
   /// Applies a state that was written before the store went back to a copy. Later states
   /// may have been lost, so a holder whose lease is valid writes its own again, and the
   /// others keep the newest that they know.
--- a/entry/testing/duty_system_test.cc
+++ b/entry/testing/duty_system_test.cc
@@ -112,6 +112,29 @@
   }
 }
 
+TEST_CASE("Entry: a duty state that cannot be read is logged in every era",
+          "[entry][duty]")
+{
+  // Guards against a store that fails without a line, because the failure names no era.
+  EntryFixture entry({ .host = "d1", .peerAddress = "d1", .reportsUsage = true });
+  entry.Prepare();
+  entry.Post(StoreEraRead{ 3 });
+  entry.TakeActions<WriteEvent>();
+  const auto reasons = [&] {
+    std::vector<std::string> found;
+    for (const WriteEvent& line : entry.TakeActions<WriteEvent>()) {
+      if (line.event == "duty_state_unread") {
+        found.push_back(line.fields.front().second);
+      }
+    }
+    return found;
+  };
+  entry.Post(DutyStateRead{ .isRead = false, .reason = "the store is down" });
+  CHECK(reasons() == std::vector<std::string>{ "the store is down" });
+  entry.Post(DutyStateRead{ .isRead = true, .era = 2 });
+  CHECK(reasons().size() == 1);
+}
+
 TEST_CASE("Entry: a killed holder is replaced before a report is late", "[entry][duty]")
 {
   // A report is due 10 s after its window, and a holder may be killed at the window's
