A started daemon reads the stored evidence about parts until it has it

After a restart of all daemons, one whose single reading of the store failed knew no blocked part and could end engines with it once more. It now reads again until an answer came. The test failed before: no second reading. What belongs in the store and what is outdated there are functions of their own.

--- a/entry/part_store_exchange.cc
+++ b/entry/part_store_exchange.cc
@@ -38,36 +38,38 @@
                               static_cast<int64_t>(world_.DaemonCount()));
 }
 
-bool PartStoreExchange::HasUnwritten() const
+bool PartStoreExchange::BelongsInStore(const BrokenStart& aStart) const
 {
-  const auto& evidence = world_.partEvidence;
-  const auto isBlocked = [&](uint64_t aPart) {
-    return evidence.Blocks().contains(aPart);
-  };
-  const auto needsRefresh = [&](uint64_t aPart) {
-    const auto trials = evidence.Trials().find(aPart);
-    return writtenAt_ && trials != evidence.Trials().end() &&
-           trials->second.wantedAt > *writtenAt_ + kRefreshInterval;
-  };
-  const auto isNew = [&](uint64_t aPart) {
-    const auto block = evidence.Blocks().find(aPart);
-    return !writtenAt_ ||
-           (block != evidence.Blocks().end() && block->second.since >= *writtenAt_);
-  };
-  return std::ranges::any_of(evidence.Starts(), [&](const auto& aItem) {
-    const BrokenStart& start = aItem.second;
-    if (!start.isOwn || start.parts.empty()) {
-      return false;
-    }
-    if (!IsIsolated() && std::ranges::none_of(start.parts, isBlocked)) {
-      return false;
-    }
-    return !writtenAt_ || start.at >= *writtenAt_ ||
-           std::ranges::any_of(start.parts, isNew) ||
-           std::ranges::any_of(start.parts, needsRefresh);
+  const auto& blocks = world_.partEvidence.Blocks();
+  return aStart.isOwn && !aStart.parts.empty() &&
+         (IsIsolated() || std::ranges::any_of(aStart.parts, [&](uint64_t aPart) {
+            return blocks.contains(aPart);
+          }));
+}
+
+bool PartStoreExchange::IsOutdatedInStore(const BrokenStart& aStart) const
+{
+  if (!writtenAt_ || aStart.at >= *writtenAt_) {
+    return true;
+  }
+  const auto& blocks = world_.partEvidence.Blocks();
+  const auto& trials = world_.partEvidence.Trials();
+  return std::ranges::any_of(aStart.parts, [&](uint64_t aPart) {
+    const auto block = blocks.find(aPart);
+    const auto known = trials.find(aPart);
+    const bool isNewBlock = block != blocks.end() && block->second.since >= *writtenAt_;
+    const bool isWanted =
+      known != trials.end() && known->second.wantedAt > *writtenAt_ + kRefreshInterval;
+    return isNewBlock || isWanted;
   });
 }
 
+bool PartStoreExchange::IsReadDue() const
+{
+  const bool isNeeded = hasRead_ ? IsIsolated() : world_.isStoreReachable;
+  return isNeeded && (!readAt_ || world_.Now() - *readAt_ >= ReadInterval());
+}
+
 void PartStoreExchange::Check()
 {
   const TimePoint now = world_.Now();
@@ -75,13 +77,15 @@
     writtenAt_.reset(); // the store may have lost it
   }
   const bool mayWrite = !writtenAt_ || now - *writtenAt_ >= kMinWriteInterval;
-  if (mayWrite && HasUnwritten()) {
+  const bool hasUnwritten =
+    std::ranges::any_of(world_.partEvidence.Starts(), [&](const auto& aItem) {
+      return BelongsInStore(aItem.second) && IsOutdatedInStore(aItem.second);
+    });
+  if (mayWrite && hasUnwritten) {
     writtenAt_ = now;
     world_.Emit(WritePartEvidence{ EncodePartEvidence(world_) });
   }
-  const bool isReadDue =
-    readAt_ ? IsIsolated() && now - *readAt_ >= ReadInterval() : world_.isStoreReachable;
-  if (isReadDue) {
+  if (IsReadDue()) {
     readAt_ = now;
     world_.Emit(ReadPartEvidence{});
   }
@@ -89,6 +93,7 @@
 
 void PartStoreExchange::Handle(const PartEvidenceRead& aEvent)
 {
+  hasRead_ = true;
   for (const std::string& text : aEvent.texts) {
     const auto parts = DecodePartEvidence(world_, text);
     if (parts) {
--- a/entry/part_store_exchange.h
+++ b/entry/part_store_exchange.h
@@ -29,13 +29,20 @@
   /// Tells whether this daemon hears so few others that it relies on the store.
   bool IsIsolated() const;
 
-  /// Tells whether an attempt of this daemon counts against a part that should be in the
-  /// store and has changed there.
-  bool HasUnwritten() const;
+  /// Tells whether the other daemons may need an attempt of this daemon from the store.
+  bool BelongsInStore(const BrokenStart& aStart) const;
+
+  /// Tells whether an attempt that belongs in the store is not there, or is there with
+  /// old trials of its parts.
+  bool IsOutdatedInStore(const BrokenStart& aStart) const;
+
+  /// Tells whether the evidence of the other daemons should be read now.
+  bool IsReadDue() const;
   Duration ReadInterval() const;
 
   World& world_;
-  uint64_t era_ = 0; // of the store, at the last check
+  uint64_t era_ = 0;     // of the store, at the last check
+  bool hasRead_ = false; // since the start of the process
   std::optional<TimePoint> readAt_;
   std::optional<TimePoint> writtenAt_;
 };
--- a/entry/testing/part_evidence_test.cc
+++ b/entry/testing/part_evidence_test.cc
@@ -235,6 +235,23 @@
   CHECK_FALSE(entry.IsSent());
 }
 
+TEST_CASE("Entry: a started daemon reads the stored evidence until it has it",
+          "[entry][part]")
+{
+  // Guards against a daemon that ends engines once more, because its only reading of the
+  // store failed.
+  EntryFixture entry;
+  entry.Prepare();
+  entry.Post(StoreReachabilityChanged{ .isReachable = true });
+  entry.Advance(500ms);
+  CHECK(entry.TakeActions<ReadPartEvidence>().size() == 1);
+  entry.Advance(2s); // no answer
+  CHECK_FALSE(entry.TakeActions<ReadPartEvidence>().empty());
+  entry.Post(PartEvidenceRead{});
+  entry.Advance(5s);
+  CHECK(entry.TakeActions<ReadPartEvidence>().empty());
+}
+
 TEST_CASE("Entry: evidence about parts survives the wire and the store", "[entry][part]")
 {
   // Guards against evidence that is lost or changed between daemons.
