Evidence about parts that finds no room is logged

When the table of broken calls is full, an attempt was dropped without a line, and nobody could tell why a part is not blocked. part_table_full tells it, at most once a minute. The check of a call, the refusal and the begin of a trial are functions of their own; comments say 'safe' for a part that was answered lately.

--- a/entry/part_evidence.cc
+++ b/entry/part_evidence.cc
@@ -110,15 +110,16 @@
   return found != answeredAt_.end() && found->second + freshTime_ > aSince;
 }
 
-bool PartEvidence::AddOwn(TimePoint aNow, BrokenStart aStart)
+StartRecorded PartEvidence::AddOwn(TimePoint aNow, BrokenStart aStart)
 {
   std::erase_if(aStart.parts,
                 [&](uint64_t aPart) { return WasAnswered(aPart, aStart.at); });
   if (aStart.parts.empty()) {
-    return false;
+    return StartRecorded::NothingSuspected;
   }
+  const BrokenStartId id = aStart.id;
   Merge(aNow, std::move(aStart));
-  return true;
+  return starts_.contains(id) ? StartRecorded::Yes : StartRecorded::TableFull;
 }
 
 void PartEvidence::Merge(TimePoint aNow, BrokenStart aStart)
--- a/entry/part_evidence.h
+++ b/entry/part_evidence.h
@@ -67,10 +67,17 @@
   TimePoint wantedAt{}; // of the last call with the part, refused ones included
 };
 
+enum class StartRecorded : uint8_t
+{
+  Yes,
+  NothingSuspected, // all of its parts were answered lately
+  TableFull,
+};
+
 class PartEvidence
 {
 public:
-  /// Sets for how long a part counts as sound after it was answered.
+  /// Sets for how long a part counts as safe after it was answered.
   void SetFreshTime(Duration aTime) { freshTime_ = aTime; }
 
   /// Records that a call with the part was answered at this daemon. Returns whether the
@@ -80,9 +87,8 @@
   /// Records that a peer told of an answered part. `aPartKey` is its KeyOf().
   void RecordPeerAnswer(TimePoint aNow, uint32_t aPartKey);
 
-  /// Adds an attempt of this daemon. Parts that count as sound are left out. Returns
-  /// false if no part remains.
-  bool AddOwn(TimePoint aNow, BrokenStart aStart);
+  /// Adds an attempt of this daemon. Parts that count as safe are left out.
+  StartRecorded AddOwn(TimePoint aNow, BrokenStart aStart);
 
   /// Merges an attempt that a peer told of: a part that either side no longer suspects is
   /// left out. Ignores old attempts whose parts no call wants.
@@ -123,6 +129,7 @@
 
   /// Removes a part that was answered from all attempts.
   void RemoveAnswered(uint32_t aPartKey);
+
   /// Tells whether evidence of this time is still of use: it is recent, or a call with
   /// one of the parts came lately.
   bool IsKept(const BrokenStart& aStart, TimePoint aNow) const;
--- a/entry/part_guard.cc
+++ b/entry/part_guard.cc
@@ -34,6 +34,8 @@
 // Retry-After for a part that is not tried any more.
 constexpr Duration kBlockedRetryAfter = std::chrono::minutes(10);
 
+constexpr Duration kFullLogInterval = std::chrono::minutes(1);
+
 // Bound of the answered parts that wait for the next digest.
 constexpr size_t kMaxAnsweredParts = 32;
 
@@ -87,28 +89,38 @@
       tried = block;
       continue;
     }
-    const auto next = NextTrialAt(*block, trials);
-    return PartRefusal{
-      .reason = std::to_string(block->starts) +
-                " engines ended as they began to answer calls with the prompt part " +
-                PartText(part.id),
-      .retryAfter = next ? std::max(*next - world_.Now(), kTrialTurn) : kBlockedRetryAfter
-    };
+    return RefusalFor(*block, trials);
   }
   if (tried != nullptr) {
-    PartTrials& trials = evidence.TrialsOf(tried->part);
-    trials.count += 1;
-    trials.lastAt = world_.Now();
-    aRow.isPartTrial = true;
-    world_.isDigestUrgent = true;
-    world_.counters.Add(EntryCounter::PartTrials);
-    world_.Log(
-      LogLevel::Info, "part_trial", aRow.call.requestId,
-      { { "part", PartText(tried->part) }, { "number", std::to_string(trials.count) } });
+    BeginTrial(aRow, tried->part);
   }
   return std::nullopt;
 }
 
+PartRefusal PartGuard::RefusalFor(const PartBlock& aBlock,
+                                  const PartTrials& aTrials) const
+{
+  const auto next = NextTrialAt(aBlock, aTrials);
+  return { .reason =
+             std::to_string(aBlock.starts) +
+             " engines ended as they began to answer calls with the prompt part " +
+             PartText(aBlock.part),
+           .retryAfter =
+             next ? std::max(*next - world_.Now(), kTrialTurn) : kBlockedRetryAfter };
+}
+
+void PartGuard::BeginTrial(RequestRow& aRow, uint64_t aPart)
+{
+  PartTrials& trials = world_.partEvidence.TrialsOf(aPart);
+  trials.count += 1;
+  trials.lastAt = world_.Now();
+  aRow.isPartTrial = true;
+  world_.isDigestUrgent = true;
+  world_.counters.Add(EntryCounter::PartTrials);
+  world_.Log(LogLevel::Info, "part_trial", aRow.call.requestId,
+             { { "part", PartText(aPart) }, { "number", std::to_string(trials.count) } });
+}
+
 const PartBlock* PartGuard::FindBlock(const RequestRow& aRow) const
 {
   for (const PromptPart& part : PartsOf(aRow)) {
@@ -176,7 +188,11 @@
     start.parts.push_back(part.id);
   }
   const BrokenStartId id = start.id;
-  if (!world_.partEvidence.AddOwn(now, std::move(start))) {
+  const StartRecorded recorded = world_.partEvidence.AddOwn(now, std::move(start));
+  if (recorded == StartRecorded::TableFull) {
+    LogFullTable();
+  }
+  if (recorded != StartRecorded::Yes) {
     return;
   }
   LogSuspected(row, id);
@@ -187,15 +203,22 @@
   }
 }
 
-void PartGuard::LogSuspected(const RequestRow& aRow, const BrokenStartId& aId) const
+void PartGuard::LogFullTable()
 {
-  const auto& starts = world_.partEvidence.Starts();
-  const auto start = starts.find(aId);
-  if (start == starts.end()) {
-    return; // the table is full
+  const TimePoint now = world_.Now();
+  if (fullLoggedAt_ && now - *fullLoggedAt_ < kFullLogInterval) {
+    return;
   }
+  fullLoggedAt_ = now;
+  world_.Log(LogLevel::Warning, "part_table_full", {},
+             { { "calls", std::to_string(world_.partEvidence.Starts().size()) } });
+}
+
+void PartGuard::LogSuspected(const RequestRow& aRow, const BrokenStartId& aId) const
+{
+  const BrokenStart& start = world_.partEvidence.Starts().at(aId);
   std::string parts;
-  for (const uint64_t part : start->second.parts) {
+  for (const uint64_t part : start.parts) {
     if (!parts.empty()) {
       parts += ',';
     }
--- a/entry/part_guard.h
+++ b/entry/part_guard.h
@@ -40,7 +40,7 @@
   /// Returns the block of one of the call's parts, or null.
   const PartBlock* FindBlock(const RequestRow& aRow) const;
 
-  /// Records that a backend began to answer the call, so that its parts are sound.
+  /// Records that a backend began to answer the call, so that its parts are safe.
   void RecordAnswer(const RequestRow& aRow);
 
   /// Records that the attempt's connection ended before any event of the answer.
@@ -56,6 +56,13 @@
   /// Tells whether this daemon may try the part now.
   bool MayTry(const PartBlock& aBlock, const PartTrials& aTrials) const;
 
+  /// Records that the call tries the part.
+  void BeginTrial(RequestRow& aRow, uint64_t aPart);
+  PartRefusal RefusalFor(const PartBlock& aBlock, const PartTrials& aTrials) const;
+
+  /// Logs that an attempt was not recorded, at most once a minute.
+  void LogFullTable();
+
   /// Logs the parts of a recorded attempt that are suspected.
   void LogSuspected(const RequestRow& aRow, const BrokenStartId& aId) const;
 
@@ -64,6 +71,7 @@
 
   World& world_;
   TimePoint lastUrgentAt_{};
+  std::optional<TimePoint> fullLoggedAt_; // last line that the table was full
 };
 
 /// Returns when a part may be tried again, or nothing if it is not tried any more.
--- a/entry/part_system.cc
+++ b/entry/part_system.cc
@@ -21,7 +21,7 @@
 // hears from the others which parts are answered.
 constexpr Duration kObservationTime = milliseconds(3000);
 
-// A part counts as sound for this time after an answer, and while a digest may be on its
+// A part counts as safe for this time after an answer, and while a digest may be on its
 // way. Parts in steady use are told once a second.
 constexpr Duration kFreshTime = milliseconds(2000);
 
--- a/entry/part_system.h
+++ b/entry/part_system.h
@@ -35,7 +35,7 @@
 
 private:
   /// Detects that this process was suspended. It then does not know which parts are
-  /// sound.
+  /// safe.
   void OnCheck();
 
   void LogBlocked(const PartBlock& aBlock) const;
--- a/entry/request_system.cc
+++ b/entry/request_system.cc
@@ -64,7 +64,7 @@
 constexpr uint32_t kMaxBrokenStarts = 2;
 
 // When this number of backends ended with a prompt part, calls with it that wait at other
-// backends are given up too. With fewer, their answers may still show that it is sound.
+// backends are given up too. With fewer, their answers may still show that it is safe.
 constexpr size_t kStoppingStarts = 3;
 
 /// Returns the longest expected time to the first event with which a call is accepted.
--- a/entry/testing/part_evidence_test.cc
+++ b/entry/testing/part_evidence_test.cc
@@ -252,6 +252,27 @@
   CHECK(entry.TakeActions<ReadPartEvidence>().empty());
 }
 
+TEST_CASE("Entry: evidence that finds no room is logged", "[entry][part]")
+{
+  // Guards against a part that is never blocked, without a line that tells why.
+  PartFixture entry;
+  PeerDigest digest{ .daemon = "d2", .incarnation = 1, .sequence = 1 };
+  for (uint32_t i = 0; i < 600; ++i) {
+    digest.parts.starts.push_back(
+      { .id = { .backend = i, .call = i }, .ageMs = 0, .parts = { 0x70000000ULL + i } });
+  }
+  entry.Post(DigestReceived{ "10.0.0.2:1", digest });
+  entry.actions.clear();
+  const auto countLines = [&] {
+    const auto lines = entry.TakeActions<WriteEvent>();
+    return std::ranges::count(lines, "part_table_full", &WriteEvent::event);
+  };
+  entry.EndEngineWith({ kDeadly });
+  CHECK(countLines() == 1);
+  entry.EndEngineWith({ kDeadly });
+  CHECK(countLines() == 0); // at most one a minute
+}
+
 TEST_CASE("Entry: evidence about parts survives the wire and the store", "[entry][part]")
 {
   // Guards against evidence that is lost or changed between daemons.
--- a/entry/world.h
+++ b/entry/world.h
@@ -219,7 +219,7 @@
   PromptCacheIndex promptCacheIndex{ {} };
   PartEvidence partEvidence;
   std::vector<uint32_t> answeredParts; // PartEvidence::KeyOf(), to be told to the peers
-  TimePoint observesPartsFrom{};       // before, this daemon cannot tell sound parts
+  TimePoint observesPartsFrom{};       // before, this daemon cannot tell safe parts
   bool hasNewPartBlocks = false;       // attempts with blocked parts may be in progress
   UsageCount usage;
   /// Rate of uncached prompt tokens that this daemon sends to engines, by service.
