--- a/entry/backend_notice.cc
+++ b/entry/backend_notice.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "entry/clock_difference.h"
 #include "entry/duration_text.h"
 #include "entry/unknown_fields.h"
 
@@ -10,9 +11,6 @@
 
 namespace {
 
-// The clocks of daemons differ by less than this, except after a disturbance.
-constexpr WallTime kMaxClockDifference = std::chrono::milliseconds(500);
-
 /// Applies what the head says about the limit. The head of a response that is not the
 /// backend's own cannot lift a limit, and a malformed field neither sets nor lifts one.
 void ApplyAnnouncedLimit(World& aWorld, BackendRow& aBackend, const ResponseHead& aHead,
--- a/entry/duty_system.cc
+++ b/entry/duty_system.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "entry/clock_difference.h"
+
 namespace gooseberrypath::entry {
 
 namespace {
@@ -59,9 +61,6 @@
 // for each window since then.
 constexpr uint64_t kMaxLateWindows = 24;
 
-// The clocks of daemons differ by less than this, except after a disturbance.
-constexpr WallTime kMaxClockDifference{ 500 };
-
 /// Returns the lowest token of an era. Tokens of earlier eras are lower, also those that
 /// the store has lost.
 constexpr uint64_t FirstTokenOf(uint64_t aEra)
--- a/entry/gossip_system.cc
+++ b/entry/gossip_system.cc
@@ -48,6 +48,11 @@
 constexpr size_t kPeerSampleSize = 4; // peer addresses in a full digest
 // Size of a digest without lists, with UDP and IP headers.
 constexpr size_t kDigestBaseBytes = 130;
+// Sizes of the evidence about prompt parts in a digest.
+constexpr size_t kAnsweredPartBytes = 4;
+constexpr size_t kPartTrialsBytes = 20;
+constexpr size_t kBrokenStartBytes = 24; // without its parts
+constexpr size_t kPartIdBytes = 8;
 constexpr uint64_t kGossipedWindows = 3; // windows of usage before the current one
 
 // Usage counts of windows farther than this from the current one are dropped. No daemon
@@ -60,9 +65,10 @@
 /// Estimates the size of the evidence about prompt parts in a digest.
 size_t PartBytes(const GossipedParts& aParts)
 {
-  size_t bytes = 4 * aParts.answered.size() + 20 * aParts.trials.size();
+  size_t bytes =
+    kAnsweredPartBytes * aParts.answered.size() + kPartTrialsBytes * aParts.trials.size();
   for (const GossipedStart& start : aParts.starts) {
-    bytes += 24 + 8 * start.parts.size();
+    bytes += kBrokenStartBytes + kPartIdBytes * start.parts.size();
   }
   return bytes;
 }
--- a/entry/part_guard.cc
+++ b/entry/part_guard.cc
@@ -70,6 +70,13 @@
   return aBlock.since + (isCertain ? kLaterTrialDelay : kFirstTrialDelay);
 }
 
+bool HasSuspectedPart(const World& aWorld, const RequestRow& aRow)
+{
+  return std::ranges::any_of(PartsOf(aRow), [&](const PromptPart& aPart) {
+    return aWorld.partEvidence.StartsOf(aPart.id) > 0;
+  });
+}
+
 std::optional<PartRefusal> PartGuard::Check(RequestRow& aRow)
 {
   if (aRow.isPartTrial && aRow.sentAttempts == 0) {
@@ -131,13 +138,6 @@
   return nullptr;
 }
 
-bool PartGuard::IsSuspected(const RequestRow& aRow) const
-{
-  return std::ranges::any_of(PartsOf(aRow), [&](const PromptPart& aPart) {
-    return world_.partEvidence.StartsOf(aPart.id) > 0;
-  });
-}
-
 bool PartGuard::MayTry(const PartBlock& aBlock, const PartTrials& aTrials) const
 {
   const TimePoint now = world_.Now();
--- a/entry/part_guard.h
+++ b/entry/part_guard.h
@@ -49,9 +49,6 @@
   /// Records that the backend sent something, so that it has not ended.
   void RecordAlive(const BackendRow& aBackend);
 
-  /// Tells whether a part of the call is suspected of ending engines, blocked or not.
-  bool IsSuspected(const RequestRow& aRow) const;
-
 private:
   /// Tells whether this daemon may try the part now.
   bool MayTry(const PartBlock& aBlock, const PartTrials& aTrials) const;
@@ -74,6 +71,9 @@
   std::optional<TimePoint> fullLoggedAt_; // last line that the table was full
 };
 
+/// Tells whether a part of the call is suspected of ending engines, blocked or not.
+bool HasSuspectedPart(const World& aWorld, const RequestRow& aRow);
+
 /// Returns when a part may be tried again, or nothing if it is not tried any more.
 std::optional<TimePoint> NextTrialAt(const PartBlock& aBlock, const PartTrials& aTrials);
 
--- a/entry/request_system.cc
+++ b/entry/request_system.cc
@@ -3,11 +3,11 @@
 #include <algorithm>
 #include <utility>
 
+#include "entry/attempt_log.h"
 #include "entry/backend_choice.h"
 #include "entry/backend_notice.h"
 #include "entry/call_validation.h"
 #include "entry/duration_text.h"
-#include "entry/prompt_parts.h"
 #include "entry/stop_system.h"
 
 namespace gooseberrypath::entry {
@@ -20,9 +20,6 @@
 // longer than the balancer takes to detect a restart.
 constexpr Duration kRefusedBackOff = milliseconds(700);
 
-// No backend can respond in less time than this, so nothing is sent.
-constexpr Duration kMinTimeLeft = milliseconds(20);
-
 // An attempt that was not sent within this time of the selection of its backend is not
 // sent at all: if the daemon was suspended in between, the backend may no longer accept
 // calls. The time is long enough to connect.
@@ -60,9 +57,6 @@
 
 constexpr uint32_t kMaxUrgency = 9;
 
-// A call that may have ended this number of backends is not sent to another one.
-constexpr uint32_t kMaxBrokenStarts = 2;
-
 // When this number of backends ended with a prompt part, calls with it that wait at other
 // backends are given up too. With fewer, their answers may still show that it is safe.
 constexpr size_t kStoppingStarts = 3;
@@ -88,17 +82,12 @@
 
 } // namespace
 
-bool RequestSystem::IsRetrySafe(const RequestRow& aRow) const
-{
-  return aRow.route->kind == CallKind::Idempotent ||
-         (aRow.route->kind == CallKind::Streaming && aRow.route->isResumable);
-}
-
 void RequestSystem::Start()
 {
   world_.timers.SubscribeAt(world_.started + kStartupWait, [](TimePoint) {});
   watch_.Start(
-    { .mayMove = [this](const RequestRow& aRow) { return MayMove(aRow); },
+    { .mayMove =
+        [this](const RequestRow& aRow) { return retries_.IsAllowed(aRow, false); },
       .move = [this](RequestRef aRequest,
                      const std::string& aReason) { Retry(aRequest, false, aReason); } });
 }
@@ -253,7 +242,7 @@
     return;
   }
   const Duration remaining = row.deadline - world_.Now();
-  if (remaining < kMinTimeLeft) {
+  if (remaining < RetryDecision::kMinTimeLeft) {
     completion_.EndUnserved(
       aRequest, Error{ ErrorKind::QueueTimeout, "there is no time left" }, {});
     return;
@@ -333,14 +322,7 @@
   const bool isStream = row.route->kind == CallKind::Streaming;
   const std::string& resumeAfterId =
     row.lastEventId.empty() ? row.call.lastEventId : row.lastEventId;
-  world_.Log(LogLevel::Info, "attempt", row.call.requestId,
-             { { "backend", aChoice.id },
-               { "number", std::to_string(row.countedAttempts + 1) },
-               { "expected_ms", MsText(aChoice.expectedMs) },
-               { "in_flight", std::to_string(aChoice.inFlight) },
-               { "waiting_tokens", MsText(aChoice.waitingTokens) },
-               { "missing_tokens", std::to_string(aChoice.uncachedTokens) },
-               { "version", std::to_string(row.configuration->version) } });
+  LogAttempt(world_, row, aChoice);
   world_.Emit(StartAttempt{ .attempt = id,
                             .backend = aChoice.id,
                             .address = backend.entry.address,
@@ -447,7 +429,7 @@
     attempts_.RecordFirstResponse(*running);
   }
   attempts_.CountUsage(row, running->attempt->sent);
-  if (isFailure && IsRetrySafe(row) && !ReasonNotToRetry(row, false)) {
+  if (isFailure && IsRetrySafe(row) && retries_.IsAllowed(row, false)) {
     row.failedBackends.push_back(running->attempt->backend);
     attempts_.Remove(aEvent.attempt);
     Retry(running->request, false,
@@ -552,7 +534,7 @@
     world_.counters.Add(EntryCounter::ResponsesOversized);
   }
   RequestRow& row = *running->request.row;
-  LogBroken(*running, aEvent);
+  LogBrokenAttempt(world_, *running, aEvent);
   if (!running->attempt->hasEvents && IsConnectionEnd(aEvent.cause)) {
     row.brokenStarts += 1;
     parts_.RecordBroken(*running);
@@ -565,62 +547,12 @@
   Retry(running->request, false, aEvent.reason);
 }
 
-void RequestSystem::LogBroken(const RunningAttempt& aRunning, const AttemptBroken& aEvent)
-{
-  const AttemptRow& attempt = *aRunning.attempt;
-  const bool isAtStart = !attempt.hasEvents && IsConnectionEnd(aEvent.cause);
-  world_.counters.Add(EntryCounter::AttemptsBrokenAtStart, isAtStart ? 1 : 0);
-  const auto& demand = aRunning.request.row->call.model;
-  world_.Log(LogLevel::Info, "attempt_broken", aRunning.request.row->call.requestId,
-             { { "backend", attempt.backend },
-               { "reason", aEvent.reason },
-               { "began", attempt.hasEvents ? "yes" : "no" },
-               { "sent_ms_ago", MsText(ToMs(world_.Now() - attempt.sent)) },
-               { "parts", demand ? PartsText(SharedParts(*demand)) : std::string() } });
-}
-
-std::optional<std::string> RequestSystem::ReasonNotToRetry(const RequestRow& aRow,
-                                                           bool aIsKnownNotExecuted)
-{
-  if (!aIsKnownNotExecuted && !IsRetrySafe(aRow)) {
-    return "the call may not run twice";
-  }
-  if (aRow.headSent && aRow.lastEventId.empty()) {
-    return "the stream cannot resume because its events have no ids";
-  }
-  if (aRow.brokenStarts >= kMaxBrokenStarts && parts_.IsSuspected(aRow)) {
-    return "several backends ended at the start of this call";
-  }
-  if (aRow.countedAttempts >= aRow.route->maxAttempts) {
-    return "the route's maximum number of attempts is reached";
-  }
-  if (aRow.deadline - world_.Now() < kMinTimeLeft) {
-    return "too little time remains before the deadline";
-  }
-  return std::nullopt;
-}
-
 void RequestSystem::Retry(RequestRef aRequest, bool aIsKnownNotExecuted,
                           const std::string& aReason)
 {
   RequestRow& row = *aRequest.row;
-  auto denial = ReasonNotToRetry(row, aIsKnownNotExecuted);
-  if (!denial && row.sentAttempts > 0) {
-    RetryBudget& budget =
-      world_.retryBudgets
-        .try_emplace(row.service, RetryBudget(world_.options.retryBudget))
-        .first->second;
-    if (!budget.TryRetry(world_.Now(), world_.DaemonCount())) {
-      world_.counters.Add(EntryCounter::RetriesDenied);
-      denial = "the retry budget of the service is exhausted";
-    }
-  }
-  world_.Log(LogLevel::Info, "attempt_failed", row.call.requestId,
-             { { "reason", aReason },
-               { "backend",
-                 row.failedBackends.empty() ? std::string() : row.failedBackends.back() },
-               { "repeated", denial ? "no" : "yes" },
-               { "why_not", denial.value_or("") } });
+  const auto denial = retries_.Deny(row, aIsKnownNotExecuted);
+  LogFailedAttempt(world_, row, aReason, denial);
   if (denial) {
     const bool hasAlternative = ChooseBackend(world_, row).has_value();
     completion_.EndUnserved(
--- a/entry/request_system.h
+++ b/entry/request_system.h
@@ -15,6 +15,7 @@
 #include "entry/attempt_watch.h"
 #include "entry/call_completion.h"
 #include "entry/part_guard.h"
+#include "entry/retry_decision.h"
 #include "entry/running_attempts.h"
 #include "entry/world.h"
 
@@ -29,6 +30,7 @@
     , attempts_(aWorld)
     , watch_(aWorld)
     , parts_(aWorld)
+    , retries_(aWorld)
   {
   }
 
@@ -83,29 +85,16 @@
   /// `aIsKnownNotExecuted` is true if the last attempt certainly did not execute the
   /// call.
   void Retry(RequestRef aRequest, bool aIsKnownNotExecuted, const std::string& aReason);
-  /// Returns why the call must not be retried, or nothing. Does not check the retry
-  /// budget.
-  std::optional<std::string> ReasonNotToRetry(const RequestRow& aRow,
-                                              bool aIsKnownNotExecuted);
-
-  /// Logs a broken attempt, with whether its answer had begun and the shared parts of its
-  /// prompt.
-  void LogBroken(const RunningAttempt& aRunning, const AttemptBroken& aEvent);
 
   /// Ends a request at its deadline.
   void OnDeadline(ExchangeId aId);
 
-  /// Returns whether the call may leave its current attempt for another one.
-  bool MayMove(const RequestRow& aRow) { return !ReasonNotToRetry(aRow, false); }
-
-  /// Returns whether the route allows a call to be executed more than once.
-  bool IsRetrySafe(const RequestRow& aRow) const;
-
   World& world_;
   CallCompletion completion_;
   RunningAttempts attempts_;
   AttemptWatch watch_;
   PartGuard parts_;
+  RetryDecision retries_;
   std::vector<ExchangeId> waitingCalls_; // until the store has been read
   std::vector<ExchangeId> awaitingPermit_;
 };
