--- a/entry/testing/limit_simulation.cc
+++ b/entry/testing/limit_simulation.cc
@@ -18,12 +18,12 @@
 
 // The rule: in some window, a backend gets more requests than its limit allows, times the
 // factor, and the extra ones, from daemons that passed its limit on half a second before.
-// It holds from the contact time after the limit was named.
+// It holds from the reaction time after the limit was named.
 constexpr Duration kWindow = 4s;
 constexpr double kAllowedFactor = 1.5;
 constexpr double kAllowedExtra = 5;
 constexpr Duration kTellTime = 500ms;
-constexpr Duration kContactTime = 3s;
+constexpr Duration kReactionTime = 3s;
 
 // Time after a change in which what a backend gets is not measured against its limit.
 constexpr Duration kSettleTime = 4s;
@@ -84,15 +84,15 @@
   std::map<std::string, TimePoint> toldAt; // by process of a daemon
 };
 
-/// Returns the largest limit that the backend named within the contact time before.
-double LimitInTouch(const Backend& aBackend, TimePoint aAt)
+/// Returns the largest limit that the backend named within the reaction time before.
+double HighestRecentLimit(const Backend& aBackend, TimePoint aAt)
 {
   double largest = 0;
   for (size_t i = 0; i < aBackend.limits.size(); ++i) {
     const auto& [from, limit] = aBackend.limits[i];
     const bool isLast = i + 1 == aBackend.limits.size();
     const TimePoint to = isLast ? TimePoint::max() : aBackend.limits[i + 1].first;
-    if (from <= aAt && to > aAt - kContactTime) {
+    if (from <= aAt && to > aAt - kReactionTime) {
       largest =
         std::max(largest, limit.value_or(std::numeric_limits<double>::infinity()));
     }
@@ -414,7 +414,7 @@
     std::vector<TimePoint> counted;
     for (const Arrival& arrival : aBackend.arrivals) {
       const auto told = aBackend.toldAt.find(arrival.process);
-      const bool isCounted = arrival.at >= *aBackend.namedAt + kContactTime &&
+      const bool isCounted = arrival.at >= *aBackend.namedAt + kReactionTime &&
                              told != aBackend.toldAt.end() &&
                              told->second + kTellTime <= arrival.at;
       if (isCounted) {
@@ -436,11 +436,11 @@
     constexpr Duration kStep = 50ms;
     const TimePoint begin = aArrivals.front();
     // The limit may have ended within the last step.
-    double named = std::isfinite(LimitInTouch(aBackend, aArrivals.back()))
+    double named = std::isfinite(HighestRecentLimit(aBackend, aArrivals.back()))
                      ? 0
                      : std::numeric_limits<double>::infinity();
     for (Duration age{}; age < kWindow; age += kStep) {
-      named += LimitInTouch(aBackend, begin + age) * Seconds(kStep);
+      named += HighestRecentLimit(aBackend, begin + age) * Seconds(kStep);
     }
     const double allowed = kAllowedFactor * named + kAllowedExtra;
     const double share = static_cast<double>(aArrivals.size()) / allowed;
--- a/entry/testing/part_blocking_test.cc
+++ b/entry/testing/part_blocking_test.cc
@@ -1,6 +1,6 @@
 // Tests that calls with a prompt part that ends engines are refused before they end many,
-// and that sound calls are served, on virtual time with faults. The hunt at the end plays
-// many more scenarios and is started by hand:
+// and that healthy calls are served, on virtual time with faults. The hunt at the end
+// plays many more scenarios and is started by hand:
 //
 //   PART_DAEMONS=95 PART_FIRST=1 PART_SEEDS=200 build/gooseberrypath_test "[part_hunt]"
 
@@ -11,6 +11,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "entry/testing/part_measurement.h"
 #include "entry/testing/part_simulation.h"
 
 namespace gooseberrypath::entry {
@@ -19,17 +20,16 @@
 
 using namespace std::chrono_literals;
 
-// From the contact time after the fifth engine that a part ended, at most this number of
+// From the reaction time after the fifth engine that a part ended, at most this number of
 // calls with it may reach engines.
 constexpr size_t kMaxSends = 3;
-constexpr size_t kCountedCrashes = 5;
 
 std::string Describe(const PartScenario& aScenario)
 {
   return std::to_string(aScenario.daemons) + " daemons, seed " +
          std::to_string(aScenario.seed) + ", share " +
-         std::to_string(aScenario.deadlyShare) + ", parts " +
-         std::to_string(aScenario.deadlyParts) + ", faults " +
+         std::to_string(aScenario.crashingShare) + ", parts " +
+         std::to_string(aScenario.crashingParts) + ", faults " +
          std::to_string(aScenario.faults.size()) + ", storms " +
          std::to_string(aScenario.storms.size()) + (aScenario.network.cut ? ", cut" : "");
 }
@@ -47,7 +47,7 @@
   PartOutcome withoutFault;
   size_t runs = 0;
   size_t broken = 0;
-  size_t brokenInTouch = 0;
+  size_t brokenUndisturbed = 0;
   size_t withFifthCrash = 0;
   std::string brokenSeeds;
 
@@ -58,44 +58,46 @@
       ++broken;
       brokenSeeds += ' ' + std::to_string(aSeed);
     }
-    brokenInTouch += aOutcome.worstSendsInTouch > kMaxSends ? 1 : 0;
+    brokenUndisturbed += aOutcome.worstSendsUndisturbed > kMaxSends ? 1 : 0;
     withFifthCrash += aOutcome.mostCrashes >= 5 ? 1 : 0;
     sum.worstSends = std::max(sum.worstSends, aOutcome.worstSends);
-    sum.worstSendsInTouch = std::max(sum.worstSendsInTouch, aOutcome.worstSendsInTouch);
+    sum.worstSendsUndisturbed =
+      std::max(sum.worstSendsUndisturbed, aOutcome.worstSendsUndisturbed);
     sum.mostCrashes = std::max(sum.mostCrashes, aOutcome.mostCrashes);
     sum.longestCarry = std::max(sum.longestCarry, aOutcome.longestCarry);
     sum.enginesEnded += aOutcome.enginesEnded;
-    sum.soundCalls += aOutcome.soundCalls;
-    sum.soundBegun += aOutcome.soundBegun;
-    sum.soundRefusedForPart += aOutcome.soundRefusedForPart;
-    sum.allSoundCalls += aOutcome.allSoundCalls;
+    sum.healthyCalls += aOutcome.healthyCalls;
+    sum.healthyBegun += aOutcome.healthyBegun;
+    sum.healthyRefusedForPart += aOutcome.healthyRefusedForPart;
+    sum.allHealthyCalls += aOutcome.allHealthyCalls;
     sum.storeCalls += aOutcome.storeCalls;
-    sum.deadlyCalls += aOutcome.deadlyCalls;
-    sum.deadlyRefused += aOutcome.deadlyRefused;
+    sum.crashingCalls += aOutcome.crashingCalls;
+    sum.crashingRefused += aOutcome.crashingRefused;
     sum.harmlessCalls += aOutcome.harmlessCalls;
     sum.harmlessBegun += aOutcome.harmlessBegun;
   }
 
   void AddWithoutFault(const PartOutcome& aOutcome)
   {
-    withoutFault.soundCalls += aOutcome.soundCalls;
-    withoutFault.soundBegun += aOutcome.soundBegun;
+    withoutFault.healthyCalls += aOutcome.healthyCalls;
+    withoutFault.healthyBegun += aOutcome.healthyBegun;
   }
 
   void Print() const
   {
-    std::cout << "runs " << runs << " broken " << broken << " in touch " << brokenInTouch
-              << " seeds" << brokenSeeds << "\nworst sends " << sum.worstSends
-              << " in touch " << sum.worstSendsInTouch << ", runs with a fifth crash "
-              << withFifthCrash << ", most crashes " << sum.mostCrashes
-              << ", engines ended " << sum.enginesEnded << ", longest carry "
-              << sum.longestCarry << "\nsound begun " << sum.soundBegun << " of "
-              << sum.soundCalls << ", without the fault " << withoutFault.soundBegun
-              << " of " << withoutFault.soundCalls << "\nsound refused for a part "
-              << sum.soundRefusedForPart << " of " << sum.allSoundCalls
-              << ", deadly refused " << sum.deadlyRefused << " of " << sum.deadlyCalls
-              << ", store calls " << sum.storeCalls << ", harmless begun "
-              << sum.harmlessBegun << " of " << sum.harmlessCalls << '\n';
+    std::cout << "runs " << runs << " broken " << broken << " undisturbed "
+              << brokenUndisturbed << " seeds" << brokenSeeds << "\nworst sends "
+              << sum.worstSends << " undisturbed " << sum.worstSendsUndisturbed
+              << ", runs with a fifth crash " << withFifthCrash << ", most crashes "
+              << sum.mostCrashes << ", engines ended " << sum.enginesEnded
+              << ", longest carry " << sum.longestCarry << "\nhealthy begun "
+              << sum.healthyBegun << " of " << sum.healthyCalls << ", without the fault "
+              << withoutFault.healthyBegun << " of " << withoutFault.healthyCalls
+              << "\nhealthy refused for a part " << sum.healthyRefusedForPart << " of "
+              << sum.allHealthyCalls << ", crashing refused " << sum.crashingRefused
+              << " of " << sum.crashingCalls << ", store calls " << sum.storeCalls
+              << ", harmless begun " << sum.harmlessBegun << " of " << sum.harmlessCalls
+              << '\n';
   }
 };
 
@@ -127,18 +129,18 @@
 {
   // Guards against a test that any daemon passes: daemons that do not look at parts, and
   // daemons that do not hear each other, break the bound where the others keep it.
-  PartScenario scenario{ .seed = 4, .deadlyShare = 0.1 };
+  PartScenario scenario{ .seed = 4, .crashingShare = 0.1 };
   CHECK(PlayParts(scenario).worstSends <= kMaxSends);
   scenario.care = PartCare::Alone;
-  CHECK(PlayParts(scenario).mostCrashes > 2 * kCountedCrashes);
+  CHECK(PlayParts(scenario).mostCrashes > 2 * PartMeasurement::kCountedCrashes);
   scenario.care = PartCare::Ignored;
   CHECK(PlayParts(scenario).worstSends > kMaxSends);
 }
 
-TEST_CASE("Entry: sound calls beside a part that ends engines are served",
+TEST_CASE("Entry: healthy calls beside a part that ends engines are served",
           "[entry][part]")
 {
-  // Guards against a block that also hits sound calls of the same team and first part.
+  // Guards against a block that also hits healthy calls of the same team and first part.
   PartTotals totals;
   for (uint64_t seed = 1; seed <= 20; ++seed) {
     const PartScenario scenario = DrawPartScenario(8, seed);
@@ -146,22 +148,23 @@
     totals.AddWithoutFault(PlayPartsWithoutFault(scenario));
   }
   const auto share = [](const PartOutcome& aOutcome) {
-    return static_cast<double>(aOutcome.soundBegun) /
-           static_cast<double>(aOutcome.soundCalls);
+    return static_cast<double>(aOutcome.healthyBegun) /
+           static_cast<double>(aOutcome.healthyCalls);
   };
   CHECK(share(totals.sum) >= 0.95 * share(totals.withoutFault));
-  CHECK(totals.sum.deadlyRefused > totals.sum.deadlyCalls / 2);
+  CHECK(totals.sum.crashingRefused > totals.sum.crashingCalls / 2);
 }
 
-TEST_CASE("Entry: engines that end without a deadly part block no calls", "[entry][part]")
+TEST_CASE("Entry: engines that end without a crashing part block no calls",
+          "[entry][part]")
 {
-  // Guards against sound calls that are refused because many engines end at once, for
+  // Guards against healthy calls that are refused because many engines end at once, for
   // other causes.
   PartTotals totals;
   for (uint64_t seed = 1; seed <= 20; ++seed) {
     totals.Add(seed, PlayParts(DrawStormScenario(8, seed)));
   }
-  CHECK(totals.sum.soundRefusedForPart * 1000 <= totals.sum.allSoundCalls);
+  CHECK(totals.sum.healthyRefusedForPart * 1000 <= totals.sum.allHealthyCalls);
 }
 
 TEST_CASE("Entry: parts that end engines are blocked in many scenarios", "[.][part_hunt]")
@@ -189,9 +192,9 @@
   totals.Print();
 }
 
-TEST_CASE("Entry: crashes without a deadly part in many scenarios", "[.][storm_hunt]")
+TEST_CASE("Entry: crashes without a crashing part in many scenarios", "[.][storm_hunt]")
 {
-  // Guards against sound calls that are refused because engines end for other causes.
+  // Guards against healthy calls that are refused because engines end for other causes.
   const size_t daemons = NumberFrom("PART_DAEMONS", 8);
   const uint64_t first = NumberFrom("PART_FIRST", 1);
   const uint64_t seeds = NumberFrom("PART_SEEDS", 200);
@@ -204,7 +207,7 @@
   std::cout << daemons << " daemons, storms, seeds " << first << " to "
             << first + seeds - 1 << '\n';
   totals.Print();
-  CHECK(totals.sum.soundRefusedForPart * 1000 <= totals.sum.allSoundCalls);
+  CHECK(totals.sum.healthyRefusedForPart * 1000 <= totals.sum.allHealthyCalls);
 }
 
 } // namespace gooseberrypath::entry
--- a/entry/testing/part_evidence_test.cc
+++ b/entry/testing/part_evidence_test.cc
@@ -16,7 +16,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr uint64_t kDeadly = 0xdead;
+constexpr uint64_t kCrashing = 0xdead;
 constexpr uint64_t kShared = 0x5a5a;
 constexpr TimePoint kNow{ 1000s };
 
@@ -85,43 +85,43 @@
 {
   // Guards against a block because one crash is told twice, or one call was repeated.
   PartEvidence evidence;
-  evidence.AddOwn(kNow, StartOf(1, 7, { kDeadly }));
-  evidence.Merge(kNow, StartOf(1, 7, { kDeadly })); // told back by a peer
-  evidence.Merge(kNow, StartOf(2, 7, { kDeadly })); // the same call at another engine
-  evidence.Merge(kNow, StartOf(1, 8, { kDeadly })); // another call at the same engine
+  evidence.AddOwn(kNow, StartOf(1, 7, { kCrashing }));
+  evidence.Merge(kNow, StartOf(1, 7, { kCrashing })); // told back by a peer
+  evidence.Merge(kNow, StartOf(2, 7, { kCrashing })); // the same call at another engine
+  evidence.Merge(kNow, StartOf(1, 8, { kCrashing })); // another call at the same engine
   SECTION("the same call or the same engine is no second evidence")
   {
     PartEvidence other;
-    other.Merge(kNow, StartOf(1, 7, { kDeadly }));
-    other.Merge(kNow, StartOf(2, 7, { kDeadly }));
+    other.Merge(kNow, StartOf(1, 7, { kCrashing }));
+    other.Merge(kNow, StartOf(2, 7, { kCrashing }));
     other.Update(kNow);
-    CHECK(other.BlockFor(kDeadly, 1) == nullptr);
+    CHECK(other.BlockFor(kCrashing, 1) == nullptr);
   }
   SECTION("two calls at two engines block")
   {
     evidence.Update(kNow);
-    REQUIRE(evidence.BlockFor(kDeadly, 1) != nullptr);
-    CHECK(evidence.BlockFor(kDeadly, 1)->starts == 2);
+    REQUIRE(evidence.BlockFor(kCrashing, 1) != nullptr);
+    CHECK(evidence.BlockFor(kCrashing, 1)->starts == 2);
   }
   SECTION("an answer that a peer tells frees the part")
   {
     evidence.Update(kNow);
-    evidence.RecordPeerAnswer(kNow + 1s, PartEvidence::KeyOf(kDeadly));
-    evidence.Merge(kNow + 1s, StartOf(1, 7, { kDeadly })); // told again by a slow peer
+    evidence.RecordPeerAnswer(kNow + 1s, PartEvidence::KeyOf(kCrashing));
+    evidence.Merge(kNow + 1s, StartOf(1, 7, { kCrashing })); // told again by a slow peer
     evidence.Update(kNow + 1s);
-    CHECK(evidence.BlockFor(kDeadly, 1) == nullptr);
+    CHECK(evidence.BlockFor(kCrashing, 1) == nullptr);
   }
 }
 
 TEST_CASE("Entry: a part that another one explains is not blocked", "[entry][part]")
 {
-  // Guards against sound parts that are blocked because they come with a deadly one.
+  // Guards against healthy parts that are blocked because they come with a crashing one.
   PartEvidence evidence;
-  evidence.Merge(kNow, StartOf(1, 1, { kDeadly, kShared }));
-  evidence.Merge(kNow, StartOf(2, 2, { kDeadly, kShared }));
-  evidence.Merge(kNow, StartOf(3, 3, { kDeadly }));
+  evidence.Merge(kNow, StartOf(1, 1, { kCrashing, kShared }));
+  evidence.Merge(kNow, StartOf(2, 2, { kCrashing, kShared }));
+  evidence.Merge(kNow, StartOf(3, 3, { kCrashing }));
   evidence.Update(kNow);
-  CHECK(evidence.BlockFor(kDeadly, 1) != nullptr);
+  CHECK(evidence.BlockFor(kCrashing, 1) != nullptr);
   CHECK(evidence.BlockFor(kShared, 1) == nullptr);
 }
 
@@ -129,11 +129,11 @@
 {
   // Guards against a block by connections that are reset at living engines.
   PartEvidence evidence;
-  evidence.Merge(kNow, StartOf(1, 1, { kDeadly }));
-  evidence.Merge(kNow, StartOf(2, 2, { kDeadly }));
+  evidence.Merge(kNow, StartOf(1, 1, { kCrashing }));
+  evidence.Merge(kNow, StartOf(2, 2, { kCrashing }));
   evidence.RecordAlive(kNow + 300ms, 1, 1);
   evidence.Update(kNow + 300ms);
-  CHECK(evidence.BlockFor(kDeadly, 1) == nullptr);
+  CHECK(evidence.BlockFor(kCrashing, 1) == nullptr);
 }
 
 TEST_CASE("Entry: the tables of parts are bounded", "[entry][part]")
@@ -156,10 +156,10 @@
 {
   // Guards against calls that end a third engine, and against a block without end.
   PartFixture entry;
-  entry.EndEngineWith({ kShared, kDeadly });
+  entry.EndEngineWith({ kShared, kCrashing });
   entry.Answer({ kShared });
-  entry.EndEngineWith({ kShared, kDeadly });
-  entry.PostPartCall({ kShared, kDeadly });
+  entry.EndEngineWith({ kShared, kCrashing });
+  entry.PostPartCall({ kShared, kCrashing });
   CHECK_FALSE(entry.IsSent());
   const auto refused = entry.TakeActions<WriteResponse>();
   REQUIRE(refused.size() == 1);
@@ -171,21 +171,22 @@
   entry.PostPartCall({ kShared });
   CHECK(entry.IsSent());
   entry.Advance(4s);
-  entry.Answer({ kShared, kDeadly }); // the trial
-  entry.PostPartCall({ kShared, kDeadly });
+  entry.Answer({ kShared, kCrashing }); // the trial
+  entry.PostPartCall({ kShared, kCrashing });
   CHECK(entry.IsSent());
 }
 
 TEST_CASE("Entry: a blocked part that ends its trials is not tried any more",
           "[entry][part]")
 {
-  // Guards against an engine that ends every few seconds to see whether a part is sound.
+  // Guards against an engine that ends every few seconds to see whether a part is
+  // healthy.
   PartFixture entry;
-  entry.EndEngineWith({ kDeadly });
-  entry.EndEngineWith({ kDeadly });
+  entry.EndEngineWith({ kCrashing });
+  entry.EndEngineWith({ kCrashing });
   size_t sent = 0;
   for (int second = 0; second < 300; ++second) {
-    entry.PostPartCall({ kDeadly });
+    entry.PostPartCall({ kCrashing });
     if (const StartAttempt attempt = entry.SendLatestAttempt();
         !attempt.backend.empty()) {
       ++sent;
@@ -204,13 +205,13 @@
   // earlier trials count.
   PartFixture entry;
   for (int round = 0; round < 3; ++round) {
-    entry.EndEngineWith({ kDeadly });
-    entry.EndEngineWith({ kDeadly });
-    entry.PostPartCall({ kDeadly });
+    entry.EndEngineWith({ kCrashing });
+    entry.EndEngineWith({ kCrashing });
+    entry.PostPartCall({ kCrashing });
     CHECK_FALSE(entry.IsSent());
     entry.Advance(4s);
-    entry.Answer({ kDeadly }); // the trial
-    entry.PostPartCall({ kDeadly });
+    entry.Answer({ kCrashing }); // the trial
+    entry.PostPartCall({ kCrashing });
     CHECK(entry.IsSent());
     entry.Advance(8s);
   }
@@ -222,8 +223,8 @@
   // with one that ends engines. He reaches what his own team sends, until a second team's
   // calls end engines with the part too.
   PartFixture entry;
-  entry.EndEngineWith({ kShared, kDeadly }, "o");
-  entry.EndEngineWith({ kShared, kDeadly }, "o");
+  entry.EndEngineWith({ kShared, kCrashing }, "o");
+  entry.EndEngineWith({ kShared, kCrashing }, "o");
   entry.PostPartCall({ kShared }, "o");
   CHECK_FALSE(entry.IsSent());
   entry.PostPartCall({ kShared }, "k");
@@ -231,7 +232,7 @@
   entry.Answer({ kShared }, "k");
   entry.PostPartCall({ kShared }, "o");
   CHECK(entry.IsSent());
-  entry.PostPartCall({ kShared, kDeadly }, "o");
+  entry.PostPartCall({ kShared, kCrashing }, "o");
   CHECK_FALSE(entry.IsSent());
 }
 
@@ -267,9 +268,9 @@
     const auto lines = entry.TakeActions<WriteEvent>();
     return std::ranges::count(lines, "part_table_full", &WriteEvent::event);
   };
-  entry.EndEngineWith({ kDeadly });
+  entry.EndEngineWith({ kCrashing });
   CHECK(countLines() == 1);
-  entry.EndEngineWith({ kDeadly });
+  entry.EndEngineWith({ kCrashing });
   CHECK(countLines() == 0); // at most one a minute
 }
 
@@ -282,9 +283,9 @@
   digest.parts.starts = { { .id = { .backend = 1, .startedMs = 2, .call = 3 },
                             .team = 4,
                             .ageMs = 5,
-                            .parts = { kDeadly, kShared } } };
+                            .parts = { kCrashing, kShared } } };
   digest.parts.trials = {
-    { .part = kDeadly, .count = 1, .lastAgeMs = 2, .wantedAgeMs = 3 }
+    { .part = kCrashing, .count = 1, .lastAgeMs = 2, .wantedAgeMs = 3 }
   };
   const std::string bytes = EncodeDigest(digest);
   const auto decoded = DecodeDigest(bytes);
@@ -298,12 +299,12 @@
   CHECK(decoded->parts.trials[0].wantedAgeMs == 3);
 
   PartFixture entry;
-  entry.EndEngineWith({ kDeadly });
+  entry.EndEngineWith({ kCrashing });
   const std::string text = EncodePartEvidence(entry.GetWorld());
   const auto stored = DecodePartEvidence(entry.GetWorld(), text);
   REQUIRE(stored);
   REQUIRE(stored->starts.size() == 1);
-  CHECK(stored->starts[0].parts == std::vector<uint64_t>{ kDeadly });
+  CHECK(stored->starts[0].parts == std::vector<uint64_t>{ kCrashing });
   CHECK_FALSE(DecodePartEvidence(entry.GetWorld(), "junk"));
   CHECK_FALSE(DecodePartEvidence(entry.GetWorld(), "{\"starts\":[{}],\"trials\":[]}"));
 }
--- a/entry/testing/part_simulation.cc
+++ b/entry/testing/part_simulation.cc
@@ -10,6 +10,7 @@
 #include <span>
 
 #include "entry/duration_text.h"
+#include "entry/testing/part_measurement.h"
 
 namespace gooseberrypath::entry {
 
@@ -17,11 +18,6 @@
 
 using namespace std::chrono_literals;
 
-// The rule: from the contact time after the fifth engine that a part ended, at most three
-// calls with the part may reach engines.
-constexpr Duration kContactTime = 3s;
-constexpr size_t kCountedCrashes = 5;
-
 constexpr Duration kCallTimeout = 15s;
 constexpr double kPrefillSeconds = 0.15; // mean time to the first event, from the minimum
 constexpr Duration kMinFirstEvent = 40ms;
@@ -34,7 +30,7 @@
 constexpr size_t kSubjects = 120;   // second parts of each class
 constexpr size_t kDocuments = 2000; // third parts that few calls have
 constexpr double kDocumentRate = 0.2;
-constexpr uint64_t kDeadlyPart = 0xdead00;
+constexpr uint64_t kCrashingPart = 0xdead00;
 
 constexpr std::array<const char*, 2> kClasses = { "chat", "review" };
 
@@ -86,40 +82,29 @@
   size_t team = 0;
   size_t callClass = 0;
   std::vector<uint64_t> parts;
-  std::vector<uint64_t> deadly; // those of the parts that crash engines
+  std::vector<uint64_t> crashing; // those of the parts that crash engines
   TimePoint arrived;
   bool isRepeat = false; // the caller's second attempt
   bool hasBegun = false;
   size_t enginesEnded = 0; // at its start
 };
 
-/// What one deadly part did.
-struct DeadlyRecord
-{
-  std::vector<TimePoint> crashes;
-  struct Send
-  {
-    TimePoint at;
-    bool isInTouch = false;
-  };
-  std::vector<Send> sends;
-};
-
 class PartSimulation : public DaemonSimulation<PartSimulation>
 {
   friend DaemonSimulation;
 
 public:
-  PartSimulation(const PartScenario& aScenario, bool aHasDeadlyCalls)
+  PartSimulation(const PartScenario& aScenario, bool aHasCrashingCalls)
     : DaemonSimulation({ .seed = aScenario.seed,
                          .daemons = aScenario.daemons,
                          .knowPeers = aScenario.care != PartCare::Alone,
                          .network = aScenario.network })
     , scenario_(aScenario)
-    , hasDeadlyCalls_(aHasDeadlyCalls)
+    , hasCrashingCalls_(aHasCrashingCalls)
     , configuration_(ModelConfiguration())
     , readOffsets_(aScenario.daemons, 0)
     , callRandom_(aScenario.seed * 7919)
+    , measurement_(kStart, aScenario.crashingCalls)
   {
   }
 
@@ -138,14 +123,11 @@
     Schedule(scenario_.faults);
     queue_.Add(kStart + 2s, [this] { PostNextCall(); });
     queue_.RunUntil(kStart + scenario_.length, now_);
-    Measure();
+    measurement_.MeasureInto(outcome_);
     return outcome_;
   }
 
-  /// Sets the span in which sound calls are measured. It is derived from the crashes if
-  /// it is not set.
-  void SetMeasuredSpan(TimeSpan aSpan) { measured_ = aSpan; }
-  std::optional<TimeSpan> MeasuredSpan() const { return measured_; }
+  PartMeasurement& Measurement() { return measurement_; }
 
 private:
   using DaemonSimulation::Execute;
@@ -318,7 +300,7 @@
                [this, aId, engine] { Begin(aId, engine); });
   }
 
-  /// Records that a call with deadly parts reached an engine.
+  /// Records that a call with crashing parts reached an engine.
   void NoteSend(const std::string& aRequestId, size_t aDaemon)
   {
     const PartCall* call = CallOf(aRequestId);
@@ -326,15 +308,14 @@
       return;
     }
     const SimulatedDaemon& daemon = daemons_[aDaemon];
-    const bool isInTouch = daemon.startedAt + kContactTime <= now_ &&
-                           daemon.thawedAt + kContactTime <= now_ &&
-                           !stopping_.contains(daemon.Process());
-    for (const uint64_t part : call->deadly) {
-      deadly_[part].sends.push_back({ now_, isInTouch });
-    }
+    const bool isUndisturbed =
+      daemon.startedAt + PartMeasurement::kReactionTime <= now_ &&
+      daemon.thawedAt + PartMeasurement::kReactionTime <= now_ &&
+      !stopping_.contains(daemon.Process());
+    measurement_.CountSend(call->crashing, now_, isUndisturbed);
   }
 
-  /// The engine begins to answer the attempt, which ends it if a part is deadly.
+  /// The engine begins to answer the attempt, which ends it if a part is crashing.
   void Begin(uint64_t aId, const std::shared_ptr<Engine>& aEngine)
   {
     PartCall* call = CallOf(aId);
@@ -342,10 +323,8 @@
       aEngine->attempts.erase(aId);
       return;
     }
-    if (!call->deadly.empty() && !IsHarmless()) {
-      for (const uint64_t part : call->deadly) {
-        deadly_[part].crashes.push_back(now_);
-      }
+    if (!call->crashing.empty() && !IsHarmless()) {
+      measurement_.CountCrash(call->crashing, now_);
       outcome_.enginesEnded += 1;
       EndEngine(aEngine->entry.address);
       return;
@@ -405,18 +384,18 @@
     }
     const bool isOfClass = scenario_.isSentByAllClasses || call.callClass == 1;
     const bool isOfTeam = scenario_.isSentByAllTeams || call.team == 1;
-    const bool isDeadly = isOfClass && CallChance(scenario_.deadlyShare) &&
-                          age >= scenario_.deadlyCalls.from &&
-                          age < scenario_.deadlyCalls.to;
-    if (isDeadly) {
-      // The deadly calls are a share of the class, but come from their callers only.
+    const bool isCrashing = isOfClass && CallChance(scenario_.crashingShare) &&
+                            age >= scenario_.crashingCalls.from &&
+                            age < scenario_.crashingCalls.to;
+    if (isCrashing) {
+      // The crashing calls are a share of the class, but come from their callers only.
       call.team = isOfTeam ? call.team : 1;
       call.parts[0] = 0x1000 + call.team;
-      AddDeadlyParts(call);
+      AddCrashingParts(call);
     }
     call.parts.push_back(0x1000000 + ++lastOwnPart_);
     call.daemon = callRandom_() % daemons_.size();
-    if (!isDeadly || hasDeadlyCalls_) {
+    if (!isCrashing || hasCrashingCalls_) {
       PostCall(std::move(call));
     }
     const double gap = -std::log(1 - CallUniform()) / scenario_.callsPerSecond;
@@ -431,19 +410,19 @@
            static_cast<uint64_t>(skewed * static_cast<double>(kSubjects));
   }
 
-  void AddDeadlyParts(PartCall& aCall)
+  void AddCrashingParts(PartCall& aCall)
   {
-    const uint64_t part = kDeadlyPart + callRandom_() % scenario_.deadlyParts;
-    aCall.deadly = { part };
-    if (scenario_.place == DeadlyPlace::Several && scenario_.deadlyParts > 1) {
-      aCall.deadly = { kDeadlyPart, kDeadlyPart + 1 };
+    const uint64_t part = kCrashingPart + callRandom_() % scenario_.crashingParts;
+    aCall.crashing = { part };
+    if (scenario_.place == CrashingPlace::Several && scenario_.crashingParts > 1) {
+      aCall.crashing = { kCrashingPart, kCrashingPart + 1 };
     }
-    const bool isFirst = scenario_.place == DeadlyPlace::First;
+    const bool isFirst = scenario_.place == CrashingPlace::First;
     if (isFirst) {
       aCall.parts[0] = part;
     } else {
-      aCall.parts.insert(aCall.parts.begin() + 1, aCall.deadly.begin(),
-                         aCall.deadly.end());
+      aCall.parts.insert(aCall.parts.begin() + 1, aCall.crashing.begin(),
+                         aCall.crashing.end());
     }
   }
 
@@ -488,10 +467,10 @@
     const PartCall call = found->second;
     calls_.erase(found);
     const bool isForPart = aAction.body.find("prompt_blocked") != std::string::npos;
-    if (isForPart && call.deadly.empty()) {
-      outcome_.soundRefusedForPart += 1;
+    if (isForPart && call.crashing.empty()) {
+      outcome_.healthyRefusedForPart += 1;
     }
-    outcome_.deadlyRefused += isForPart && !call.deadly.empty() ? 1 : 0;
+    outcome_.crashingRefused += isForPart && !call.crashing.empty() ? 1 : 0;
     Repeat(call, FindHeader(aAction.headers, "Retry-After"));
   }
 
@@ -543,82 +522,31 @@
 
   // What is measured.
 
-  /// A sound call of a caller's first attempt.
-  struct SoundCall
-  {
-    TimePoint arrived;
-    bool isNearDeadly = false; // of a team and a class of deadly calls
-    bool hasBegun = false;
-  };
-
   void CountArrival(PartCall& aCall)
   {
-    if (!aCall.deadly.empty()) {
-      outcome_.deadlyCalls += IsHarmless() ? 0 : 1;
+    if (!aCall.crashing.empty()) {
+      outcome_.crashingCalls += IsHarmless() ? 0 : 1;
       outcome_.harmlessCalls += IsHarmless() ? 1 : 0;
       return;
     }
-    outcome_.allSoundCalls += 1;
-    if (aCall.isRepeat) {
-      return;
-    }
+    outcome_.allHealthyCalls += 1;
     const bool isNear = (scenario_.isSentByAllTeams || aCall.team == 1) &&
                         (scenario_.isSentByAllClasses || aCall.callClass == 1);
-    soundCalls_[lastCall_] = { .arrived = now_, .isNearDeadly = isNear };
+    if (!aCall.isRepeat && isNear) {
+      measurement_.CountHealthyCall(aCall.id, now_);
+    }
   }
 
   void NoteBegun(PartCall& aCall)
   {
     aCall.hasBegun = true;
-    if (!aCall.deadly.empty()) {
+    if (aCall.crashing.empty()) {
+      measurement_.NoteBegun(aCall.id);
+    } else {
       outcome_.harmlessBegun += 1;
-      return;
-    }
-    if (const auto sound = soundCalls_.find(aCall.id); sound != soundCalls_.end()) {
-      sound->second.hasBegun = true;
     }
   }
 
-  void Measure()
-  {
-    TimePoint lastCounted = kStart + scenario_.deadlyCalls.from;
-    for (const auto& [part, record] : deadly_) {
-      const auto& crashes = record.crashes;
-      outcome_.mostCrashes = std::max(outcome_.mostCrashes, crashes.size());
-      if (crashes.empty()) {
-        continue;
-      }
-      const size_t counted = std::min(crashes.size(), kCountedCrashes) - 1;
-      lastCounted = std::max(lastCounted, crashes[counted]);
-      if (crashes.size() >= kCountedCrashes) {
-        CountSends(record, crashes[counted] + kContactTime);
-      }
-    }
-    if (!measured_) {
-      measured_ = TimeSpan{ .from = lastCounted + 2 * kContactTime - kStart,
-                            .to = scenario_.deadlyCalls.to };
-    }
-    for (const auto& [id, call] : soundCalls_) {
-      const Duration age = call.arrived - kStart;
-      if (call.isNearDeadly && age >= measured_->from && age < measured_->to) {
-        outcome_.soundCalls += 1;
-        outcome_.soundBegun += call.hasBegun ? 1 : 0;
-      }
-    }
-  }
-
-  void CountSends(const DeadlyRecord& aRecord, TimePoint aFrom)
-  {
-    size_t sends = 0;
-    size_t sendsInTouch = 0;
-    for (const auto& send : aRecord.sends) {
-      sends += send.at >= aFrom ? 1 : 0;
-      sendsInTouch += send.at >= aFrom && send.isInTouch ? 1 : 0;
-    }
-    outcome_.worstSends = std::max(outcome_.worstSends, sends);
-    outcome_.worstSendsInTouch = std::max(outcome_.worstSendsInTouch, sendsInTouch);
-  }
-
   double CallUniform()
   {
     return std::uniform_real_distribution<double>(0, 1)(callRandom_);
@@ -627,7 +555,7 @@
   bool CallChance(double aProbability) { return CallUniform() < aProbability; }
 
   const PartScenario scenario_;
-  const bool hasDeadlyCalls_;
+  const bool hasCrashingCalls_;
   ConfigurationPtr configuration_;
   std::map<std::string, std::shared_ptr<Engine>> engines_; // newest, by address
   uint64_t lastStart_ = 0;
@@ -635,98 +563,16 @@
   std::vector<size_t> readOffsets_;                   // by daemon
   std::map<std::string, std::string> storedEvidence_; // by host
   std::map<uint64_t, PartCall> calls_;
-  std::map<uint64_t, SoundCall> soundCalls_;
-  std::map<uint64_t, DeadlyRecord> deadly_; // by part
-  std::set<std::string> stopping_;          // processes
-  std::mt19937_64 callRandom_;              // the same calls with and without the fault
+  std::set<std::string> stopping_; // processes
+  std::mt19937_64 callRandom_;     // the same calls with and without the fault
   uint64_t lastCall_ = 0;
   uint64_t lastOwnPart_ = 0;
-  std::optional<TimeSpan> measured_;
+  PartMeasurement measurement_;
   PartOutcome outcome_;
 };
 
-constexpr size_t kManyDaemons = 200;
-
-/// Sizes of a deployment with this number of daemons.
-PartScenario ScenarioOfSize(size_t aDaemons, uint64_t aSeed)
-{
-  PartScenario scenario{ .seed = aSeed, .daemons = aDaemons };
-  if (aDaemons > 8) {
-    scenario.engines = aDaemons > kManyDaemons ? 200 : 60;
-    scenario.callsPerSecond = aDaemons > kManyDaemons ? 400 : 200;
-  }
-  return scenario;
-}
-
-void AddFaults(PartScenario& aScenario, std::mt19937_64& aRandom)
-{
-  const auto chance = [&](double aProbability) {
-    return std::uniform_real_distribution<double>(0, 1)(aRandom) < aProbability;
-  };
-  const auto between = [&](double aFrom, double aTo) {
-    return FromSeconds(std::uniform_real_distribution<double>(aFrom, aTo)(aRandom));
-  };
-  aScenario.network.lossRate = chance(0.5) ? 0.2 : 0.01;
-  aScenario.network.lateRate = chance(0.5) ? 0.1 : 0;
-  aScenario.network.repeatRate = chance(0.5) ? 0.1 : 0;
-  aScenario.resetRate = chance(0.3) ? 0.02 : 0;
-  aScenario.silentRate = chance(0.3) ? 0.01 : 0;
-  aScenario.engineReturn = static_cast<EngineReturn>(aRandom() % 3);
-  aScenario.doCallersRetry = chance(0.7);
-  if (chance(0.4)) {
-    const Duration from = between(4, 25);
-    aScenario.network.cut = TimeSpan{ .from = from, .to = from + between(4, 14) };
-    aScenario.network.islandShare = chance(0.5) ? Seconds(between(0.1, 0.6)) : 0;
-  }
-  const size_t maxFaults = std::max<size_t>(4, aScenario.daemons / 20);
-  const size_t faults = chance(0.3) ? 0 : aRandom() % (maxFaults + 1);
-  for (size_t i = 0; i < faults; ++i) {
-    aScenario.faults.push_back({ .kind = static_cast<DaemonFaultKind>(aRandom() % 3),
-                                 .at = between(5, 35),
-                                 .daemon = aRandom() % aScenario.daemons,
-                                 .lasts = between(0.5, 4) });
-  }
-  const size_t storms = chance(0.5) ? 0 : 1 + aRandom() % 4;
-  for (size_t i = 0; i < storms; ++i) {
-    aScenario.storms.push_back(
-      { .at = between(5, 35),
-        .share = chance(0.5) ? 0.02 : Seconds(between(0.05, 0.5)) });
-  }
-}
-
 } // namespace
 
-PartScenario DrawPartScenario(size_t aDaemons, uint64_t aSeed)
-{
-  std::mt19937_64 random(aSeed * 1000003 + aDaemons);
-  PartScenario scenario = ScenarioOfSize(aDaemons, aSeed);
-  constexpr std::array<double, 5> kShares = { 0.005, 0.02, 0.05, 0.1, 0.3 };
-  scenario.deadlyShare = kShares.at(aSeed % kShares.size());
-  scenario.place = static_cast<DeadlyPlace>(random() % 3);
-  scenario.deadlyParts = scenario.place == DeadlyPlace::Several ? 2 : 1 + random() % 2;
-  scenario.isSentByAllTeams = random() % 3 == 0;
-  scenario.isSentByAllClasses = random() % 3 == 0;
-  if (random() % 4 == 0) {
-    scenario.harmlessFrom = FromSeconds(15 + static_cast<double>(random() % 10));
-  }
-  AddFaults(scenario, random);
-  return scenario;
-}
-
-PartScenario DrawStormScenario(size_t aDaemons, uint64_t aSeed)
-{
-  std::mt19937_64 random(aSeed * 1000003 + aDaemons + 1);
-  PartScenario scenario = ScenarioOfSize(aDaemons, aSeed);
-  scenario.deadlyShare = 0;
-  AddFaults(scenario, random);
-  for (uint64_t i = 0; i < 4 + random() % 8; ++i) {
-    scenario.storms.push_back(
-      { .at = FromSeconds(4 + static_cast<double>(random() % 3000) / 100),
-        .share = 0.02 + static_cast<double>(random() % 50) / 100 });
-  }
-  return scenario;
-}
-
 PartOutcome PlayParts(const PartScenario& aScenario)
 {
   return PartSimulation(aScenario, true).Run();
@@ -737,7 +583,7 @@
   PartSimulation withFault(aScenario, true);
   withFault.Run();
   PartSimulation without(aScenario, false);
-  without.SetMeasuredSpan(*withFault.MeasuredSpan());
+  without.Measurement().SetSpan(*withFault.Measurement().Span());
   return without.Run();
 }
 
