--- a/review/1/run.py
+++ b/review/1/run.py
@@ -19,21 +19,34 @@
            "Gooseberrypath-Deadline-Ms": "3000", "Authorization": "Token k1"}
 
 
+def describe(name, answer, missing):
+    """Returns whether the answer looks complete with events missing, and a text."""
+    status, body, is_whole = answer
+    got = body.count(b"\n\n")
+    text = f"{name}: status {status}, complete={is_whole}, {got} of {missing} events"
+    return status == 200 and is_whole and got < missing, text
+
+
 def case(has_trouble):
-    with harness.Deployment(
-            daemons=3, engines=3, routes=ROUTES, service="model-pool", tenants=TENANTS,
-            engine_options=lambda _: {"events": EVENTS, "unframed": True,
-                                      "crash_on_resume": has_trouble}) as d:
-        # The client's connection breaks after three events; it goes on from there.
+    options = {"events": EVENTS, "unframed": True}
+    if has_trouble:
+        options |= {"crash_on_resume": True, "crash_midway": ["b1"]}
+    with harness.Deployment(daemons=3, engines=4, routes=ROUTES, service="model-pool",
+                            tenants=TENANTS, engine_options=lambda _: options) as d:
+        # The client's connection breaks after three events; it goes on from there, and one
+        # engine ends.
         d.call(0, "/chat/1", "a1", HEADERS, stop_after=3)
         time.sleep(0.3)
-        status, body, is_whole = d.call(
-            1, "/chat/1", "a2", {**HEADERS, "Last-Event-Id": "3"})
-        got = body.count(b"\n\n")
-        is_broken = status == 200 and is_whole and got < EVENTS - 3
-        verdict = (f"ORDER {'broken' if is_broken else 'held'}: the resumed stream was "
-                   f"answered {status}, complete={is_whole}, with {got} of {EVENTS - 3} "
-                   "events that were missing")
+        by_client = describe(
+            "resumed by the client",
+            d.call(1, "/chat/1", "a2", {**HEADERS, "Last-Event-Id": "3"}), EVENTS - 3)
+        # An engine ends inside its fourth event, the daemon goes on at another one, and that
+        # ends too.
+        time.sleep(0.5)
+        by_daemon = describe("resumed by the daemon",
+                             d.call(2, "/chat/1", "b1", HEADERS), EVENTS)
+        is_broken = by_client[0] or by_daemon[0]
+        verdict = f"ORDER {'broken' if is_broken else 'held'}: {by_client[1]}; {by_daemon[1]}"
         d.write_record(pathlib.Path(__file__).with_name("record.txt"), verdict)
         return (harness.BROKEN if is_broken else harness.HELD), verdict
 
--- a/review/lib/engine.py
+++ b/review/lib/engine.py
@@ -11,6 +11,7 @@
     first_ms         time to the first event
     unframed         streams have neither a length nor chunks and end with their connection
     poison           a part of prompts; the engine ends as it begins to answer a call with it
+    crash_midway     requests in whose fourth event the engine ends (unframed streams)
     crash_on_resume  the engine ends after the head of the answer to a resumed stream
 """
 
@@ -94,6 +95,10 @@
             event = f"id: {number}\ndata: {request} {number}\n\n"
             self.send(event if unframed else f"{len(event):x}\r\n{event}\r\n")
             time.sleep(OPTIONS.get("gap_ms", 20) / 1000)
+            if request in OPTIONS.get("crash_midway", []) and number == 3:
+                self.send(f"id: 4\ndata: {request}"[:10])
+                time.sleep(0.02)
+                crash(request)
         if unframed:
             return False
         self.send("0\r\n\r\n")
