--- a/review/1/run.py
+++ b/review/1/run.py
@@ -31,7 +31,7 @@
     options = {"events": EVENTS, "unframed": True}
     if has_trouble:
         options |= {"crash_on_resume": True, "crash_midway": ["b1"]}
-    with harness.Deployment(daemons=3, engines=4, routes=ROUTES, service="model-pool",
+    with harness.Deployment(daemons=3, engines=9, routes=ROUTES, service="model-pool",
                             tenants=TENANTS, engine_options=lambda _: options) as d:
         # The client's connection breaks after three events; it goes on from there, and one
         # engine ends.
