--- a/review/lib/engine.py
+++ b/review/lib/engine.py
@@ -7,11 +7,13 @@
 It writes one JSON object a line to standard output for each request that reaches it
 (`reached`), that it runs (`runs`), and before it ends itself (`crashes`). Options:
 
+    plain_ms         answers are no streams and take so long
     events, gap_ms   length of a stream and the pause between its events
     first_ms         time to the first event
     unframed         streams have neither a length nor chunks and end with their connection
     poison           a part of prompts; the engine ends as it begins to answer a call with it
     crash_midway     requests in whose fourth event the engine ends (unframed streams)
+    spoiled          status line of an unsigned answer to a resumed stream
     crash_on_resume  the engine ends after the head of the answer to a resumed stream
 """
 
@@ -77,7 +79,17 @@
         if headers.get("gooseberrypath-expect-instance", OPTIONS["id"]) != OPTIONS["id"]:
             self.send(f"HTTP/1.1 421 Misdirected Request\r\n{echo}Content-Length: 0\r\n\r\n")
             return True
+        if "plain_ms" in OPTIONS:
+            report("runs", request=request)
+            time.sleep(OPTIONS["plain_ms"] / 1000)
+            self.send(f"HTTP/1.1 200 OK\r\n{echo}Gooseberrypath-Response-Stamp: "
+                      f"{OPTIONS['id']}.{request}\r\nContent-Length: 2\r\n\r\nok")
+            return True
         time.sleep(OPTIONS.get("first_ms", 20) / 1000)
+        if last_id > 0 and "spoiled" in OPTIONS:
+            report("spoils", request=request)
+            self.send(f"HTTP/1.1 {OPTIONS['spoiled']}\r\n{echo}Content-Length: 0\r\n\r\n")
+            return True
         report("runs", request=request, last_event_id=last_id)
         return self.stream(request, echo, last_id, poison in parts[:-1])
 
--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -37,6 +37,7 @@
     def __init__(self, ip):
         self.lock = threading.Condition()
         self.topics = {}
+        self.is_down = False  # every call of the system is answered 503
         store = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
@@ -55,15 +56,22 @@
             def do_GET(self):
                 url = urllib.parse.urlsplit(self.path)
                 query = dict(urllib.parse.parse_qsl(url.query))
-                if url.path == "/api/log-newest":
+                if store.is_down:
+                    self.answer(503, b"")
+                elif url.path == "/api/log-newest":
                     self.answer(200, store.newest(query["topic"]))
                 else:
-                    self.answer(200, store.read(query))
+                    body = store.read(query)
+                    self.answer(503 if store.is_down else 200,
+                                b"" if store.is_down else body)
 
             def do_POST(self):
                 body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
                 url = urllib.parse.urlsplit(self.path)
                 query = dict(urllib.parse.parse_qsl(url.query))
+                if store.is_down:
+                    self.answer(503, b"")
+                    return
                 if query["topic"] in ("keyed.op", "keyed.servers"):
                     self.answer(403, b"{}")
                     return
@@ -142,7 +150,9 @@
         self.process = None
         self.seq = 0
         self.ended_at = None
+        self.zone = self.options.pop("zone", "zone-a")
         self.is_listed = False
+        self.reaches_store = True
         self.beat_at = 0
         self.start()
 
@@ -162,14 +172,16 @@
             self.deployment.note(json.loads(line))
 
     def tick(self, now, restart_s):
+        if self.deployment.store.is_down:
+            return
         if self.process.poll() is None:
-            if now >= self.beat_at:
+            if now >= self.beat_at and self.reaches_store:
                 self.beat_at = now + HEARTBEAT_S
                 self.seq += 1
                 self.is_listed = True
                 self.deployment.store.put("keyed.servers", self.id, json.dumps({
-                    "service": self.deployment.service, "zone": "zone-a", "version": "v1",
-                    "address": f"127.0.0.1:{self.options['port']}", "slots": 24,
+                    "service": self.deployment.service, "zone": self.zone, "version": "v1",
+                    "address": f"127.0.0.1:{self.options['port']}", "slots": 48,
                     "state": "ready", "cold_left_ms": 0, "seq": self.seq,
                     "born": self.born, "stage": "both",
                     "models": [{"name": "m", "version": 1, "adapters": []}]}).encode())
@@ -182,6 +194,11 @@
             self.process.wait()
             self.start()
 
+    def lapse(self):
+        """The store drops the entry, as the engine has not written for long enough."""
+        self.is_listed = False
+        self.deployment.store.put("keyed.servers", self.id, None)
+
     def close(self):
         if self.process.poll() is None:
             self.process.kill()
@@ -250,7 +267,7 @@
             path.write_text("\n".join([
                 f"node=edge-zone-a-{number + 1}", "role=entry", "machine_class=edge",
                 "serves=edge,control_plane", f"ip={ip}", "zone=zone-a", "region=region-a",
-                "zones.zone-a=region-a", f"listen.front={ip}:{self.front}",
+                "zones.zone-a=region-a", "zones.zone-b=region-a", f"listen.front={ip}:{self.front}",
                 f"listen.ready={ip}:{ready}", f"listen.control={ip}:{control}",
                 f"port_range={peers},{peers}", f"seeds={self.ips[0]}:{control}",
                 "bootstrap=true", "limits.cpu_share=0.25", "limits.memory_mb=260",
@@ -295,6 +312,12 @@
                 engine.tick(time.monotonic(), self.restart_s)
             time.sleep(0.05)
 
+    def log_of(self, daemon):
+        """Returns the events that a daemon has logged."""
+        path = pathlib.Path(self.folder.name) / f"log-{daemon}"
+        lines = path.read_text(encoding="utf-8", errors="replace").splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
     def note(self, event):
         with self.lock:
             self.events.append(event)
