--- a/review/1/run.py
+++ b/review/1/run.py
@@ -1,6 +1,7 @@
 """The store was down, and the entry of one engine has not come back. Requests that may not
 run twice go on while the daemon takes that engine for gone. Does one of them run twice?"""
 
+import os
 import pathlib
 import socket
 import sys
@@ -126,4 +127,5 @@
         return (harness.BROKEN if is_broken else harness.HELD), verdict
 
 
-harness.main(case)
+# With TROUBLE=0 the same happens without the disruption.
+harness.main(case, has_trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/4/run.py
+++ b/review/4/run.py
@@ -88,4 +88,5 @@
         return (harness.BROKEN if is_broken else harness.HELD), verdict
 
 
-harness.main(case)
+# With TROUBLE=0 the same happens without the disruption.
+harness.main(case, has_trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -394,12 +394,11 @@
         self.folder.cleanup()
 
 
-def main(case):
+def main(case, has_trouble):
     """Runs a case: a function that takes whether the disruption happens and returns the
     deployment's verdict, a tuple of exit code and text."""
     # An interrupted run ends what it started too.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
         code, text = case(has_trouble)
     except (OSError, RuntimeError) as problem:
