Entry: logs tell how each response was framed and how it ended

The action that writes a head names its framing. The port for callers can write a body that only the connection's end delimits: such a connection is reset by everything but its orderly end, also by the end of the process, and a break that is known resets it once the caller has acknowledged what came before. Nothing orders that yet. Bytes are passed to the system in parts of 64 KB.

--- a/entry/backend_port.cc
+++ b/entry/backend_port.cc
@@ -54,7 +54,7 @@
     requestId_ = aAction.requestId;
     isStream_ = aAction.isStream;
     isResumed_ = !aAction.lastEventId.empty();
-    hasEvents_ = false;
+    received_ = ReceivedBody{};
     hasSentEarlierCall_ = std::exchange(hasSentCall_, true);
     discardedBytes_ = 0;
     head_ = ResponseHead{};
@@ -148,6 +148,8 @@
   {
     head_ = platform::DecodeBackendHead(aHead, requestId_);
     head_.closesConnection = head_.closesConnection || !aHead.keepsConnectionOpen;
+    head_.framing = aHead.framing;
+    received_ = ReceivedBody{ .framing = aHead.framing };
     if (hasSentEarlierCall_ && !head_.hasRequestId && !head_.isMisdirected) {
       // Without a request id, it may be a late duplicate of the response to an earlier
       // call on this connection.
@@ -167,11 +169,12 @@
     if (!IsBusy() || !head_.matchesRequestId) {
       return;
     }
+    received_.bytes += aBytes.size();
     if (IsEventStream()) {
       CompleteEvents events = splitter_.Feed(aBytes);
       SetBufferedBytes(splitter_.PartialEvent().size());
       if (!events.bytes.empty()) {
-        hasEvents_ = true;
+        received_.events += events.count;
         port_.options_.sink(
           StreamEvents{ attempt_, std::move(events.bytes), std::move(events.lastId) });
       }
@@ -244,7 +247,7 @@
       port_.options_.sink(AttemptAnswered{ attempt, std::move(head_), std::move(body) });
       return;
     }
-    port_.options_.sink(StreamEnded{ attempt });
+    port_.options_.sink(StreamEnded{ attempt, received_ });
   }
 
   /// Fails a stream that ended inside an event, or with its connection before any event.
@@ -258,7 +261,7 @@
       Fail("the stream ended inside an event", cause);
       return true;
     }
-    if (isCloseDelimited && !hasEvents_ && !isResumed_) {
+    if (isCloseDelimited && received_.events == 0 && !isResumed_) {
       Fail("the connection was closed before any event of the stream", cause);
       return true;
     }
@@ -271,7 +274,7 @@
     const AttemptId attempt = std::exchange(attempt_, AttemptId{});
     ClearBody();
     port_.RemoveBusy(attempt);
-    port_.options_.sink(AttemptBroken{ attempt, std::move(aReason), aCause });
+    port_.options_.sink(AttemptBroken{ attempt, std::move(aReason), aCause, received_ });
   }
 
   void OnClosed(SocketEnd aEnd)
@@ -311,7 +314,6 @@
   std::string requestId_;
   bool isStream_ = false;
   bool isResumed_ = false; // the call goes on after events of an earlier attempt
-  bool hasEvents_ = false; // an event of the stream was passed on
   bool isResponseComplete_ = false;
   bool hasSentCall_ = false;            // on this connection
   bool hasSentEarlierCall_ = false;     // before the current call
@@ -321,6 +323,7 @@
   bool isClosedByPeer_ = false;         // or the connection was reset
   std::vector<std::string> refusedIds_; // of calls that were refused on this connection
   ResponseHead head_;
+  ReceivedBody received_; // of the response to the current call
   std::string body_;
   SseEventSplitter splitter_;
   Duration keepAlive_{};
--- a/entry/call_completion.cc
+++ b/entry/call_completion.cc
@@ -70,7 +70,9 @@
   RequestRow& row = *aRequest.row;
   world_.counters.Add(EntryCounter::CallsAnswered);
   world_.counters.Observe(EntryHistogram::PlainAnswer, ElapsedMs(row));
-  LogResponse(row, aResponse.head.status, aBackend);
+  LogResponse(row, aResponse.head.status, aBackend,
+              { .framing = aResponse.head.framing, .bytes = aResponse.body.size() },
+              BodyFraming::Length);
   if (row.headSent) {
     // The engine that should resume the stream sent a plain response, so the stream ends
     // incomplete.
@@ -85,16 +87,27 @@
   Remove(aRequest);
 }
 
-void CallCompletion::CompleteStream(RequestRef aRequest, const std::string& aBackend)
+void CallCompletion::BeginStream(RequestRef aRequest)
+{
+  RequestRow& row = *aRequest.row;
+  row.headSent = true;
+  row.sentFraming = BodyFraming::Chunked;
+  world_.Emit(WriteStreamHead{ .exchange = aRequest.id,
+                               .status = row.streamHead.status,
+                               .headers = row.streamHead.headers,
+                               .framing = row.sentFraming });
+}
+
+void CallCompletion::CompleteStream(RequestRef aRequest, const std::string& aBackend,
+                                    const ReceivedBody& aReceived)
 {
   RequestRow& row = *aRequest.row;
   if (!row.headSent) {
-    world_.Emit(
-      WriteStreamHead{ aRequest.id, row.streamHead.status, row.streamHead.headers });
+    BeginStream(aRequest);
   }
   world_.Emit(FinishStream{ aRequest.id });
   world_.counters.Add(EntryCounter::CallsAnswered);
-  LogResponse(row, row.streamHead.status, aBackend);
+  LogResponse(row, row.streamHead.status, aBackend, aReceived, row.sentFraming);
   Remove(aRequest);
 }
 
@@ -107,11 +120,19 @@
 }
 
 void CallCompletion::LogResponse(const RequestRow& aRow, int aStatus,
-                                 const std::string& aBackend)
+                                 const std::string& aBackend,
+                                 const ReceivedBody& aReceived, BodyFraming aSentFraming)
 {
+  if (aReceived.framing == BodyFraming::CloseDelimited) {
+    world_.counters.Add(EntryCounter::ResponsesCloseDelimited);
+  }
   world_.Log(LogLevel::Info, "answered", aRow.call.requestId,
              { { "status", std::to_string(aStatus) },
                { "backend", aBackend },
+               { "framing", std::string(NameOf(aReceived.framing)) },
+               { "events", std::to_string(aReceived.events) },
+               { "bytes", std::to_string(aReceived.bytes) },
+               { "sent_framing", std::string(NameOf(aSentFraming)) },
                { "ms", MsText(ElapsedMs(aRow)) } });
 }
 
--- a/entry/call_completion.h
+++ b/entry/call_completion.h
@@ -40,8 +40,12 @@
   void ForwardResponse(RequestRef aRequest, const std::string& aBackend,
                        const AttemptAnswered& aResponse);
 
+  /// Sends the head of a stream to the caller.
+  void BeginStream(RequestRef aRequest);
+
   /// Ends a stream that the backend with the id `aBackend` completed.
-  void CompleteStream(RequestRef aRequest, const std::string& aBackend);
+  void CompleteStream(RequestRef aRequest, const std::string& aBackend,
+                      const ReceivedBody& aReceived);
 
   /// Removes the request without a response, for a caller that disconnected.
   void Remove(RequestRef aRequest);
@@ -49,7 +53,11 @@
 private:
   /// Returns the time since the call arrived.
   double ElapsedMs(const RequestRow& aRow) const;
-  void LogResponse(const RequestRow& aRow, int aStatus, const std::string& aBackend);
+
+  /// Logs a response that was passed on, with how the backend and how this daemon marked
+  /// the end of the body.
+  void LogResponse(const RequestRow& aRow, int aStatus, const std::string& aBackend,
+                   const ReceivedBody& aReceived, BodyFraming aSentFraming);
 
   World& world_;
 };
--- a/entry/caller_port.cc
+++ b/entry/caller_port.cc
@@ -31,6 +31,10 @@
 // Time in which the connections in the listen backlog are accepted before listening ends.
 constexpr Duration kBacklogDrainTime = std::chrono::milliseconds(5);
 
+// How often it is checked whether the caller has acknowledged all bytes of a response
+// that ends with a reset, which would discard the others.
+constexpr Duration kDeliveryPollInterval = std::chrono::milliseconds(10);
+
 // Limit for unsent bytes of a stream. A caller that reads too slowly to stay below it is
 // disconnected.
 constexpr size_t kMaxQueuedBytes = size_t{ 2 } * 1024 * 1024;
@@ -61,44 +65,59 @@
 
   void SendResponse(const WriteResponse& aResponse)
   {
-    const bool closesConnection =
-      aResponse.closesConnection || port_.isDraining_ || !head_.keepsConnectionOpen;
     const bool hasBody = head_.method != "HEAD";
+    BeginBody(hasBody ? aResponse.framing : BodyFraming::Length,
+              aResponse.closesConnection);
     socket_.Write(FormatResponseHead(aResponse.status, aResponse.headers,
-                                     aResponse.body.size(), closesConnection));
+                                     { .framing = framing_,
+                                       .bodySize = aResponse.body.size(),
+                                       .closes = closesAfterResponse_ }));
     if (hasBody) {
       socket_.Write(aResponse.body);
     }
-    Finish(closesConnection);
+    Finish(closesAfterResponse_);
   }
 
   void SendStreamHead(const WriteStreamHead& aResponse)
   {
-    closesAfterStream_ = port_.isDraining_ || !head_.keepsConnectionOpen;
-    socket_.Write(FormatResponseHead(aResponse.status, aResponse.headers, std::nullopt,
-                                     closesAfterStream_));
+    BeginBody(aResponse.framing, false);
+    socket_.Write(
+      FormatResponseHead(aResponse.status, aResponse.headers,
+                         { .framing = framing_, .closes = closesAfterResponse_ }));
   }
 
   void SendStreamBytes(std::string_view aBytes)
   {
-    if (!aBytes.empty()) {
+    if (framing_ != BodyFraming::Chunked) {
+      socket_.Write(aBytes);
+    } else if (!aBytes.empty()) {
       socket_.Write(FormatChunk(aBytes));
     }
   }
 
   void SendStreamEnd()
   {
-    socket_.Write(kLastChunk);
-    Finish(closesAfterStream_);
+    if (framing_ == BodyFraming::Chunked) {
+      socket_.Write(kLastChunk);
+    }
+    Finish(closesAfterResponse_);
   }
 
-  /// Closes the connection. A response in progress stays incomplete.
+  /// Ends the connection. A response in progress stays visibly incomplete.
   void Abort()
   {
     ReleaseExchange();
-    StartLingering();
+    if (framing_ == BodyFraming::CloseDelimited) {
+      lingerEnd_ = port_.options_.now() + kLingerTime;
+      port_.tasks_.add(port_.ResetWhenDelivered(id_));
+    } else {
+      StartLingering();
+    }
   }
 
+  /// Tells whether the caller has acknowledged all that was written to it.
+  bool IsDelivered() const { return socket_.IsDelivered(); }
+
   bool IsWriteQueueFull() const { return socket_.QueuedBytes() > kMaxQueuedBytes; }
 
   /// Closes the connection if it carries no request and was idle for long enough that
@@ -209,11 +228,24 @@
       exchange_, platform::DecodeCall(head_, std::move(body_), requestStart) });
   }
 
+  /// Decides how the body that begins will end: its framing, and whether the connection
+  /// closes after it.
+  void BeginBody(BodyFraming aFraming, bool aCloses)
+  {
+    framing_ = aFraming;
+    closesAfterResponse_ = aCloses || port_.isDraining_ || !head_.keepsConnectionOpen ||
+                           aFraming == BodyFraming::CloseDelimited;
+    if (aFraming == BodyFraming::CloseDelimited) {
+      socket_.ResetUnlessFinished();
+    }
+  }
+
   /// Ends the exchange after its response was queued. Closes the connection or prepares
   /// it for the next request.
   void Finish(bool aCloses)
   {
     ReleaseExchange();
+    framing_ = BodyFraming::None;
     requestStart_.reset();
     isHeadRead_ = false;
     timeoutStart_ = port_.options_.now();
@@ -257,7 +289,7 @@
     const std::string body = ErrorBody(Error{ aKind, aMessage });
     socket_.Write(FormatResponseHead(InfoOf(aKind).status,
                                      { { "Content-Type", "application/json" } },
-                                     body.size(), true));
+                                     { .bodySize = body.size(), .closes = true }));
     socket_.Write(body);
     StartLingering();
   }
@@ -295,7 +327,8 @@
   bool isHeadRead_ = false;
   bool isRequestComplete_ = false;
   bool isPaused_ = false;
-  bool closesAfterStream_ = false;
+  BodyFraming framing_ = BodyFraming::None; // of the response in progress
+  bool closesAfterResponse_ = false;
   Socket socket_; // destroyed first, since its tasks call the members above
 };
 
@@ -375,6 +408,22 @@
   ReportIfDrained();
 }
 
+kj::Promise<void> CallerPort::ResetWhenDelivered(uint64_t aConnection)
+{
+  return options_.timer.afterDelay(ToKj(kDeliveryPollInterval))
+    .then([this, aConnection]() -> kj::Promise<void> {
+      const auto found = connections_.find(aConnection);
+      if (found == connections_.end()) {
+        return kj::READY_NOW;
+      }
+      if (!found->second->IsDelivered()) {
+        return ResetWhenDelivered(aConnection);
+      }
+      Remove(aConnection);
+      return kj::READY_NOW;
+    });
+}
+
 void CallerPort::ReportIfDrained()
 {
   if (isDraining_ && connections_.empty()) {
--- a/entry/caller_port.h
+++ b/entry/caller_port.h
@@ -48,7 +48,8 @@
   void Execute(const WriteStreamBytes& aAction);
   void Execute(const FinishStream& aAction);
 
-  /// Closes the connection of the request, so that its response stays incomplete.
+  /// Ends the connection of the request so that its response is visibly incomplete, after
+  /// the bytes that were written before.
   void Execute(const AbortResponse& aAction);
 
   /// Sets the size and time limits for requests.
@@ -76,6 +77,10 @@
   /// Returns the connection that waits for the response of this exchange, or null.
   Connection* Find(ExchangeId aId);
 
+  /// Removes a connection that resets when it closes, as soon as its caller has
+  /// acknowledged what was written to it.
+  kj::Promise<void> ResetWhenDelivered(uint64_t aConnection);
+
   /// Closes a connection. It is destroyed in a later turn of the event loop.
   void Remove(uint64_t aConnection);
 
--- a/entry/entry_counters.cc
+++ b/entry/entry_counters.cc
@@ -29,6 +29,8 @@
       "Attempts whose connection ended before any event of the answer" },
     { "attempts_withdrawn_total", "Attempts that went elsewhere before they were sent" },
     { "answers_oversized_total", "Answers that were given up because of their size" },
+    { "answers_close_delimited_total",
+      "Answers whose end only the end of the connection marked" },
     { "unasked_bytes_total", "Connections closed for bytes that belong to no call" },
     { "streams_stalled_total", "Streams that were moved because no event came" },
     { "quiet_asked_total", "Answers in which a backend asked for no calls" },
--- a/entry/entry_counters.h
+++ b/entry/entry_counters.h
@@ -25,10 +25,11 @@
   AttemptsNotSent,
   AttemptsRefused, // by the backend, not executed
   AttemptsBroken,
-  AttemptsBrokenAtStart, // the connection ended before any event of the answer
-  AttemptsRedirected,    // before they were sent, as the backend became unusable
-  ResponsesOversized,    // aborted because the response was too large
-  UnsolicitedBytes,      // connections closed for bytes outside a response
+  AttemptsBrokenAtStart,   // the connection ended before any event of the answer
+  AttemptsRedirected,      // before they were sent, as the backend became unusable
+  ResponsesOversized,      // aborted because the response was too large
+  ResponsesCloseDelimited, // whose end only the end of the connection marked
+  UnsolicitedBytes,        // connections closed for bytes outside a response
   StreamsStalled,
   BackOffsRequested, // responses in which a backend asked for a back-off
   LimitChanges,      // limits that backends named, changed or lifted
--- a/entry/http_format.cc
+++ b/entry/http_format.cc
@@ -57,19 +57,21 @@
 }
 
 std::string FormatResponseHead(int aStatus, const Headers& aHeaders,
-                               std::optional<size_t> aBodySize, bool aCloses)
+                               const ResponseHeadOptions& aOptions)
 {
   std::string head;
   head.reserve(512);
   head.append("HTTP/1.1 ").append(std::to_string(aStatus)).append(" ");
   head.append(ReasonPhraseOf(aStatus)).append("\r\n");
   AppendFields(head, aHeaders);
-  if (!aBodySize) {
+  if (aOptions.framing == BodyFraming::Chunked) {
     head.append("Transfer-Encoding: chunked\r\n");
-  } else if (aStatus != 204 && aStatus != 304) {
-    head.append("Content-Length: ").append(std::to_string(*aBodySize)).append("\r\n");
+  } else if (aOptions.framing == BodyFraming::Length && aStatus != 204 &&
+             aStatus != 304) {
+    head.append("Content-Length: ").append(std::to_string(aOptions.bodySize));
+    head.append("\r\n");
   }
-  if (aCloses) {
+  if (aOptions.closes) {
     head.append("Connection: close\r\n");
   }
   head.append("\r\n");
--- a/entry/http_format.h
+++ b/entry/http_format.h
@@ -1,6 +1,6 @@
 // Formats HTTP/1.1 message heads and chunks for writing to a connection.
 //
-//   socket.Write(FormatResponseHead(200, headers, std::nullopt, false));
+//   socket.Write(FormatResponseHead(200, headers, { .framing = BodyFraming::Chunked }));
 //   socket.Write(FormatChunk("data: a\n\n"));
 //   socket.Write(kLastChunk);
 
@@ -8,10 +8,10 @@
 #define ENTRY_HTTP_FORMAT_H_
 
 #include <cstddef>
-#include <optional>
 #include <string>
 #include <string_view>
 
+#include "entry/response_body.h"
 #include "gooseberrypath/types.h"
 
 namespace gooseberrypath::entry {
@@ -24,10 +24,18 @@
 std::string FormatRequestHead(std::string_view aMethod, std::string_view aTarget,
                               const Headers& aHeaders, size_t aBodySize);
 
-/// Returns the head of a response. Without a body size it announces a chunked body. With
-/// aCloses it announces that the connection closes after the response.
+/// What the head of a response announces beside its status and fields.
+struct ResponseHeadOptions
+{
+  BodyFraming framing = BodyFraming::Length;
+  size_t bodySize = 0; // in bytes, with BodyFraming::Length only
+  bool closes = false; // the connection closes after the response
+};
+
+/// Returns the head of a response. A body that only the end of the connection delimits
+/// needs `closes`.
 std::string FormatResponseHead(int aStatus, const Headers& aHeaders,
-                               std::optional<size_t> aBodySize, bool aCloses);
+                               const ResponseHeadOptions& aOptions);
 
 /// Returns the bytes of one chunk of a chunked body. The data must not be empty.
 std::string FormatChunk(std::string_view aData);
--- a/entry/http_reader.cc
+++ b/entry/http_reader.cc
@@ -15,13 +15,17 @@
   return aStatus >= 100 && aStatus < 200;
 }
 
-/// Tells whether the end of the connection delimits the body of the response (RFC 9112,
-/// section 6.3).
-bool IsCloseDelimited(const http_parser& aParser)
+/// Returns what marks the end of the body of a response that may have one.
+BodyFraming FramingOf(const http_parser& aParser)
 {
-  const bool hasNoBody = aParser.status_code == 204 || aParser.status_code == 304;
-  const bool isChunked = (aParser.flags & F_CHUNKED) != 0;
-  return !hasNoBody && !isChunked && aParser.content_length == ULLONG_MAX;
+  if (aParser.status_code == 204 || aParser.status_code == 304) {
+    return BodyFraming::None;
+  }
+  if ((aParser.flags & F_CHUNKED) != 0) {
+    return BodyFraming::Chunked;
+  }
+  return aParser.content_length == ULLONG_MAX ? BodyFraming::CloseDelimited
+                                              : BodyFraming::Length;
 }
 
 } // namespace
@@ -161,8 +165,9 @@
     return kSkipBody;
   }
   head_.keepsConnectionOpen = http_should_keep_alive(&parser_) != 0;
-  head_.isCloseDelimited =
-    !options_.isRequest && !expectsNoBody_ && IsCloseDelimited(parser_);
+  if (!options_.isRequest && !expectsNoBody_) {
+    head_.framing = FramingOf(parser_);
+  }
   options_.onHead(head_);
   return std::exchange(expectsNoBody_, false) ? kSkipBody : 0;
 }
--- a/entry/http_reader.h
+++ b/entry/http_reader.h
@@ -15,6 +15,7 @@
 
 #include <http_parser.h>
 
+#include "entry/response_body.h"
 #include "gooseberrypath/types.h"
 
 namespace gooseberrypath::entry {
@@ -27,8 +28,8 @@
   std::string target;
   int status = 0;
   Headers headers;
-  bool keepsConnectionOpen = true; // for further messages
-  bool isCloseDelimited = false;   // the end of the connection ends the body
+  bool keepsConnectionOpen = true;         // for further messages
+  BodyFraming framing = BodyFraming::None; // of a response
 };
 
 struct HttpReaderOptions
@@ -79,7 +80,7 @@
   size_t BufferedBytes() const { return buffered_.size(); }
 
   /// Tells whether the end of the connection ends the body of the current response.
-  bool EndsWithConnection() const { return head_.isCloseDelimited; }
+  bool EndsWithConnection() const { return head_.framing == BodyFraming::CloseDelimited; }
 
   /// Tells whether parsing failed because the head or the trailers exceed maxHeadBytes.
   bool IsHeadTooLarge() const { return isHeadTooLarge_; }
--- a/entry/messages.h
+++ b/entry/messages.h
@@ -127,6 +127,7 @@
 struct StreamEnded
 {
   AttemptId attempt;
+  ReceivedBody received{};
 };
 
 enum class BreakCause : uint8_t
@@ -138,6 +139,24 @@
   Silent,    // the backend acknowledged nothing for the timeout of the connection
 };
 
+/// Returns the name of the cause for log lines.
+constexpr std::string_view NameOf(BreakCause aCause)
+{
+  switch (aCause) {
+    case BreakCause::Malformed:
+      return "malformed";
+    case BreakCause::Oversized:
+      return "oversized";
+    case BreakCause::Closed:
+      return "closed";
+    case BreakCause::Reset:
+      return "reset";
+    case BreakCause::Silent:
+      return "silent";
+  }
+  return {};
+}
+
 /// Tells whether the connection ended, which shows that the backend may have ended too.
 constexpr bool IsConnectionEnd(BreakCause aCause)
 {
@@ -150,6 +169,7 @@
   AttemptId attempt;
   std::string reason;
   BreakCause cause = BreakCause::Malformed;
+  ReceivedBody received{};
 };
 
 /// An idle connection to a backend was closed because it received bytes without a call.
@@ -248,7 +268,7 @@
 
 // Actions towards callers.
 
-/// Sends a complete response.
+/// Sends a complete response. The framing is Length or CloseDelimited.
 struct WriteResponse
 {
   ExchangeId exchange;
@@ -256,14 +276,16 @@
   Headers headers;
   std::string body;
   bool closesConnection = false; // after the response
+  BodyFraming framing = BodyFraming::Length;
 };
 
-/// Sends the head of a streaming response.
+/// Sends the head of a streaming response. The framing is Chunked or CloseDelimited.
 struct WriteStreamHead
 {
   ExchangeId exchange;
   int status = 0;
   Headers headers;
+  BodyFraming framing = BodyFraming::Chunked;
 };
 
 /// Sends a part of the body of a streaming response.
@@ -279,7 +301,8 @@
   ExchangeId exchange;
 };
 
-/// Closes the connection so that the caller detects an incomplete response.
+/// Ends the connection so that the caller detects an incomplete response: closes it, or
+/// resets it if its end would mark the end of the body.
 struct AbortResponse
 {
   ExchangeId exchange;
--- a/entry/model.h
+++ b/entry/model.h
@@ -13,6 +13,7 @@
 #include <variant>
 #include <vector>
 
+#include "entry/response_body.h"
 #include "gooseberrypath/types.h"
 
 namespace gooseberrypath::entry {
@@ -202,6 +203,7 @@
   AnnouncedLimit limit;
   std::vector<std::string> unknownFields; // names of the platform that are not known
   bool closesConnection = false;
+  BodyFraming framing = BodyFraming::None;
   std::optional<Duration> keepAliveTimeout; // idle time after which the backend closes
 };
 
--- a/entry/request_system.cc
+++ b/entry/request_system.cc
@@ -512,10 +512,8 @@
     watch_.ExpectNextEvent(running->request, attempt.lastEvent);
   }
   if (!row.headSent) {
-    row.headSent = true;
     world_.counters.Observe(EntryHistogram::FirstEvent, ToMs(world_.Now() - row.arrived));
-    world_.Emit(WriteStreamHead{ running->request.id, row.streamHead.status,
-                                 row.streamHead.headers });
+    completion_.BeginStream(running->request);
   }
   if (!aEvent.lastId.empty()) {
     row.lastEventId = aEvent.lastId;
@@ -533,7 +531,7 @@
     ToMs(world_.Now() - running->attempt->sent));
   const std::string backend = running->attempt->backend;
   attempts_.Remove(aEvent.attempt);
-  completion_.CompleteStream(running->request, backend);
+  completion_.CompleteStream(running->request, backend, aEvent.received);
 }
 
 void RequestSystem::Handle(const AttemptBroken& aEvent)
--- a/entry/socket.cc
+++ b/entry/socket.cc
@@ -1,13 +1,24 @@
 #include "entry/socket.h"
 
+#include <algorithm>
 #include <utility>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+
+#include <kj/debug.h>
+
 #include "gooseberrypath/http_io.h"
 
 namespace gooseberrypath::entry {
 
 namespace {
 
+// Bytes are passed to the operating system in parts of this size, so that a slow peer
+// that reads on can be told from one that does not.
+constexpr size_t kWriteBytes = size_t{ 64 } * 1024;
+
 /// Returns how the connection ended. kj reports a timeout of the connection (ETIMEDOUT)
 /// as OVERLOADED and a reset as DISCONNECTED.
 SocketEnd EndOf(const kj::Exception& aError)
@@ -62,8 +73,11 @@
 
 kj::Promise<void> Socket::WriteLoop()
 {
-  if (writeQueue_.empty()) {
+  if (QueuedBytes() == 0) {
     if (closesAfterWrites_) {
+      if (std::exchange(resetsUnlessFinished_, false)) {
+        SetResetOnClose(false);
+      }
       stream_->shutdownWrite();
       if (options_.onFlushed && !areCallbacksDisabled_) {
         options_.onFlushed();
@@ -74,10 +88,17 @@
     writeFulfiller_ = kj::mv(waiting.fulfiller);
     return waiting.promise.then([this] { return WriteLoop(); });
   }
-  bytesBeingWritten_ = std::exchange(writeQueue_, {});
-  return stream_->write(bytesBeingWritten_.data(), bytesBeingWritten_.size())
-    .then([this] {
-      bytesBeingWritten_.clear();
+  if (bytesBeingWritten_.empty()) {
+    bytesBeingWritten_ = std::exchange(writeQueue_, {});
+  }
+  const size_t count = std::min(kWriteBytes, bytesBeingWritten_.size() - writtenBytes_);
+  return stream_->write(bytesBeingWritten_.data() + writtenBytes_, count)
+    .then([this, count] {
+      writtenBytes_ += count;
+      if (writtenBytes_ == bytesBeingWritten_.size()) {
+        bytesBeingWritten_.clear();
+        writtenBytes_ = 0;
+      }
       return WriteLoop();
     });
 }
@@ -102,6 +123,31 @@
   Fulfill(writeFulfiller_);
 }
 
+bool Socket::IsDelivered() const
+{
+  if (QueuedBytes() > 0) {
+    return false;
+  }
+  KJ_IF_MAYBE (descriptor, stream_->getFd()) {
+    int unacknowledgedBytes = 0;
+    KJ_SYSCALL(ioctl(*descriptor, SIOCOUTQ, &unacknowledgedBytes));
+    return unacknowledgedBytes == 0;
+  }
+  KJ_FAIL_REQUIRE("the stream has no descriptor");
+}
+
+void Socket::ResetUnlessFinished()
+{
+  SetResetOnClose(true);
+  resetsUnlessFinished_ = true;
+}
+
+void Socket::SetResetOnClose(bool aResets)
+{
+  const linger option{ .l_onoff = aResets ? 1 : 0, .l_linger = 0 };
+  stream_->setsockopt(SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+}
+
 void Socket::CloseAfterWrites()
 {
   closesAfterWrites_ = true;
--- a/entry/socket.h
+++ b/entry/socket.h
@@ -55,15 +55,27 @@
   void Write(std::string_view aBytes);
 
   /// Returns the number of bytes that were not yet passed to the operating system.
-  size_t QueuedBytes() const { return writeQueue_.size() + bytesBeingWritten_.size(); }
+  size_t QueuedBytes() const
+  {
+    return writeQueue_.size() + bytesBeingWritten_.size() - writtenBytes_;
+  }
 
   /// Suspends and resumes reading. Bytes of a read in progress are still passed on.
   void Pause() { isPaused_ = true; }
   void Resume();
 
+  /// Tells whether the peer has acknowledged all written bytes. Throws kj::Exception if
+  /// the operating system cannot tell.
+  bool IsDelivered() const;
+
   /// Shuts down the sending side after all queued bytes were written.
   void CloseAfterWrites();
 
+  /// From now on, the destruction of the socket or the end of the process resets the
+  /// connection, until CloseAfterWrites() has written all queued bytes. Throws
+  /// kj::Exception if the operating system refuses.
+  void ResetUnlessFinished();
+
   /// Ensures that no callback is called any more.
   void DisableCallbacks() { areCallbacksDisabled_ = true; }
 
@@ -71,6 +83,9 @@
   kj::Promise<void> ReadLoop();
   kj::Promise<void> WriteLoop();
 
+  /// Sets whether closing the socket resets the connection.
+  void SetResetOnClose(bool aResets);
+
   /// Calls onClosed unless it was called before.
   void ReportClosed(SocketEnd aEnd);
 
@@ -82,10 +97,12 @@
   std::array<char, 8192> readBuffer_{};
   std::string writeQueue_;
   std::string bytesBeingWritten_;
+  size_t writtenBytes_ = 0; // of bytesBeingWritten_
   bool isPaused_ = false;
   bool areCallbacksDisabled_ = false;
   bool isClosed_ = false;
   bool closesAfterWrites_ = false;
+  bool resetsUnlessFinished_ = false;
   kj::Own<kj::PromiseFulfiller<void>> resumeFulfiller_;
   kj::Own<kj::PromiseFulfiller<void>> writeFulfiller_;
   kj::Promise<void> readTask_ = nullptr;
--- a/entry/sse_event_splitter.cc
+++ b/entry/sse_event_splitter.cc
@@ -16,6 +16,18 @@
   return std::max(after("\n\n"), after("\n\r\n"));
 }
 
+/// Returns the number of events in the text, which ends after an event.
+size_t CountEvents(std::string_view aEvents)
+{
+  size_t count = 0;
+  for (size_t at = aEvents.find('\n'); at != std::string_view::npos;
+       at = aEvents.find('\n', at + 1)) {
+    const std::string_view rest = aEvents.substr(at + 1);
+    count += rest.starts_with('\n') || rest.starts_with("\r\n") ? 1 : 0;
+  }
+  return count;
+}
+
 /// Returns the value of the last "id" field, or an empty string.
 std::string LastEventId(std::string_view aEvents)
 {
@@ -45,6 +57,7 @@
   CompleteEvents events{ .bytes = partialEvent_.substr(0, end), .lastId = {} };
   partialEvent_.erase(0, end);
   events.lastId = LastEventId(events.bytes);
+  events.count = CountEvents(events.bytes);
   return events;
 }
 
--- a/entry/sse_event_splitter.h
+++ b/entry/sse_event_splitter.h
@@ -17,6 +17,7 @@
 {
   std::string bytes;
   std::string lastId; // value of the last "id" field; empty if there is none
+  size_t count = 0;
 };
 
 class SseEventSplitter
--- a/entry/world.h
+++ b/entry/world.h
@@ -142,10 +142,11 @@
   bool mayHaveExecuted = false; // a backend may have executed it
   ResponseHead streamHead{};    // of the first engine; forwarded with the first event
   bool headSent = false;        // the head of the stream was sent to the caller
-  std::string lastEventId;      // id of the last event that was sent to the caller
-  bool isUsageCounted = false;  // the call is included in the usage counts
-  bool isPartTrial = false;     // it is sent although a part of its prompt is blocked
-  uint32_t brokenStarts = 0;    // backends that ended before they began to answer
+  BodyFraming sentFraming = BodyFraming::None; // of the stream, in that head
+  std::string lastEventId;     // id of the last event that was sent to the caller
+  bool isUsageCounted = false; // the call is included in the usage counts
+  bool isPartTrial = false;    // it is sent although a part of its prompt is blocked
+  uint32_t brokenStarts = 0;   // backends that ended before they began to answer
   std::vector<std::string> failedBackends; // ids of backends at which an attempt failed
   TimerId deadlineTimer;
   TimerId hedgeTimer;
