Entry: a response that only the end of its connection ends is passed on so

A backend's response without length or chunks ends with its connection, and an engine that breaks off closes it just the same. The daemon took that FIN for the end and added an end mark of its own, the last chunk or a Content-Length, without any evidence.

Such a response now reaches the caller without length and chunks, and ends with the caller's connection: the daemon claims no more than it knows. Where a stream was begun in chunks and an engine without them resumes it, its end is taken for a break: the call goes on elsewhere within its attempts and the retry budget, or is broken off.

The fix works for all routes because the framing is decided in one place, from the head of the response that is passed on.

--- a/entry/call_completion.cc
+++ b/entry/call_completion.cc
@@ -7,6 +7,25 @@
 
 namespace gooseberrypath::entry {
 
+namespace {
+
+/// Returns the framing of a response towards the caller. A backend's response that only
+/// the end of its connection ends may have been cut there, so the daemon must not mark
+/// its end.
+BodyFraming FramingTowardsCaller(const ResponseHead& aHead, BodyFraming aMarked)
+{
+  return aHead.framing == BodyFraming::CloseDelimited ? BodyFraming::CloseDelimited
+                                                      : aMarked;
+}
+
+} // namespace
+
+bool IsEndShown(const RequestRow& aRow, const ReceivedBody& aReceived)
+{
+  return aReceived.framing != BodyFraming::CloseDelimited || !aRow.headSent ||
+         aRow.sentFraming == BodyFraming::CloseDelimited;
+}
+
 double CallCompletion::ElapsedMs(const RequestRow& aRow) const
 {
   return ToMs(world_.Now() - aRow.arrived);
@@ -68,11 +87,12 @@
                                      const AttemptAnswered& aResponse)
 {
   RequestRow& row = *aRequest.row;
+  const BodyFraming framing = FramingTowardsCaller(aResponse.head, BodyFraming::Length);
   world_.counters.Add(EntryCounter::CallsAnswered);
   world_.counters.Observe(EntryHistogram::PlainAnswer, ElapsedMs(row));
   LogResponse(row, aResponse.head.status, aBackend,
               { .framing = aResponse.head.framing, .bytes = aResponse.body.size() },
-              BodyFraming::Length);
+              framing);
   if (row.headSent) {
     // The engine that should resume the stream sent a plain response, so the stream ends
     // incomplete.
@@ -82,7 +102,8 @@
                                .status = aResponse.head.status,
                                .headers = aResponse.head.headers,
                                .body = aResponse.body,
-                               .closesConnection = world_.stoppingSince.has_value() });
+                               .closesConnection = world_.stoppingSince.has_value(),
+                               .framing = framing });
   }
   Remove(aRequest);
 }
@@ -91,7 +112,7 @@
 {
   RequestRow& row = *aRequest.row;
   row.headSent = true;
-  row.sentFraming = BodyFraming::Chunked;
+  row.sentFraming = FramingTowardsCaller(row.streamHead, BodyFraming::Chunked);
   world_.Emit(WriteStreamHead{ .exchange = aRequest.id,
                                .status = row.streamHead.status,
                                .headers = row.streamHead.headers,
--- a/entry/call_completion.h
+++ b/entry/call_completion.h
@@ -18,6 +18,11 @@
   RequestRow* row = nullptr;
 };
 
+/// Tells whether the end of the backend's response shows that the stream may be ended as
+/// its head promised. A response that only the end of its connection ends does not, if an
+/// earlier backend's response was framed and the caller was promised an end mark.
+bool IsEndShown(const RequestRow& aRow, const ReceivedBody& aReceived);
+
 class CallCompletion
 {
 public:
--- a/entry/request_system.cc
+++ b/entry/request_system.cc
@@ -531,6 +531,11 @@
     ToMs(world_.Now() - running->attempt->sent));
   const std::string backend = running->attempt->backend;
   attempts_.Remove(aEvent.attempt);
+  if (!IsEndShown(*running->request.row, aEvent.received)) {
+    running->request.row->failedBackends.push_back(backend);
+    Retry(running->request, false, "nothing marks the end of the resumed stream");
+    return;
+  }
   completion_.CompleteStream(running->request, backend, aEvent.received);
 }
 
