Entry: no response is written into a stream that has begun

SendError() and ForwardResponse() ask now, for all paths, and break the stream off. A plain answer to a resumed call no longer counts and is no longer logged as answered.

The test beside it passed without a second attempt, as the fixture's retry budget allowed none; both now require it.

--- a/entry/call_completion.cc
+++ b/entry/call_completion.cc
@@ -35,6 +35,10 @@
                                Duration aRetryAfter)
 {
   RequestRow& row = *aRequest.row;
+  if (row.headSent) {
+    Abort(aRequest, aError.message);
+    return;
+  }
   const ErrorInfo& info = InfoOf(aError.kind);
   const bool isRefusal = info.run == RunState::NotRun;
   world_.counters.Add(isRefusal ? EntryCounter::CallsRefused : EntryCounter::CallsFailed);
@@ -67,44 +71,45 @@
 void CallCompletion::EndUnserved(RequestRef aRequest, const Error& aRefusal,
                                  Duration aRetryAfter)
 {
-  RequestRow& row = *aRequest.row;
-  if (row.headSent) {
-    world_.counters.Add(EntryCounter::CallsAborted);
-    world_.Log(LogLevel::Info, "aborted", row.call.requestId,
-               { { "reason", aRefusal.message }, { "ms", MsText(ElapsedMs(row)) } });
-    world_.Emit(AbortResponse{ aRequest.id });
-    Remove(aRequest);
-    return;
-  }
-  if (row.mayHaveExecuted) {
+  if (aRequest.row->mayHaveExecuted) {
     SendError(aRequest, Error{ ErrorKind::BackendFailed, aRefusal.message });
     return;
   }
   SendError(aRequest, aRefusal, aRetryAfter);
 }
 
+void CallCompletion::Abort(RequestRef aRequest, const std::string& aReason)
+{
+  const RequestRow& row = *aRequest.row;
+  world_.counters.Add(EntryCounter::CallsAborted);
+  world_.Log(LogLevel::Info, "aborted", row.call.requestId,
+             { { "reason", aReason },
+               { "sent_framing", std::string(NameOf(row.sentFraming)) },
+               { "ms", MsText(ElapsedMs(row)) } });
+  world_.Emit(AbortResponse{ aRequest.id });
+  Remove(aRequest);
+}
+
 void CallCompletion::ForwardResponse(RequestRef aRequest, const std::string& aBackend,
                                      const AttemptAnswered& aResponse)
 {
   RequestRow& row = *aRequest.row;
+  if (row.headSent) {
+    Abort(aRequest, "the engine that should resume the stream sent a plain response");
+    return;
+  }
   const BodyFraming framing = FramingTowardsCaller(aResponse.head, BodyFraming::Length);
   world_.counters.Add(EntryCounter::CallsAnswered);
   world_.counters.Observe(EntryHistogram::PlainAnswer, ElapsedMs(row));
   LogResponse(row, aResponse.head.status, aBackend,
               { .framing = aResponse.head.framing, .bytes = aResponse.body.size() },
               framing);
-  if (row.headSent) {
-    // The engine that should resume the stream sent a plain response, so the stream ends
-    // incomplete.
-    world_.Emit(AbortResponse{ aRequest.id });
-  } else {
-    world_.Emit(WriteResponse{ .exchange = aRequest.id,
-                               .status = aResponse.head.status,
-                               .headers = aResponse.head.headers,
-                               .body = aResponse.body,
-                               .closesConnection = world_.stoppingSince.has_value(),
-                               .framing = framing });
-  }
+  world_.Emit(WriteResponse{ .exchange = aRequest.id,
+                             .status = aResponse.head.status,
+                             .headers = aResponse.head.headers,
+                             .body = aResponse.body,
+                             .closesConnection = world_.stoppingSince.has_value(),
+                             .framing = framing });
   Remove(aRequest);
 }
 
--- a/entry/call_completion.h
+++ b/entry/call_completion.h
@@ -33,15 +33,15 @@
 
   /// Ends the call with an error response of this daemon, with Retry-After if the time is
   /// positive. Refunds the team's quota if the error states that the call was not
-  /// executed.
+  /// executed. A stream that has begun is aborted instead.
   void SendError(RequestRef aRequest, const Error& aError, Duration aRetryAfter = {});
 
   /// Ends a call that no backend can serve. If it was certainly not executed, the
-  /// response is the error `aRefusal`; if it may have been executed, BackendFailed. A
-  /// stream that has begun is aborted.
+  /// response is the error `aRefusal`; if it may have been executed, BackendFailed.
   void EndUnserved(RequestRef aRequest, const Error& aRefusal, Duration aRetryAfter);
 
-  /// Ends the call with a backend's complete response.
+  /// Ends the call with a backend's complete response. A stream that has begun is aborted
+  /// instead.
   void ForwardResponse(RequestRef aRequest, const std::string& aBackend,
                        const AttemptAnswered& aResponse);
 
@@ -56,6 +56,9 @@
   void Remove(RequestRef aRequest);
 
 private:
+  /// Breaks the stream of the call off.
+  void Abort(RequestRef aRequest, const std::string& aReason);
+
   /// Returns the time since the call arrived.
   double ElapsedMs(const RequestRow& aRow) const;
 
--- a/entry/testing/faulty_backend_test.cc
+++ b/entry/testing/faulty_backend_test.cc
@@ -261,6 +261,49 @@
   }
 }
 
+namespace {
+
+/// An entry core with a stream that broke off after its first event and goes on at
+/// another backend.
+struct ResumedStream
+{
+  ResumedStream()
+  {
+    entry.Prepare();
+    entry.PostCall("questions");
+    const StartAttempt first = entry.SendLatestAttempt();
+    entry.Post(
+      StreamStarted{ first.attempt, { .status = 200, .hasResponseStamp = true } });
+    entry.Post(StreamEvents{ first.attempt, kEvent, "1" });
+    entry.Post(AttemptBroken{ first.attempt, "closed", BreakCause::Closed });
+    second = entry.SendLatestAttempt();
+    REQUIRE(second.attempt != AttemptId{});
+  }
+
+  /// Checks that the caller got the first event and then a broken connection.
+  void CheckAborted()
+  {
+    entry.Advance(20s);
+    size_t bytes = 0;
+    for (const WriteStreamBytes& part : entry.TakeActions<WriteStreamBytes>()) {
+      bytes += part.bytes.size();
+    }
+    CHECK(bytes == kEvent.size());
+    CHECK(entry.TakeActions<FinishStream>().empty());
+    CHECK(entry.TakeActions<WriteResponse>().empty());
+    CHECK(entry.TakeActions<AbortResponse>().size() == 1);
+  }
+
+  const std::string kEvent = "id: 1\ndata: a\n\n";
+  EntryFixture entry{ EntryOptions{ .host = "d1",
+                                    .dataCentre = "c1",
+                                    .dataCentres = { "c1" },
+                                    .retryBudget = { .extra = 10 } } };
+  StartAttempt second;
+};
+
+} // namespace
+
 TEST_CASE("Entry: an error after a stream broke off does not reach the caller",
           "[entry][faulty]")
 {
@@ -269,24 +312,27 @@
   for (const int status : { 200, 400, 404, 500, 503 }) {
     for (const bool wasNotRun : { false, true }) {
       INFO("status " << status << ", not run " << wasNotRun);
-      EntryFixture entry;
-      entry.Prepare();
-      entry.PostCall("questions");
-      const StartAttempt first = entry.SendLatestAttempt();
-      entry.Post(
-        StreamStarted{ first.attempt, { .status = 200, .hasResponseStamp = true } });
-      entry.Post(StreamEvents{ first.attempt, "id: 1\ndata: a\n\n", "1" });
-      entry.Post(AttemptBroken{ first.attempt, "closed", BreakCause::Closed });
-      entry.Respond(entry.SendLatestAttempt(), status, wasNotRun);
-      entry.Advance(20s);
-      size_t bytes = 0;
-      for (const WriteStreamBytes& part : entry.TakeActions<WriteStreamBytes>()) {
-        bytes += part.bytes.size();
-      }
-      CHECK(bytes == std::string("id: 1\ndata: a\n\n").size());
-      CHECK(entry.TakeActions<FinishStream>().empty());
-      CHECK(entry.TakeActions<WriteResponse>().empty());
-      CHECK(entry.TakeActions<AbortResponse>().size() == 1);
+      ResumedStream stream;
+      stream.entry.Respond(stream.second, status, wasNotRun);
+      stream.CheckAborted();
+    }
+  }
+}
+
+TEST_CASE("Entry: a malformed answer after a stream broke off does not reach the caller",
+          "[entry][faulty]")
+{
+  // Guards against the whole head of an error in the middle of a stream.
+  for (const int status : { 200, 204 }) {
+    for (const bool hasContentEncoding : { false, true }) {
+      INFO("status " << status << ", encoded " << hasContentEncoding);
+      ResumedStream stream;
+      stream.entry.Post(AttemptAnswered{ stream.second.attempt,
+                                         { .status = status,
+                                           .hasResponseStamp = hasContentEncoding,
+                                           .hasContentEncoding = hasContentEncoding },
+                                         "body" });
+      stream.CheckAborted();
     }
   }
 }
