Entry: a whole response reaches a caller that takes it slowly

A caller that took a long response slowly was cut two seconds after the response had been queued, if the connection was to close after it: the time in which a closed connection is still read began with the response, not with its last byte.

The time begins anew as long as the caller takes bytes.

--- a/entry/caller_port.cc
+++ b/entry/caller_port.cc
@@ -108,7 +108,7 @@
   {
     ReleaseExchange();
     if (framing_ == BodyFraming::CloseDelimited) {
-      lingerEnd_ = port_.options_.now() + kLingerTime;
+      BeginLingerTime();
       port_.tasks_.add(port_.ResetWhenDelivered(id_));
     } else {
       StartLingering();
@@ -137,9 +137,7 @@
   {
     const CallerLimits& limits = port_.limits_;
     if (lingerEnd_) {
-      if (*lingerEnd_ <= aNow) {
-        port_.Remove(id_);
-      }
+      CheckLingering(aNow);
     } else if (exchange_ != ExchangeId{}) {
       return;
     } else if (reader_.IsInMessage()) {
@@ -294,17 +292,36 @@
     StartLingering();
   }
 
+  /// Removes a lingering connection whose time is over. The time begins anew while the
+  /// caller still takes bytes of its response.
+  void CheckLingering(TimePoint aNow)
+  {
+    const size_t queued = socket_.QueuedBytes();
+    if (queued < std::exchange(lingeringBytes_, queued)) {
+      lingerEnd_ = aNow + kLingerTime;
+    }
+    if (*lingerEnd_ <= aNow) {
+      port_.Remove(id_);
+    }
+  }
+
   /// Closes the sending side after the queued bytes. Received bytes are discarded until
   /// kLingerTime is over.
   void StartLingering()
   {
-    lingerEnd_ = port_.options_.now() + kLingerTime;
+    BeginLingerTime();
     if (std::exchange(isPaused_, false)) {
       socket_.Resume();
     }
     socket_.CloseAfterWrites();
   }
 
+  void BeginLingerTime()
+  {
+    lingerEnd_ = port_.options_.now() + kLingerTime;
+    lingeringBytes_ = socket_.QueuedBytes();
+  }
+
   void OnClosed()
   {
     const ExchangeId exchange = exchange_;
@@ -324,6 +341,7 @@
   TimePoint timeoutStart_;                // of the idle, head or body timeout
   std::optional<TimePoint> requestStart_; // when its head was read
   std::optional<TimePoint> lingerEnd_;
+  size_t lingeringBytes_ = 0; // queued at the last check, while lingering
   bool isHeadRead_ = false;
   bool isRequestComplete_ = false;
   bool isPaused_ = false;
--- a/entry/testing/close_delimited_test.cc
+++ b/entry/testing/close_delimited_test.cc
@@ -22,7 +22,7 @@
       CallerPortOptions{ .network = loop.Network(),
                          .timer = loop.Timer(),
                          .sink = loop.Sink(),
-                         .now = [this] { return clock.Now(); },
+                         .now = [this] { return now; },
                          .address = "127.0.0.1:" + std::to_string(portNumber) });
     caller.emplace(loop.ConnectTo(portNumber));
     caller->Write(
@@ -38,7 +38,7 @@
   }
 
   EntryLoop loop;
-  BootClock clock{ { .timer = loop.Timer() } };
+  TimePoint now{ 1s };
   uint16_t portNumber;
   std::optional<CallerPort> port;
   std::optional<RawPeer> caller;
@@ -97,4 +97,24 @@
   CHECK(received.claim == EndClaim::Broken);
 }
 
+TEST_CASE("A caller that takes its response slowly gets all of it",
+          "[entry][close_delimited]")
+{
+  // Guards against a whole response that is cut two seconds after it was written.
+  StreamFixture fixture;
+  const size_t size = 12'000'000;
+  fixture.WriteBytes(std::string(size, 'x'));
+  fixture.port->Execute(FinishStream{ fixture.exchange });
+  std::string part(3'000'000, '\0');
+  for (int i = 0; i < 3; ++i) {
+    fixture.caller->stream->read(part.data(), part.size())
+      .wait(fixture.loop.io.waitScope);
+    fixture.loop.Timer()
+      .afterDelay(300 * kj::MILLISECONDS) // longer than between two checks
+      .wait(fixture.loop.io.waitScope);
+    fixture.now += 1500ms;
+  }
+  CHECK(3 * part.size() + fixture.caller->ReadAll().size() > size);
+}
+
 } // namespace gooseberrypath::entry
