--- a/gooseberrypath/testing/backend_http_test.cc
+++ b/gooseberrypath/testing/backend_http_test.cc
@@ -114,6 +114,22 @@
   CHECK(backends.Errors().Count() == 0);
 }
 
+TEST_CASE("BackendHttp: an answer without length that was cut does not look whole",
+          "[.][product_end_known_red]")
+{
+  // Guards against a length that the daemon adds to an answer whose service broke off.
+  LoopFixture loop;
+  BackendHttp backends(OptionsOf(loop));
+  auto listener = loop.Listen();
+  backends.Execute(ServiceAttempt(loop.AddressOf(*listener)));
+  RawPeer service = loop.Accept(*listener);
+  service.ReadUntil("\r\n\r\npickup");
+  service.Write("HTTP/1.1 200 OK\r\n\r\ncut");
+  service.Close();
+  loop.RunUntil([&] { return !loop.events.empty(); });
+  CHECK(loop.Count<AttemptAnswered>() == 0);
+}
+
 TEST_CASE("BackendHttp keeps the length of an answer to HEAD", "[backend]")
 {
   // Guards against waiting for a body that is never sent, and against a lost length.
