--- a/entry/testing/cut_response.cc
+++ b/entry/testing/cut_response.cc
@@ -197,14 +197,15 @@
     std::array<char, 4096> buffer{};
     const size_t count =
       aLoop.Timer()
-        .timeoutAfter(
-          kReadTimeout,
-          aCaller.stream->tryRead(buffer.data(), 1, buffer.size())
-            .catch_([&](kj::Exception&& aError) {
-              KJ_REQUIRE(aError.getType() == kj::Exception::Type::DISCONNECTED, aError);
-              wasReset = true;
-              return size_t{ 0 };
-            }))
+        .timeoutAfter(kReadTimeout,
+                      aCaller.stream->tryRead(buffer.data(), 1, buffer.size())
+                        .catch_([&](kj::Exception&& aError) {
+                          if (aError.getType() != kj::Exception::Type::DISCONNECTED) {
+                            kj::throwFatalException(kj::mv(aError));
+                          }
+                          wasReset = true;
+                          return size_t{ 0 };
+                        }))
         .wait(aLoop.io.waitScope);
     if (count == 0) {
       break;
