Entry: logs, metrics and status tell how old what a daemon read of the store is

Now each failed read of the configuration and the fleet is logged with its kind, its time and the age of what is known; configuration_applied tells which read brought the version, how long it took and how old the version before was; the gauge topic_age_seconds and the status show the ages. Reads and retries are unchanged.

--- a/entry/entry_counters.cc
+++ b/entry/entry_counters.cc
@@ -53,6 +53,7 @@
     { "configurations_applied_total", "Versions of the configuration that were applied" },
     { "fleet_changes_total", "Entries of backends that were read" },
     { "store_lost_total", "Times that the platform's store got out of reach" },
+    { "store_reads_failed_total", "Reads of the platform's store that failed" },
     { "store_went_back_total", "Times that the store came back from a copy" },
     { "digests_received_total", "Datagrams of other daemons" },
     { "digests_malformed_total", "Datagrams that could not be read" },
--- a/entry/entry_counters.h
+++ b/entry/entry_counters.h
@@ -51,6 +51,7 @@
   ConfigurationsApplied,
   FleetChanges,
   StoreDisconnects,
+  StoreReadsFailed,
   StoreRestores, // times that the store came back from a copy
   DigestsReceived,
   DigestsMalformed,
--- a/entry/fleet_system.cc
+++ b/entry/fleet_system.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "entry/backend_notice.h"
+#include "entry/duration_text.h"
 #include "entry/unknown_fields.h"
 
 namespace gooseberrypath::entry {
@@ -81,7 +82,32 @@
   world_.Log(LogLevel::Info, "configuration_applied", {},
              { { "version", std::to_string(next.version) },
                { "routes", std::to_string(next.routes.size()) },
-               { "teams", std::to_string(next.teams.size()) } });
+               { "teams", std::to_string(next.teams.size()) },
+               { "read_by", std::string(NameOf(aEvent.read.kind)) },
+               { "read_ms", MsText(ToMs(aEvent.read.took)) },
+               { "confirmed_ms_ago", AgeText(StoreTopic::Configuration) } });
+}
+
+std::string FleetSystem::AgeText(StoreTopic aTopic) const
+{
+  const auto age = world_.freshness.AgeOf(aTopic, world_.Now());
+  return age ? MsText(ToMs(*age)) : "never";
+}
+
+void FleetSystem::Handle(const TopicConfirmed& aEvent)
+{
+  world_.freshness.Confirm(aEvent.read.topic, world_.Now() - aEvent.age);
+}
+
+void FleetSystem::Handle(const TopicReadFailed& aEvent)
+{
+  world_.counters.Add(EntryCounter::StoreReadsFailed);
+  world_.Log(LogLevel::Warning, "store_read_failed", {},
+             { { "topic", std::string(NameOf(aEvent.read.topic)) },
+               { "read_by", std::string(NameOf(aEvent.read.kind)) },
+               { "read_ms", MsText(ToMs(aEvent.read.took)) },
+               { "confirmed_ms_ago", AgeText(aEvent.read.topic) },
+               { "reason", aEvent.reason } });
 }
 
 void FleetSystem::ApplyTeams()
--- a/entry/fleet_system.h
+++ b/entry/fleet_system.h
@@ -37,6 +37,9 @@
   /// Applies the configuration if its version is newer than the one in force.
   void Handle(const ConfigurationRead& aEvent);
 
+  void Handle(const TopicConfirmed& aEvent);
+  void Handle(const TopicReadFailed& aEvent);
+
   void Handle(const FleetRead& aEvent);
   void Handle(const StoreReachabilityChanged& aEvent);
 
@@ -109,6 +112,9 @@
   /// Erases removed backends that have no calls left, and expired prompts.
   void Purge();
 
+  /// Returns for log lines how long ago the topic was known.
+  std::string AgeText(StoreTopic aTopic) const;
+
   /// Creates, updates and removes the teams' quotas as the configuration says.
   void ApplyTeams();
 
--- a/entry/messages.h
+++ b/entry/messages.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -13,16 +14,63 @@
 #include "entry/model.h"
 #include "entry/peer_digest.h"
 #include "entry/permit_message.h"
+#include "entry/topic_freshness.h"
 #include "gooseberrypath/actions.h"
 
 namespace gooseberrypath::entry {
 
 // Events of the platform's store.
 
+/// How a topic of the store was read.
+enum class StoreReadKind : uint8_t
+{
+  LongPoll, // waits in the store for the next record
+  Poll,     // asks for the records since the last read
+  Snapshot, // the newest record of each key
+};
+
+/// Returns the name of the kind for log lines.
+constexpr std::string_view NameOf(StoreReadKind aKind)
+{
+  switch (aKind) {
+    case StoreReadKind::LongPoll:
+      return "long_poll";
+    case StoreReadKind::Poll:
+      return "poll";
+    case StoreReadKind::Snapshot:
+      return "snapshot";
+  }
+  return {};
+}
+
+/// A read of a topic of the store.
+struct StoreRead
+{
+  StoreTopic topic = StoreTopic::Configuration;
+  StoreReadKind kind = StoreReadKind::Poll;
+  Duration took{}; // from its start to its end
+};
+
 /// A configuration was read. Versions older than the one in force are ignored.
 struct ConfigurationRead
 {
   ConfigurationPtr configuration;
+  StoreRead read{};
+};
+
+/// A topic was read, and the events of its records were emitted. All that the store had
+/// acknowledged this long ago is known.
+struct TopicConfirmed
+{
+  StoreRead read;
+  Duration age{};
+};
+
+/// A read of a topic failed or was given up.
+struct TopicReadFailed
+{
+  StoreRead read;
+  std::string reason;
 };
 
 /// Changes of the fleet were read, in order. A snapshot replaces the known fleet.
@@ -257,14 +305,13 @@
 struct StopRequested
 {};
 
-using Event =
-  std::variant<ConfigurationRead, FleetRead, StoreReachabilityChanged, StoreEraRead,
-               RecordIgnored, CallArrived, CallerDisconnected, AllCallersDisconnected,
-               AttemptNotSent, AttemptWithdrawn, AttemptSent, AttemptAnswered,
-               StreamStarted, StreamEvents, StreamEnded, AttemptBroken, UnsolicitedBytes,
-               DigestReceived, PermitRequestReceived, PermitReplyReceived,
-               PeerAddressesRead, PartEvidenceRead, DutyStateRead, DutyStateWritten,
-               UsageSent, UsageRead, OrderSent, StopRequested>;
+using Event = std::variant<
+  ConfigurationRead, TopicConfirmed, TopicReadFailed, FleetRead, StoreReachabilityChanged,
+  StoreEraRead, RecordIgnored, CallArrived, CallerDisconnected, AllCallersDisconnected,
+  AttemptNotSent, AttemptWithdrawn, AttemptSent, AttemptAnswered, StreamStarted,
+  StreamEvents, StreamEnded, AttemptBroken, UnsolicitedBytes, DigestReceived,
+  PermitRequestReceived, PermitReplyReceived, PeerAddressesRead, PartEvidenceRead,
+  DutyStateRead, DutyStateWritten, UsageSent, UsageRead, OrderSent, StopRequested>;
 
 // Actions towards callers.
 
--- a/entry/serve_entry.cc
+++ b/entry/serve_entry.cc
@@ -22,6 +22,7 @@
 #include "entry/settings.h"
 #include "entry/status_report.h"
 #include "entry/store_port.h"
+#include "entry/store_report.h"
 #include "gooseberrypath/daemon.h"
 #include "platform/settings_file.h"
 
@@ -270,7 +271,8 @@
       Gauge{ "entry_events_failed", "Unexpected errors in the handling of an event",
              static_cast<double>(failedEvents_) }
     };
-    return world.counters.Render() + RenderGauges(gauges) + RenderLimitMetrics(world);
+    return world.counters.Render() + RenderGauges(gauges) + RenderLimitMetrics(world) +
+           RenderStoreMetrics(world);
   }
 
   void LogEventFailure(std::string_view aReason)
--- a/entry/status_report.cc
+++ b/entry/status_report.cc
@@ -7,6 +7,7 @@
 #include "entry/limit_report.h"
 #include "entry/part_guard.h"
 #include "entry/prompt_parts.h"
+#include "entry/store_report.h"
 
 namespace gooseberrypath::entry {
 
@@ -42,7 +43,8 @@
 
 std::string RenderStatus(const World& aWorld)
 {
-  const nlohmann::json status = { { "limits", LimitStatus(aWorld) },
+  const nlohmann::json status = { { "store", StoreStatus(aWorld) },
+                                  { "limits", LimitStatus(aWorld) },
                                   { "blocked_parts", BlockedPartStatus(aWorld) } };
   return status.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
 }
--- a/entry/store_port.cc
+++ b/entry/store_port.cc
@@ -16,6 +16,9 @@
 // failure may be a lost response.
 constexpr int kFailuresUntilUnreachable = 2;
 
+constexpr std::string_view kOutdatedEra =
+  "the offset or the answer is of an earlier state of the store";
+
 } // namespace
 
 StorePort::StorePort(StorePortOptions aOptions)
@@ -89,15 +92,20 @@
 
 kj::Promise<void> StorePort::WatchConfig()
 {
+  const kj::TimePoint start = options_.timer.now();
   if (!configOffset_) {
     return configClient_.ReadSnapshot(platform::kConfigTopic)
-      .then([this](Result<platform::TopicSnapshot> aSnapshot) {
+      .then([this, start](Result<platform::TopicSnapshot> aSnapshot) {
+        const StoreRead read =
+          ReadSince(start, StoreTopic::Configuration, StoreReadKind::Snapshot);
         UpdateReachability(aSnapshot ? "" : aSnapshot.error().message);
         if (!aSnapshot || aSnapshot->era < era_) {
+          Fail(read, aSnapshot ? kOutdatedEra : aSnapshot.error().message);
           return WaitForRetry();
         }
         configOffset_ = aSnapshot->end;
-        EmitConfiguration(aSnapshot->records);
+        EmitConfiguration(aSnapshot->records, read);
+        Confirm(read, read.took);
         return kj::Promise<void>(kj::READY_NOW);
       })
       .catch_(
@@ -108,19 +116,27 @@
   endOfConfigPoll_ = kj::mv(end.fulfiller);
   return configClient_
     .Read(platform::kConfigTopic, *configOffset_, options_.configPollTimeout)
-    .then([this](Result<platform::RecordBatch> aRead) {
+    .then([this, start](Result<platform::RecordBatch> aRead) {
+      const StoreRead read =
+        ReadSince(start, StoreTopic::Configuration, StoreReadKind::LongPoll);
       UpdateReachability(aRead ? "" : aRead.error().message);
       if (!aRead) {
+        Fail(read, aRead.error().message);
         return WaitForRetry();
       }
       if (aRead->isOffsetExpired || aRead->era < era_) {
         configOffset_.reset();
       }
       if (!configOffset_) {
+        Fail(read, kOutdatedEra);
         return kj::Promise<void>(kj::READY_NOW);
       }
       configOffset_ = aRead->nextOffset;
-      EmitConfiguration(aRead->records);
+      EmitConfiguration(aRead->records, read);
+      // Without records, the store has waited for the whole time before it answered.
+      const Duration waited =
+        aRead->records.empty() ? options_.configPollTimeout : Duration::zero();
+      Confirm(read, std::max(read.took - waited, Duration::zero()));
       return aRead->records.empty() ? kj::Promise<void>(kj::READY_NOW)
                                     : Wait(options_.configBatchDelay);
     })
@@ -193,32 +209,43 @@
     return;
   }
   isReadingConfig_ = true;
-  tasks_.add(
-    Wait(options_.configBatchDelay)
-      .then([this] { return requestClient_.ReadSnapshot(platform::kConfigTopic); })
-      .then([this](const Result<platform::TopicSnapshot>& aSnapshot) {
+  tasks_.add(Wait(options_.configBatchDelay).then([this] {
+    const kj::TimePoint start = options_.timer.now();
+    return requestClient_.ReadSnapshot(platform::kConfigTopic)
+      .then([this, start](const Result<platform::TopicSnapshot>& aSnapshot) {
         isReadingConfig_ = false;
-        if (aSnapshot && aSnapshot->era >= era_) {
-          EmitConfiguration(aSnapshot->records);
+        const StoreRead read =
+          ReadSince(start, StoreTopic::Configuration, StoreReadKind::Snapshot);
+        if (!aSnapshot || aSnapshot->era < era_) {
+          Fail(read, aSnapshot ? kOutdatedEra : aSnapshot.error().message);
+          return;
         }
-      }));
+        EmitConfiguration(aSnapshot->records, read);
+        Confirm(read, read.took);
+      });
+  }));
 }
 
 kj::Promise<void> StorePort::PollFleet()
 {
   const uint64_t confirms = wantedConfirmation_;
+  const kj::TimePoint start = options_.timer.now();
   if (!fleetOffset_) {
     return fleetClient_.ReadSnapshot(platform::kFleetTopic)
-      .then([this, confirms](Result<platform::TopicSnapshot> aSnapshot) {
+      .then([this, start, confirms](Result<platform::TopicSnapshot> aSnapshot) {
+        const StoreRead read =
+          ReadSince(start, StoreTopic::Fleet, StoreReadKind::Snapshot);
         UpdateReachability(aSnapshot ? "" : aSnapshot.error().message);
         if (!aSnapshot || aSnapshot->era < era_) {
+          Fail(read, aSnapshot ? kOutdatedEra : aSnapshot.error().message);
           return WaitForRetry();
         }
         fleetOffset_ = aSnapshot->end;
         EmitFleetRead(aSnapshot->records, { .isSnapshot = true,
                                             .next = aSnapshot->end,
                                             .era = aSnapshot->era,
-                                            .confirms = Confirm(confirms) });
+                                            .confirms = EndConfirmation(confirms) });
+        Confirm(read, read.took);
         return WaitForFleetPoll();
       })
       .catch_(
@@ -226,23 +253,27 @@
       .then([this] { return PollFleet(); });
   }
   return fleetClient_.Read(platform::kFleetTopic, *fleetOffset_, Duration::zero())
-    .then([this, confirms](Result<platform::RecordBatch> aRead) {
+    .then([this, start, confirms](Result<platform::RecordBatch> aRead) {
+      const StoreRead read = ReadSince(start, StoreTopic::Fleet, StoreReadKind::Poll);
       const bool followsFailure = consecutiveFailures_ > 0;
       UpdateReachability(aRead ? "" : aRead.error().message);
       if (!aRead) {
+        Fail(read, aRead.error().message);
         return WaitForRetry();
       }
       if (aRead->isOffsetExpired || aRead->era < era_) {
         fleetOffset_.reset();
       }
       if (!fleetOffset_) {
+        Fail(read, kOutdatedEra);
         return kj::Promise<void>(kj::READY_NOW);
       }
       fleetOffset_ = std::max(*fleetOffset_, aRead->nextOffset);
       EmitFleetRead(aRead->records, { .next = aRead->nextOffset,
                                       .era = aRead->era,
-                                      .confirms = Confirm(confirms),
+                                      .confirms = EndConfirmation(confirms),
                                       .followsFailure = followsFailure });
+      Confirm(read, read.took);
       return WaitForFleetPoll();
     })
     .catch_([this](kj::Exception&& aError) { return WaitAfterException(kj::mv(aError)); })
@@ -279,7 +310,26 @@
     });
 }
 
-void StorePort::EmitConfiguration(const std::vector<platform::KeyedRecord>& aRecords)
+StoreRead StorePort::ReadSince(kj::TimePoint aStart, StoreTopic aTopic,
+                               StoreReadKind aKind) const
+{
+  return { .topic = aTopic,
+           .kind = aKind,
+           .took = Duration((options_.timer.now() - aStart) / kj::MICROSECONDS) };
+}
+
+void StorePort::Confirm(const StoreRead& aRead, Duration aAge)
+{
+  options_.sink(TopicConfirmed{ aRead, aAge });
+}
+
+void StorePort::Fail(const StoreRead& aRead, std::string_view aReason)
+{
+  options_.sink(TopicReadFailed{ aRead, std::string(aReason) });
+}
+
+void StorePort::EmitConfiguration(const std::vector<platform::KeyedRecord>& aRecords,
+                                  const StoreRead& aRead)
 {
   // Only the last valid configuration is applied; earlier ones are already superseded.
   for (size_t i = aRecords.size(); i-- > 0;) {
@@ -294,7 +344,7 @@
     }
     newestConfigVersion_ = std::max(newestConfigVersion_, configuration->version);
     options_.sink(ConfigurationRead{
-      std::make_shared<const Configuration>(*std::move(configuration)) });
+      std::make_shared<const Configuration>(*std::move(configuration)), aRead });
     return;
   }
 }
@@ -320,7 +370,7 @@
   }
 }
 
-uint64_t StorePort::Confirm(uint64_t aNumber)
+uint64_t StorePort::EndConfirmation(uint64_t aNumber)
 {
   return std::exchange(lastConfirmation_, aNumber) == aNumber ? 0 : aNumber;
 }
--- a/entry/store_port.h
+++ b/entry/store_port.h
@@ -78,8 +78,16 @@
   /// daemons. Retries until both succeed.
   kj::Promise<void> RegisterDaemon();
 
+  /// Returns the description of a read that ends now.
+  StoreRead ReadSince(kj::TimePoint aStart, StoreTopic aTopic, StoreReadKind aKind) const;
+
+  /// Emits that the topic was known this long ago, after the events of its records.
+  void Confirm(const StoreRead& aRead, Duration aAge);
+  void Fail(const StoreRead& aRead, std::string_view aReason);
+
   /// Emits the last valid configuration among the records.
-  void EmitConfiguration(const std::vector<platform::KeyedRecord>& aRecords);
+  void EmitConfiguration(const std::vector<platform::KeyedRecord>& aRecords,
+                         const StoreRead& aRead);
 
   /// Adds the decoded records to the event and emits it, unless it is an incremental
   /// read without changes that confirms nothing.
@@ -101,7 +109,7 @@
 
   /// Records that a read confirms the fleet up to this number. Returns the number, or 0
   /// if an earlier read did.
-  uint64_t Confirm(uint64_t aNumber);
+  uint64_t EndConfirmation(uint64_t aNumber);
 
   /// Records the result of a call, an empty string on success, and emits an event when
   /// the store becomes reachable or unreachable.
--- a/entry/world.h
+++ b/entry/world.h
@@ -202,6 +202,7 @@
   RouteIndex routes;
   bool isFleetRead = false;
   bool isStoreReachable = false;
+  TopicFreshness freshness;
   std::optional<TimePoint> storeRecoveredAt; // after an outage
   bool isReady = false;
   std::optional<TimePoint> stoppingSince; // start of the planned stop
