--- a/gooseberrypath/http_io.cc
+++ b/gooseberrypath/http_io.cc
@@ -58,12 +58,26 @@
   return aDuration.count() * kj::MICROSECONDS;
 }
 
-kj::Duration Jittered(Duration aDuration)
+namespace {
+
+std::minstd_rand& JitterGenerator()
 {
   static thread_local std::minstd_rand generator{ std::random_device{}() };
+  return generator;
+}
+
+} // namespace
+
+void SeedJitter(uint32_t aSeed)
+{
+  JitterGenerator().seed(aSeed);
+}
+
+kj::Duration Jittered(Duration aDuration)
+{
   std::uniform_int_distribution<int64_t> distribution(aDuration.count() / 2,
                                                       aDuration.count() * 3 / 2);
-  return distribution(generator) * kj::MICROSECONDS;
+  return distribution(JitterGenerator()) * kj::MICROSECONDS;
 }
 
 kj::Maybe<kj::Own<kj::NetworkAddress>> ParseAddress(kj::Network& aNetwork,
--- a/gooseberrypath/http_io.h
+++ b/gooseberrypath/http_io.h
@@ -31,6 +31,9 @@
 /// poll in step.
 kj::Duration Jittered(Duration aDuration);
 
+/// Makes the durations of Jittered() in this thread repeatable. Only tests call it.
+void SeedJitter(uint32_t aSeed);
+
 /// Parses "IPv4:port" or "[IPv6]:port". Host names are refused: they would need a lookup
 /// by DNS, which kj runs in a thread of its own.
 kj::Maybe<kj::Own<kj::NetworkAddress>> ParseAddress(kj::Network& aNetwork,
