Entry: a removal is held back only after an outage that the daemons shared

Cause: each daemon takes a failure of its own calls for an outage of the store. Now that daemons tell each other how old what they know is, an outage is a time of two seconds in which the store answered none of them; entries lapse in longer ones only. All daemons notice its end together, also those that poll seldom. While entries are awaited, failures of a daemon's own calls extend the wait as before, and a daemon that nobody told anything judges by its own calls as before.

--- a/entry/configuration_watch.cc
+++ b/entry/configuration_watch.cc
@@ -111,6 +111,7 @@
 
 void ConfigurationWatch::Handle(const TopicConfirmed& aEvent)
 {
+  world_.freshness.Confirm(aEvent.read.topic, world_.Now() - aEvent.age);
   if (aEvent.read.topic != StoreTopic::Configuration) {
     return;
   }
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -23,7 +23,7 @@
 namespace gooseberrypath::entry {
 
 using EntryCore =
-  BasicCore<World, FleetSystem, ConfigurationWatch, PermitSystem, PartSystem,
+  BasicCore<World, ConfigurationWatch, FleetSystem, PermitSystem, PartSystem,
             RequestSystem, DutySystem, StopSystem, GossipSystem>;
 
 } // namespace gooseberrypath::entry
--- a/entry/fleet_system.cc
+++ b/entry/fleet_system.cc
@@ -94,11 +94,6 @@
   return age ? MsText(ToMs(*age)) : "never";
 }
 
-void FleetSystem::Handle(const TopicConfirmed& aEvent)
-{
-  world_.freshness.Confirm(aEvent.read.topic, world_.Now() - aEvent.age);
-}
-
 void FleetSystem::Handle(const TopicReadFailed& aEvent)
 {
   world_.counters.Add(EntryCounter::StoreReadsFailed);
@@ -135,7 +130,10 @@
     return; // the store went back meanwhile
   }
   world_.isFleetRead = true;
-  if (aEvent.followsFailure || LooksLikeLapse(aEvent)) {
+  NoteOutageEnd();
+  const bool endsOutage = world_.freshness.IsStoreAway(world_.Now()) ||
+                          (aEvent.followsFailure && MayEndOutage());
+  if (endsOutage || LooksLikeLapse(aEvent)) {
     ExpectLapsedEntries();
   }
   const bool isOvertaken = aEvent.next < world_.nextFleetOffset; // by a peer's delta
@@ -313,6 +311,28 @@
   return true;
 }
 
+void FleetSystem::Run()
+{
+  NoteOutageEnd();
+}
+
+void FleetSystem::NoteOutageEnd()
+{
+  const std::optional<TimePoint> end = world_.freshness.OutageEnd();
+  if (end != outageEnd_) {
+    outageEnd_ = end;
+    ExpectLapsedEntries();
+  }
+}
+
+bool FleetSystem::MayEndOutage() const
+{
+  // While entries are awaited, a short outage keeps backends from writing them too.
+  const bool awaitsEntries = IsStoreRecovering() || !lapsed_.empty();
+  return awaitsEntries || !world_.freshness.IsStoreKnown() ||
+         world_.freshness.IsStoreAway(world_.Now());
+}
+
 void FleetSystem::ExpectLapsedEntries()
 {
   world_.storeRecoveredAt = world_.Now();
@@ -414,9 +434,10 @@
     return;
   }
   world_.isStoreReachable = aEvent.isReachable;
-  if (aEvent.isReachable) {
+  if (aEvent.isReachable && MayEndOutage()) {
     ExpectLapsedEntries();
-  } else {
+  }
+  if (!aEvent.isReachable) {
     ++confirmation_; // a read that began before confirms nothing
     world_.counters.Add(EntryCounter::StoreDisconnects);
   }
@@ -460,6 +481,7 @@
 
 void FleetSystem::Handle(const DigestReceived& aEvent)
 {
+  NoteOutageEnd();
   for (const LeavingBackend& reported : aEvent.digest.leaving) {
     BackendRow* row = world_.backends.Find(reported.id);
     // The id may have been reused by a later start of the backend, which is not leaving.
--- a/entry/fleet_system.h
+++ b/entry/fleet_system.h
@@ -32,12 +32,11 @@
   }
 
   void Start();
-  void Run() {}
+  void Run();
 
   /// Applies the configuration if its version is newer than the one in force.
   void Handle(const ConfigurationRead& aEvent);
 
-  void Handle(const TopicConfirmed& aEvent);
   void Handle(const TopicReadFailed& aEvent);
 
   void Handle(const FleetRead& aEvent);
@@ -85,6 +84,13 @@
   /// entries have probably lapsed in an outage of the store.
   bool LooksLikeLapse(const FleetRead& aEvent) const;
 
+  /// Notices the end of an outage that all daemons shared.
+  void NoteOutageEnd();
+
+  /// Tells whether a call that succeeds now, after others that failed, may have ended an
+  /// outage that the backends shared.
+  bool MayEndOutage() const;
+
   /// Begins the time in which entries that lapsed during an outage are written again.
   void ExpectLapsedEntries();
 
@@ -122,6 +128,7 @@
   std::set<std::string> lapsed_; // ids of backends whose removal is to be confirmed
   uint64_t confirmation_ = 0;    // number of the read that confirms it
   TimerId confirmationTimer_;
+  std::optional<TimePoint> outageEnd_; // of the last outage that was noticed
 };
 
 /// Tells whether the backend may get new calls now.
--- a/entry/topic_freshness.h
+++ b/entry/topic_freshness.h
@@ -4,6 +4,9 @@
 //   TopicFreshness freshness;
 //   freshness.Confirm(StoreTopic::Configuration, asOf);
 //   std::optional<Duration> age = freshness.AgeOf(StoreTopic::Configuration, now);
+//
+// Daemons tell each other these times, so a time in which none of them advances is an
+// outage of the store itself and not of the way to it from one daemon.
 
 #ifndef ENTRY_TOPIC_FRESHNESS_H_
 #define ENTRY_TOPIC_FRESHNESS_H_
@@ -38,9 +41,14 @@
 class TopicFreshness
 {
 public:
-  /// Records that the topic is known as of this time. An earlier time changes nothing.
+  /// Records that the topic is known as of this time, because the store answered this
+  /// daemon or another one. An earlier time changes nothing.
   void Confirm(StoreTopic aTopic, TimePoint aAsOf)
   {
+    if (storeSeen_ && aAsOf - *storeSeen_ >= kMinOutage) {
+      outageEnd_ = aAsOf;
+    }
+    storeSeen_ = storeSeen_ ? std::max(*storeSeen_, aAsOf) : aAsOf;
     auto& known = asOf_.at(static_cast<size_t>(aTopic));
     known = known ? std::max(*known, aAsOf) : aAsOf;
   }
@@ -58,7 +66,25 @@
     return asOf ? std::optional(std::max(aNow - *asOf, Duration::zero())) : std::nullopt;
   }
 
+  /// Tells whether the store has answered no daemon for the time of an outage.
+  bool IsStoreAway(TimePoint aNow) const
+  {
+    return storeSeen_ && aNow - *storeSeen_ >= kMinOutage;
+  }
+
+  /// Tells whether the store has ever answered.
+  bool IsStoreKnown() const { return storeSeen_.has_value(); }
+
+  /// Returns when the store answered a daemon again after its last outage.
+  std::optional<TimePoint> OutageEnd() const { return outageEnd_; }
+
 private:
+  // The store answers some daemon more often than this. Entries of backends lapse in
+  // longer outages only.
+  static constexpr Duration kMinOutage = std::chrono::milliseconds(2000);
+
+  std::optional<TimePoint> storeSeen_;
+  std::optional<TimePoint> outageEnd_;
   std::array<std::optional<TimePoint>, kStoreTopics.size()> asOf_;
 };
 
