Entry: an entry that lapsed and came back within one read was not gone

A daemon that polls the store seldom reads the lapse of an entry in an outage and its return in one batch. It applied both, one after the other, so live backends were removed for a moment with all that follows: connections closed, attempts moved, health forgotten, and peers told of the removal left the backend out until their own next read, 9.5 s apart with 95 daemons.

Now only the newest change of each backend in a batch is applied.

--- a/entry/fleet_system.cc
+++ b/entry/fleet_system.cc
@@ -39,6 +39,12 @@
   size_t missing = 0;
 };
 
+std::string_view IdOf(const FleetChange& aChange)
+{
+  return std::visit([](const auto& aOne) -> std::string_view { return aOne.id; },
+                    aChange);
+}
+
 /// Tells whether a backend says in its entry that it leaves.
 bool HasLeaving(std::span<const FleetChange> aChanges)
 {
@@ -182,8 +188,16 @@
 
 std::vector<FleetChange> FleetSystem::ApplyAll(std::span<const FleetChange> aChanges)
 {
+  std::map<std::string_view, size_t> newest;
+  for (size_t i = 0; i < aChanges.size(); ++i) {
+    newest[IdOf(aChanges[i])] = i;
+  }
   std::vector<FleetChange> effective;
-  for (const FleetChange& change : aChanges) {
+  for (size_t i = 0; i < aChanges.size(); ++i) {
+    const FleetChange& change = aChanges[i];
+    if (newest.at(IdOf(change)) != i) {
+      continue; // an entry that lapsed and came back was not gone for this daemon
+    }
     if (std::visit([this](const auto& aOne) { return Apply(aOne); }, change)) {
       effective.push_back(change);
     }
--- a/entry/fleet_system.h
+++ b/entry/fleet_system.h
@@ -54,7 +54,8 @@
   bool Apply(const BackendEntry& aEntry);
   bool Apply(const BackendRemoved& aRemoved);
 
-  /// Applies changes in order and returns those by which a backend joined or left.
+  /// Applies the newest change of each backend, in order, and returns those by which a
+  /// backend joined or left.
   std::vector<FleetChange> ApplyAll(std::span<const FleetChange> aChanges);
 
   /// Replaces the known fleet.
