--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -29,6 +29,7 @@
 DAEMONS = 3
 BACKENDS = 4
 CALLERS_PER_DAEMON = 4
+MOST_CALLERS = 120  # of all daemons, which one Python process can play in time
 BACKEND_SCRIPT = pathlib.Path(__file__).parent / "backend.py"
 STORE_SLOWNESS_S = 0.4
 RETURN_S = 1.0       # lapsed entries are back after the store's return
@@ -131,8 +132,9 @@
 
 
 class Soak:
-    def __init__(self, seed, seconds, folder, restores=False):
+    def __init__(self, seed, seconds, folder, restores=False, daemons=DAEMONS):
         self.seconds = seconds
+        self.daemon_count = daemons
         self.folder = folder
         self.chance = random.Random(seed)
         self.faults = make_schedule(seed, seconds, restores)
@@ -154,7 +156,7 @@
         await self._set_up()
         self.start = time.monotonic()
         callers = [asyncio.create_task(self._call(daemon, caller))
-                   for daemon in self.daemons for caller in range(CALLERS_PER_DAEMON)]
+                   for daemon in self.daemons for caller in range(self._callers())]
         callers += [asyncio.create_task(self._probe(daemon)) for daemon in self.daemons]
         await asyncio.gather(*(self._play(fault) for fault in self.faults))
         await asyncio.sleep(max(0, self.start + self.seconds - time.monotonic()) + QUIET_S)
@@ -165,13 +167,16 @@
         await asyncio.sleep(0.1)  # their connections end
         return self._check()
 
+    def _callers(self):
+        return max(1, min(CALLERS_PER_DAEMON, MOST_CALLERS // self.daemon_count))
+
     async def _set_up(self):
         self.store.put_config(configuration(self.version))
         for _ in range(BACKENDS):
             await self._add_backend()
         ports = free_ports(3)
-        ips = [f"127.0.0.{i + 2}" for i in range(DAEMONS)]
-        for i in range(DAEMONS):
+        ips = [f"127.0.0.{i + 2}" for i in range(self.daemon_count)]
+        for i in range(self.daemon_count):
             daemon = DaemonProcess(i, self.folder, ports, [f"{ip}:1" for ip in ips])
             daemon.store = Proxy("127.0.0.1", self.store.address)
             await daemon.store.start()
@@ -395,10 +400,10 @@
                 f"{len(self.stops)} planned stops, {len(self.cloud.calls)} reports")
 
 
-def run_seed(seed, seconds, restores=False):
+def run_seed(seed, seconds, restores=False, daemons=DAEMONS):
     """Plays one seed; returns (what broke, a summary, the folder with the logs)."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    soak = Soak(seed, seconds, folder, restores)
+    soak = Soak(seed, seconds, folder, restores, daemons)
     try:
         broken = asyncio.run(soak.run())
         return broken, soak.summary(), folder
@@ -413,10 +418,12 @@
     parser.add_argument("--seconds", type=float, default=12, help="of calls a seed")
     parser.add_argument("--restores", action="store_true",
                         help="the store also goes back to a copy")
+    parser.add_argument("--daemons", type=int, default=DAEMONS, help="processes a seed")
     options = parser.parse_args()
     failed = []
     for seed in range(options.first, options.first + options.seeds):
-        broken, summary, folder = run_seed(seed, options.seconds, options.restores)
+        broken, summary, folder = run_seed(seed, options.seconds, options.restores,
+                                           options.daemons)
         print(f"seed {seed}: {summary}, {len(broken)} broken; logs in {folder}", flush=True)
         for text in broken[:10]:
             print("   ", text, flush=True)
