--- a/entry/testing/daemon_simulation.h
+++ b/entry/testing/daemon_simulation.h
@@ -60,6 +60,13 @@
   Duration lasts{};
 };
 
+/// The link by which a daemon sends. What finds its queue full is lost.
+struct LinkLimits
+{
+  double bytesPerSecond = 1'250'000;
+  double queueBytes = 60'000;
+};
+
 /// What happens to the datagrams between daemons.
 struct NetworkFaults
 {
@@ -68,6 +75,7 @@
   double repeatRate = 0;       // of datagrams
   std::optional<TimeSpan> cut; // two halves of the daemons do not hear each other
   double islandShare = 0;      // in a cut, this share of the daemons hears nobody instead
+  std::optional<LinkLimits> link; // of each daemon
 };
 
 struct DaemonSimulationOptions
@@ -90,6 +98,7 @@
   TimePoint thawedAt{};
   std::deque<std::function<void()>> frozenEvents;
   std::optional<TimePoint> wakeUpAt;
+  TimePoint linkFreeAt{}; // its link has sent all that was queued
 
   std::string Process() const { return host + "/" + std::to_string(incarnation); }
 };
@@ -107,6 +116,7 @@
 {
 protected:
   static constexpr TimePoint kStart{ std::chrono::seconds(1000) };
+  static constexpr size_t kHeaderBytes = 28; // of a datagram: IP and UDP
 
   explicit DaemonSimulation(DaemonSimulationOptions aOptions)
     : options_(std::move(aOptions))
@@ -319,9 +329,34 @@
   {
     const auto event = std::make_shared<const Event>(
       DigestReceived{ .from = daemons_[aDaemon].address, .digest = aAction.digest });
+    const size_t bytes =
+      options_.network.link ? EncodeDigest(aAction.digest).size() + kHeaderBytes : 0;
     for (const std::string& to : aAction.to) {
-      SendDatagram(aDaemon, to, event);
+      if (const auto queued = PassLink(aDaemon, bytes)) {
+        queue_.Add(now_ + *queued,
+                   [this, aDaemon, to, event] { SendDatagram(aDaemon, to, event); });
+      }
+    }
+  }
+
+  /// Puts a datagram of this size into the queue of the daemon's link. Returns how long
+  /// it waits there; no value if the queue is full.
+  std::optional<Duration> PassLink(size_t aDaemon, size_t aBytes)
+  {
+    if (!options_.network.link) {
+      return Duration::zero();
+    }
+    const LinkLimits& link = *options_.network.link;
+    TimePoint& freeAt = daemons_[aDaemon].linkFreeAt;
+    freeAt = std::max(freeAt, now_);
+    sentBytes_ += aBytes;
+    const double queued = Seconds(freeAt - now_) * link.bytesPerSecond;
+    if (queued + static_cast<double>(aBytes) > link.queueBytes) {
+      ++droppedDatagrams_;
+      return std::nullopt;
     }
+    freeAt += FromSeconds(static_cast<double>(aBytes) / link.bytesPerSecond);
+    return freeAt - now_;
   }
 
   void Execute(size_t aDaemon, const SendPermitMessage& aAction)
@@ -439,6 +474,8 @@
   std::map<uint64_t, SimulatedAttempt> attempts_;
   EventQueue queue_;
   TimePoint now_ = kStart;
+  uint64_t sentBytes_ = 0; // with a link, of digests
+  uint64_t droppedDatagrams_ = 0;
 
 private:
   Derived& Self() { return static_cast<Derived&>(*this); }
--- a/entry/testing/fleet_simulation.cc
+++ b/entry/testing/fleet_simulation.cc
@@ -48,16 +48,19 @@
 {
 public:
   explicit FleetSimulation(const FleetScenario& aScenario)
-    : DaemonSimulation({ .seed = aScenario.seed, .daemons = aScenario.daemons })
+    : DaemonSimulation({ .seed = aScenario.seed,
+                         .daemons = aScenario.daemons,
+                         .network = aScenario.network })
     , scenario_(aScenario)
     , pollers_(aScenario.daemons)
   {
-    for (size_t i = 0; i < aScenario.backends; ++i) {
+    const size_t coming = aScenario.wave ? aScenario.wave->backends : 0;
+    for (size_t i = 0; i < aScenario.backends + coming; ++i) {
       BackendEntry entry =
         EntryFixture::MakeBackendEntry("b" + std::to_string(i), kService);
       entry.startedMs = 1;
       backends_.push_back({ .entry = std::move(entry) });
-      queue_.Add(kStart - 2s + Random(kHeartbeatInterval), [this, i] { Beat(i); });
+      queue_.Add(FirstBeat(i), [this, i] { Beat(i); });
     }
     for (const TimeSpan& outage : aScenario.outages) {
       queue_.Add(kStart + outage.to, [this] { ReturnAfterOutage(); });
@@ -68,11 +71,21 @@
   {
     StartDaemons();
     queue_.Add(kStart + kWarmUp, [this] { Sample(); });
+    if (scenario_.newVersionAt) {
+      queue_.Add(kStart + *scenario_.newVersionAt, [this] { ChangeConfiguration(); });
+    }
     if (scenario_.leave) {
-      queue_.Add(kStart + scenario_.leave->at, [this] { LeaveOne(); });
+      queue_.Add(kStart + scenario_.leave->at, [this] { LeaveTogether(); });
     }
+    queue_.RunUntil(kStart + kWarmUp, now_);
+    sentBytes_ = 0;
+    droppedDatagrams_ = 0;
+    outcome_.fleetReads = 0;
+    outcome_.unheard = 0;
     queue_.RunUntil(kStart + scenario_.length, now_);
     outcome_.lostAtEnd = CountLost();
+    outcome_.sentBytes = sentBytes_;
+    outcome_.droppedDatagrams = droppedDatagrams_;
     return outcome_;
   }
 
@@ -119,12 +132,20 @@
                           .kind = StoreReadKind::Check,
                           .took = time };
     queue_.Add(now_ + time, [this, aDaemon, fails, read] {
+      if (!fails && HasNewVersion()) {
+        PostNewVersion(aDaemon);
+      }
       Post(aDaemon, fails ? std::make_shared<const Event>(TopicReadFailed{ read, "down" })
                           : std::make_shared<const Event>(
                               TopicConfirmed{ .read = read, .age = read.took }));
     });
   }
 
+  void Execute(size_t, const WriteEvent& aAction)
+  {
+    outcome_.unheard += aAction.event == "peer_unheard" ? 1 : 0;
+  }
+
   void Execute(size_t aDaemon, const SetReaderCount& aAction)
   {
     pollers_[aDaemon].readers = aAction.count;
@@ -145,11 +166,42 @@
     return isCutOff && IsInOutage();
   }
 
+  bool HasNewVersion() const
+  {
+    return scenario_.newVersionAt && now_ >= kStart + *scenario_.newVersionAt;
+  }
+
+  void PostNewVersion(size_t aDaemon)
+  {
+    Post(aDaemon, std::make_shared<const Event>(ConfigurationRead{
+                    std::make_shared<const Configuration>(TestConfiguration(2)) }));
+  }
+
+  /// The long polls of the daemons that the store answers return.
+  void ChangeConfiguration()
+  {
+    for (size_t i = 0; i < daemons_.size(); ++i) {
+      if (!IsStoreDownFor(i)) {
+        PostNewVersion(i);
+      }
+    }
+  }
+
   /// Tells whether the store is down for the backends.
   bool IsStoreDown() const { return scenario_.cutOff == 0 && IsInOutage(); }
 
   // Backends.
 
+  /// Returns when a backend writes its first heartbeat.
+  TimePoint FirstBeat(size_t aBackend)
+  {
+    if (aBackend < scenario_.backends) {
+      return kStart - 2s + Random(kHeartbeatInterval);
+    }
+    const TimeSpan& during = scenario_.wave->during;
+    return kStart + during.from + Random(during.to - during.from);
+  }
+
   void Beat(size_t aBackend)
   {
     SimulatedBackend& backend = backends_[aBackend];
@@ -195,19 +247,28 @@
     }
   }
 
-  void LeaveOne()
+  void LeaveTogether()
   {
-    SimulatedBackend& backend = backends_.front();
     leftAt_ = now_;
+    lostAnswers_ = scenario_.lostAnswers;
+    for (size_t i = 0; i < scenario_.leaving; ++i) {
+      LeaveOne(backends_[i]);
+    }
+  }
+
+  bool HasLeft(size_t aBackend) const { return leftAt_ && aBackend < scenario_.leaving; }
+
+  void LeaveOne(SimulatedBackend& aBackend)
+  {
     switch (scenario_.leave->kind) {
       case LeaveKind::EntryRemoved:
-        backend.hasLeft = true;
-        backend.isListed = false;
-        log_.emplace_back(BackendRemoved{ backend.entry.id });
+        aBackend.hasLeft = true;
+        aBackend.isListed = false;
+        log_.emplace_back(BackendRemoved{ aBackend.entry.id });
         return;
       case LeaveKind::EntryDraining:
-        backend.entry.isLeaving = true;
-        Write(backend);
+        aBackend.entry.isLeaving = true;
+        Write(aBackend);
         return;
       case LeaveKind::Response:
         // The daemon that the backend told sends it on at once.
@@ -218,7 +279,7 @@
             .digest = { .daemon = "told",
                         .incarnation = 1,
                         .sequence = 1,
-                        .leaving = { { .id = backend.entry.id, .startedMs = 1 } } } }));
+                        .leaving = { { .id = aBackend.entry.id, .startedMs = 1 } } } }));
         return;
     }
   }
@@ -248,8 +309,12 @@
   {
     Poller& poller = pollers_[aDaemon];
     poller.isReading = true;
-    const bool fails = IsStoreDownFor(aDaemon);
-    const Duration time = fails && scenario_.isSilent ? kCallTimeout : kAnswerTime;
+    const bool isLost = lostAnswers_ > 0;
+    lostAnswers_ -= isLost ? 1 : 0;
+    const bool fails = isLost || IsStoreDownFor(aDaemon);
+    const bool isSilent = isLost || scenario_.isSilent;
+    const Duration time = fails && isSilent ? kCallTimeout : kAnswerTime;
+    ++outcome_.fleetReads;
     queue_.Add(now_ + time, [this, aDaemon, confirms = poller.wantedConfirmation, fails] {
       pollers_[aDaemon].isReading = false;
       EndPoll(aDaemon, confirms, fails);
@@ -308,16 +373,25 @@
     return row != nullptr && IsUsable(*row, now_);
   }
 
-  bool IsSound(const SimulatedBackend& aBackend) const
+  /// Counts the live backends of the start that a daemon does not use.
+  size_t CountLostAt(size_t aDaemon) const
   {
-    return !leftAt_ || aBackend.entry.id != backends_.front().entry.id;
+    size_t lost = 0;
+    for (size_t i = 0; i < scenario_.backends; ++i) {
+      lost += !HasLeft(i) && !Uses(aDaemon, backends_[i].entry.id) ? 1 : 0;
+    }
+    return lost;
   }
 
-  size_t CountLostAt(size_t aDaemon) const
+  /// Tells whether a daemon uses a backend that has left.
+  bool UsesLeft(size_t aDaemon) const
   {
-    return std::ranges::count_if(backends_, [&](const SimulatedBackend& aBackend) {
-      return IsSound(aBackend) && !Uses(aDaemon, aBackend.entry.id);
-    });
+    for (size_t i = 0; i < scenario_.leaving; ++i) {
+      if (Uses(aDaemon, backends_[i].entry.id)) {
+        return true;
+      }
+    }
+    return false;
   }
 
   size_t CountLost() const
@@ -335,12 +409,12 @@
       const auto lost = static_cast<double>(CountLostAt(i));
       outcome_.lostSeconds += lost * Seconds(kSampleInterval);
       outcome_.leastUsed =
-        std::min(outcome_.leastUsed, 1 - lost / static_cast<double>(backends_.size()));
+        std::min(outcome_.leastUsed, 1 - lost / static_cast<double>(scenario_.backends));
     }
     if (leftAt_) {
       bool isUsed = false;
       for (size_t i = 0; i < daemons_.size(); ++i) {
-        isUsed = isUsed || Uses(i, backends_.front().entry.id);
+        isUsed = isUsed || UsesLeft(i);
       }
       outcome_.isBackUsed = outcome_.isBackUsed || (haveAllStopped_ && isUsed);
       haveAllStopped_ = haveAllStopped_ || !isUsed;
@@ -354,6 +428,7 @@
   std::vector<FleetChange> log_;
   std::vector<Poller> pollers_;
   std::optional<TimePoint> leftAt_;
+  size_t lostAnswers_ = 0; // so many of the next reads are not answered
   bool haveAllStopped_ = false;
   FleetOutcome outcome_;
 };
--- a/entry/testing/fleet_simulation.h
+++ b/entry/testing/fleet_simulation.h
@@ -29,6 +29,13 @@
   Duration at{};
 };
 
+/// New backends that come within a time.
+struct Wave
+{
+  TimeSpan during;
+  size_t backends = 0;
+};
+
 struct FleetScenario
 {
   uint64_t seed = 1;
@@ -37,7 +44,12 @@
   std::vector<TimeSpan> outages; // of the store
   size_t cutOff = 0; // so many daemons alone meet the outages; 0: all, and the backends
   bool isSilent = false;      // calls time out in an outage, instead of being refused
-  std::optional<Leave> leave; // of one backend
+  std::optional<Leave> leave; // of the first backends
+  size_t leaving = 1;         // how many leave together
+  std::optional<Wave> wave;
+  std::optional<Duration> newVersionAt; // of the configuration
+  size_t lostAnswers = 0; // so many of the first reads after the leave time out
+  NetworkFaults network;
   Duration length = std::chrono::seconds(40);
 };
 
@@ -47,8 +59,12 @@
   double lostSeconds = 0; // added up for these pairs over the whole time
   double leastUsed = 1;   // smallest share of the live backends that a daemon used
 
-  Duration lastToStop{};   // from the leave until no daemon uses the backend
-  bool isBackUsed = false; // a daemon used the backend again after all had stopped
+  Duration lastToStop{};   // from the leave until no daemon uses one of the backends
+  bool isBackUsed = false; // a daemon used one again after all had stopped
+  size_t unheard = 0;      // times that a live daemon counted as gone at another one
+  size_t fleetReads = 0;   // after the warm-up, by all daemons
+  uint64_t sentBytes = 0;  // of digests, after the warm-up, if links have limits
+  uint64_t droppedDatagrams = 0; // by full links, after the warm-up
 };
 
 FleetOutcome PlayFleet(const FleetScenario& aScenario);
