Entry: whether the store answers others does not depend on versions

Cause: a daemon took a peer's age of the configuration as evidence that the store answers, but only if the peer's version was not newer. Daemons that were cut off while the configuration changed therefore took their own return for the end of an outage of the store, and held removals back for 2.3 s.

--- a/entry/configuration_watch.cc
+++ b/entry/configuration_watch.cc
@@ -161,7 +161,13 @@
 void ConfigurationWatch::Handle(const DigestReceived& aEvent)
 {
   const PeerDigest& digest = aEvent.digest;
-  if (digest.daemon == world_.options.host || !world_.configuration) {
+  if (digest.daemon == world_.options.host) {
+    return;
+  }
+  if (digest.storeAnswerAge) {
+    world_.freshness.NoteAnswer(world_.Now() - *digest.storeAnswerAge);
+  }
+  if (!world_.configuration) {
     return;
   }
   const uint64_t version = world_.configuration->version;
--- a/entry/digest.capnp
+++ b/entry/digest.capnp
@@ -33,6 +33,9 @@
   partTrials @22 :List(PartTrials);
   storeEra @23 :UInt64;
   configurationAgeMs @24 :UInt32 = 0xffffffff; # the default: the sender does not know
+  storeAnswerAgeMs @25 :UInt32 = 0xffffffff;
+  fleetAgeMs @26 :UInt32 = 0xffffffff;
+  fleetChangesEnd @27 :UInt64;
 }
 
 struct BrokenStart {
--- a/entry/digest.capnp.h
+++ b/entry/digest.capnp.h
@@ -43,7 +43,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d62b11838d606aca, 10, 12)
+    CAPNP_DECLARE_STRUCT_HEADER(d62b11838d606aca, 12, 12)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -266,6 +266,12 @@
 
   inline  ::uint32_t getConfigurationAgeMs() const;
 
+  inline  ::uint32_t getStoreAnswerAgeMs() const;
+
+  inline  ::uint32_t getFleetAgeMs() const;
+
+  inline  ::uint64_t getFleetChangesEnd() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -419,6 +425,15 @@
   inline  ::uint32_t getConfigurationAgeMs();
   inline void setConfigurationAgeMs( ::uint32_t value);
 
+  inline  ::uint32_t getStoreAnswerAgeMs();
+  inline void setStoreAnswerAgeMs( ::uint32_t value);
+
+  inline  ::uint32_t getFleetAgeMs();
+  inline void setFleetAgeMs( ::uint32_t value);
+
+  inline  ::uint64_t getFleetChangesEnd();
+  inline void setFleetChangesEnd( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1921,6 +1936,48 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value, 4294967295u);
 }
 
+inline  ::uint32_t Digest::Reader::getStoreAnswerAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS, 4294967295u);
+}
+
+inline  ::uint32_t Digest::Builder::getStoreAnswerAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS, 4294967295u);
+}
+inline void Digest::Builder::setStoreAnswerAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS, value, 4294967295u);
+}
+
+inline  ::uint32_t Digest::Reader::getFleetAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<21>() * ::capnp::ELEMENTS, 4294967295u);
+}
+
+inline  ::uint32_t Digest::Builder::getFleetAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<21>() * ::capnp::ELEMENTS, 4294967295u);
+}
+inline void Digest::Builder::setFleetAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<21>() * ::capnp::ELEMENTS, value, 4294967295u);
+}
+
+inline  ::uint64_t Digest::Reader::getFleetChangesEnd() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Digest::Builder::getFleetChangesEnd() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+inline void Digest::Builder::setFleetChangesEnd( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t BrokenStart::Reader::getBackend() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/entry/gossip_system.cc
+++ b/entry/gossip_system.cc
@@ -190,6 +190,7 @@
                        world_.configuration ? world_.configuration->version : 0,
                      .configurationAge =
                        world_.freshness.AgeOf(StoreTopic::Configuration, world_.Now()),
+                     .storeAnswerAge = world_.freshness.AnswerAge(world_.Now()),
                      .storeEra = world_.storeEra,
                      .fleetOffset = world_.fleetOffset,
                      .dutyToken = world_.dutyToken,
--- a/entry/peer_digest.cc
+++ b/entry/peer_digest.cc
@@ -40,6 +40,17 @@
   return static_cast<uint32_t>(std::clamp<int64_t>(ms, 0, kUnknownAge - 1));
 }
 
+uint32_t ToAgeMs(const std::optional<Duration>& aAge)
+{
+  return aAge ? ToAgeMs(*aAge) : kUnknownAge;
+}
+
+std::optional<Duration> ReadAge(uint32_t aMs)
+{
+  return aMs == kUnknownAge ? std::nullopt
+                            : std::optional<Duration>(std::chrono::milliseconds(aMs));
+}
+
 void FillLists(const PeerDigest& aDigest, wire::Digest::Builder& aBuilder)
 {
   auto backends = aBuilder.initBackends(aDigest.backends.size());
@@ -151,9 +162,8 @@
                      .fleetOffset = aMessage.getFleetOffset(),
                      .dutyToken = aMessage.getDutyToken(),
                      .dutyRenewal = aMessage.getDutyRenewal() };
-  if (aMessage.getConfigurationAgeMs() != kUnknownAge) {
-    digest.configurationAge = std::chrono::milliseconds(aMessage.getConfigurationAgeMs());
-  }
+  digest.configurationAge = ReadAge(aMessage.getConfigurationAgeMs());
+  digest.storeAnswerAge = ReadAge(aMessage.getStoreAnswerAgeMs());
   for (const auto demand : aMessage.getDemands()) {
     digest.demands.push_back({ .service = demand.getService(),
                                .promptTokensPerSecond = demand.getTokensPerSecond() });
@@ -211,9 +221,8 @@
     aBuilder.setSeesStore(aDigest.canReachStore);
     aBuilder.setConfigVersion(aDigest.configVersion);
     aBuilder.setStoreEra(aDigest.storeEra);
-    if (aDigest.configurationAge) {
-      aBuilder.setConfigurationAgeMs(ToAgeMs(*aDigest.configurationAge));
-    }
+    aBuilder.setConfigurationAgeMs(ToAgeMs(aDigest.configurationAge));
+    aBuilder.setStoreAnswerAgeMs(ToAgeMs(aDigest.storeAnswerAge));
     aBuilder.setFleetOffset(aDigest.fleetOffset);
     aBuilder.setDutyToken(aDigest.dutyToken);
     aBuilder.setDutyRenewal(aDigest.dutyRenewal);
--- a/entry/peer_digest.h
+++ b/entry/peer_digest.h
@@ -102,6 +102,8 @@
   uint64_t configVersion = 0;
   /// Time since which the sender may lack a newer version; no value: it has read none.
   std::optional<Duration> configurationAge;
+  /// Time since the store answered any daemon, as far as the sender knows.
+  std::optional<Duration> storeAnswerAge;
   uint64_t storeEra = 0;    // newest known one; offsets are valid in it; 0: none
   uint64_t fleetOffset = 0; // store offset of the last backend that joined or left
   uint64_t dutyToken = 0;   // the sender holds the duties with this token; 0: it does not
--- a/entry/testing/leave_bound_test.cc
+++ b/entry/testing/leave_bound_test.cc
@@ -80,7 +80,7 @@
 }
 
 TEST_CASE("Entry: daemons that alone lost the store know that it answered others",
-          "[.][leave_bound_known_red]")
+          "[entry][lapse]")
 {
   // Guards against a removal that peers have confirmed and a daemon holds back, because a
   // newer configuration kept it from learning that the store had answered them.
--- a/entry/topic_freshness.h
+++ b/entry/topic_freshness.h
@@ -45,14 +45,27 @@
   /// daemon or another one. An earlier time changes nothing.
   void Confirm(StoreTopic aTopic, TimePoint aAsOf)
   {
-    if (storeSeen_ && aAsOf - *storeSeen_ >= kMinOutage) {
-      outageEnd_ = aAsOf;
-    }
-    storeSeen_ = storeSeen_ ? std::max(*storeSeen_, aAsOf) : aAsOf;
+    NoteAnswer(aAsOf);
     auto& known = asOf_.at(static_cast<size_t>(aTopic));
     known = known ? std::max(*known, aAsOf) : aAsOf;
   }
 
+  /// Records that the store has answered a daemon at this time, whatever it said.
+  void NoteAnswer(TimePoint aAt)
+  {
+    if (storeSeen_ && aAt - *storeSeen_ >= kMinOutage) {
+      outageEnd_ = aAt;
+    }
+    storeSeen_ = storeSeen_ ? std::max(*storeSeen_, aAt) : aAt;
+  }
+
+  /// Returns how long ago the store last answered a daemon; no value if it never did.
+  std::optional<Duration> AnswerAge(TimePoint aNow) const
+  {
+    return storeSeen_ ? std::optional(std::max(aNow - *storeSeen_, Duration::zero()))
+                      : std::nullopt;
+  }
+
   /// Returns the time as of which the topic is known; no value before the first read.
   std::optional<TimePoint> AsOf(StoreTopic aTopic) const
   {
