Entry: a daemon's own doubt does not undo a removal that a peer has confirmed

The report of the peer ended when the own reading came as far. It now lasts while the own reading is in doubt, and ends when the backend writes its entry again. The new test fails without the change; all [lapse] tests hold.

--- a/entry/fleet_system.cc
+++ b/entry/fleet_system.cc
@@ -283,7 +283,9 @@
   }
   if (!isSameIncarnation) {
     row->announcedLeaving = false;
-    row->reportedRemoved.reset(); // it was about the earlier one
+  }
+  if (!isSameIncarnation || isBack) {
+    row->reportedRemoved.reset(); // the backend has written an entry since
   }
   row->entry = aEntry;
   row->entry.isLeaving = aEntry.isLeaving || row->announcedLeaving;
@@ -546,7 +548,9 @@
 void FleetSystem::EndRemovalReports()
 {
   for (auto& [id, row] : world_.backends) {
-    if (row.reportedRemoved && HasRead(*row.reportedRemoved)) {
+    // While this daemon doubts the removal, the peer that confirmed it knows better.
+    const bool isInDoubt = lapsed_.contains(id);
+    if (row.reportedRemoved && !isInDoubt && HasRead(*row.reportedRemoved)) {
       row.reportedRemoved.reset();
       world_.backendLog.Add({ "backend_report_ended", {} }, id);
     }
--- a/entry/fleet_system.h
+++ b/entry/fleet_system.h
@@ -5,7 +5,7 @@
 // until its next start. What a daemon concludes from a missing entry ends with its
 // evidence: an entry that lapsed in an outage of the store is missing only if a read says
 // so that began when it should have been back, and a peer's report holds only until this
-// daemon has read the store as far as the peer had.
+// daemon has read the store as far as the peer had and does not doubt the removal.
 //
 //   FleetSystem fleet(world);
 //   fleet.Handle(FleetRead{ .changes = changes, .next = offset });
--- a/entry/testing/store_lapse_test.cc
+++ b/entry/testing/store_lapse_test.cc
@@ -131,6 +131,30 @@
   }
 }
 
+TEST_CASE("Entry: a daemon's own doubt does not undo a removal that a peer has confirmed",
+          "[entry][lapse]")
+{
+  // Guards against calls to a backend that has left, because a daemon that was cut off
+  // takes the removal for a lapse although a peer that kept the store has told of it.
+  LapseFixture entry;
+  entry.Lose();
+  entry.Regain();
+  entry.Post(DigestReceived{ "10.0.0.2:1", DigestOf(1, 11, true) });
+  CHECK_FALSE(entry.Uses("booking1"));
+  entry.Remove("booking1", 11);
+  CHECK_FALSE(entry.Uses("booking1"));
+  SECTION("and the entry comes back")
+  {
+    entry.Beat("booking1", 3, 12);
+    CHECK(entry.Uses("booking1"));
+  }
+  SECTION("and the entry stays away")
+  {
+    entry.Advance(5s);
+    CHECK_FALSE(entry.Uses("booking1"));
+  }
+}
+
 TEST_CASE("Entry: a report of a removal is about one start of a backend",
           "[entry][lapse]")
 {
