Entry: removals are told on, and the list of what leaves stays short

Callers saw calls at backends that had left, 3.1 s after the acknowledgement: one daemon read the removals and told the first 30 peers in the order of addresses; a full link dropped the rest, and whoever was told of a removal did not tell it on.

A reported removal is told on with the peer's position, for three seconds. Peers get their datagrams in random order. A report that the own reads do not reach in ten seconds ends, so a forged position cannot empty the fleet. Reads that find removals tell the peers at once, as those that find leaving entries did.

A check of store_lapse_test said that a reported removal is not told on: that was the fault. It now says that it is told with the peer's position, and not for longer than three seconds.

--- a/entry/backend_notice.cc
+++ b/entry/backend_notice.cc
@@ -79,6 +79,7 @@
     return;
   }
   aBackend.entry.isLeaving = true;
+  aBackend.isLeavingUntold = true;
   aWorld.unusableBackends.push_back(aBackend.entry.id);
   aWorld.isDigestDue = true;
   aWorld.Emit(CloseIdleBackendConnections{ aBackend.entry.address });
--- a/entry/fleet_system.cc
+++ b/entry/fleet_system.cc
@@ -7,6 +7,7 @@
 
 #include "entry/backend_notice.h"
 #include "entry/duration_text.h"
+#include "entry/leaving_gossip.h"
 #include "entry/unknown_fields.h"
 
 namespace gooseberrypath::entry {
@@ -21,6 +22,10 @@
 // so that its entry in an old copy of the store is known to be outdated.
 constexpr Duration kRemovedRetention = std::chrono::seconds(60);
 
+// A report that the reads of this daemon do not reach in this time named an offset that
+// the store does not have.
+constexpr Duration kMaxReportTime = std::chrono::seconds(10);
+
 // Largest number of changes that a digest carries. More would fill the link of a small
 // host for a tenth of a second, so each daemon reads them from the store instead.
 constexpr size_t kMaxGossipedChanges = 40;
@@ -45,15 +50,6 @@
                     aChange);
 }
 
-/// Tells whether a backend says in its entry that it leaves.
-bool HasLeaving(std::span<const FleetChange> aChanges)
-{
-  return std::ranges::any_of(aChanges, [](const FleetChange& aChange) {
-    const auto* entry = std::get_if<BackendEntry>(&aChange);
-    return entry != nullptr && entry->isLeaving;
-  });
-}
-
 } // namespace
 
 bool IsUsable(const BackendRow& aBackend, TimePoint aNow)
@@ -179,7 +175,7 @@
     world_.fleetDelta = FleetDelta{ .changes = std::move(changes),
                                     .from = world_.fleetDeltaStart,
                                     .next = aEvent.next };
-  } else if (HasLeaving(changes) && IsFirstReader(aEvent.next)) {
+  } else if (HasUntoldLeaving(world_) && IsFirstReader(aEvent.next)) {
     world_.isDigestUrgent = true; // ordinary digests are slow when many backends leave
   }
 
@@ -294,6 +290,7 @@
   }
   const bool isLeavingNow = aEntry.isLeaving && !(wasLeaving && !isNew);
   if (isLeavingNow) {
+    row->isLeavingUntold = true;
     world_.Emit(CloseIdleBackendConnections{ aEntry.address });
     world_.unusableBackends.push_back(aEntry.id);
     world_.isDigestDue = true;
@@ -444,6 +441,7 @@
   row->removedAt = world_.Now();
   row->removedBefore = { .era = world_.storeEra, .next = world_.nextFleetOffset };
   row->reportedRemoved.reset();
+  row->isLeavingUntold = true;
   world_.unusableBackends.push_back(aId);
   world_.isDigestDue = true;
   world_.Emit(CloseIdleBackendConnections{ row->entry.address });
@@ -534,6 +532,9 @@
   if (std::exchange(aBackend.reportedRemoved, aPosition)) {
     return;
   }
+  aBackend.reportedAt = world_.Now();
+  aBackend.isLeavingUntold = true;
+  world_.isDigestDue = true;
   world_.unusableBackends.push_back(aBackend.entry.id);
   world_.Emit(CloseIdleBackendConnections{ aBackend.entry.address });
   world_.backendLog.Add({ "backend_reported_removed", aPeer }, aBackend.entry.id);
@@ -545,12 +546,26 @@
          RemovalPosition{ .era = world_.storeEra, .next = world_.nextFleetOffset };
 }
 
+bool FleetSystem::HasExpired(TimePoint aReportedAt) const
+{
+  return aReportedAt + kMaxReportTime <= world_.Now();
+}
+
+void FleetSystem::Handle(const TopicConfirmed& aEvent)
+{
+  if (aEvent.read.topic == StoreTopic::Fleet) {
+    EndRemovalReports();
+  }
+}
+
 void FleetSystem::EndRemovalReports()
 {
   for (auto& [id, row] : world_.backends) {
     // While this daemon doubts the removal, the peer that confirmed it knows better.
     const bool isInDoubt = lapsed_.contains(id);
-    if (row.reportedRemoved && !isInDoubt && HasRead(*row.reportedRemoved)) {
+    const bool isOutdated = row.reportedRemoved &&
+                            (HasRead(*row.reportedRemoved) || HasExpired(row.reportedAt));
+    if (isOutdated && !isInDoubt) {
       row.reportedRemoved.reset();
       world_.backendLog.Add({ "backend_report_ended", {} }, id);
     }
--- a/entry/fleet_system.h
+++ b/entry/fleet_system.h
@@ -40,6 +40,7 @@
   void Handle(const TopicReadFailed& aEvent);
 
   void Handle(const FleetRead& aEvent);
+  void Handle(const TopicConfirmed& aEvent);
   void Handle(const StoreReachabilityChanged& aEvent);
 
   void Handle(const StoreEraRead& aEvent);
@@ -110,6 +111,9 @@
   /// Tells whether this daemon has read the store as far.
   bool HasRead(const RemovalPosition& aPosition) const;
 
+  /// Tells whether a peer's report is so old that the reads should have come as far.
+  bool HasExpired(TimePoint aReportedAt) const;
+
   /// Ends the reports of peers that this daemon's own reading of the store replaces.
   void EndRemovalReports();
 
--- a/entry/gossip_system.cc
+++ b/entry/gossip_system.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "entry/leaving_gossip.h"
 #include "entry/limit_gossip.h"
 #include "entry/part_gossip.h"
 
@@ -41,9 +42,6 @@
 // A peer without digests is forgotten after this time; a restarted host is back by then.
 constexpr Duration kPeerRetention = std::chrono::seconds(20);
 
-// Digests list a removed backend for this time; each peer has read the removal by then.
-constexpr Duration kRemovedGossipTime = std::chrono::seconds(3);
-
 constexpr Duration kCheckInterval = std::chrono::milliseconds(200);
 constexpr size_t kPeerSampleSize = 4; // peer addresses in a full digest
 // Size of a digest without lists, with UDP and IP headers.
@@ -142,9 +140,12 @@
   if (isFull) {
     lastFullSent_ = now;
   }
+  const bool isUrgent = world_.isDigestUrgent || world_.fleetDelta;
   world_.isDigestDue = false;
   world_.isDigestUrgent = false;
   SendDigest action{ .digest = MakeDigest(isFull) };
+  action.digest.leaving =
+    LeavingToGossip(world_, isUrgent ? LeavingList::Urgent : LeavingList::Ordinary);
   action.digest.fleetDelta = std::exchange(world_.fleetDelta, std::nullopt);
   const std::string holder = isFull ? HolderAddress() : std::string();
   for (const auto& [address, learned] : world_.peerAddresses) {
@@ -152,11 +153,14 @@
       action.to.push_back(address);
     }
   }
+  // A link that fills drops the last ones; these are others each time.
+  std::ranges::shuffle(action.to, world_.random);
   const PeerDigest& digest = action.digest;
+  // A long list is told once, so it does not make the next digests rare.
+  const size_t listed = std::min(digest.leaving.size(), kMaxListedLeaving);
   lastDigestBytes_ = kDigestBaseBytes + 13 * digest.backends.size() +
-                     12 * digest.teams.size() + 24 * digest.peers.size() +
-                     28 * digest.leaving.size() + 34 * digest.limits.size() +
-                     PartBytes(digest.parts);
+                     12 * digest.teams.size() + 24 * digest.peers.size() + 28 * listed +
+                     34 * digest.limits.size() + PartBytes(digest.parts);
   if (!holder.empty()) {
     SendDigest withUsage{ .to = { holder }, .digest = digest };
     // The counts of the last windows are repeated, because the newest digests may have
@@ -210,14 +214,6 @@
                                   .waitingTokens = row.waitingTokens,
                                   .kvTokens = row.kvTokens });
     }
-    const bool isRecentlyRemoved =
-      row.removedAt && *row.removedAt + kRemovedGossipTime > world_.Now();
-    if (isRecentlyRemoved || (row.entry.isLeaving && !row.removedAt)) {
-      digest.leaving.push_back({ .id = id,
-                                 .startedMs = row.entry.startedMs,
-                                 .isRemoved = row.removedAt.has_value(),
-                                 .removedBefore = row.removedBefore.next });
-    }
   }
   for (const auto& [name, row] : world_.teams) {
     if (row.quota.TotalAdmitted() > 0) {
--- a/entry/testing/leave_bound_test.cc
+++ b/entry/testing/leave_bound_test.cc
@@ -63,7 +63,7 @@
 }
 
 TEST_CASE("Entry: many backends that leave together make no live daemon count as gone",
-          "[.][leave_bound_known_red]")
+          "[entry][lapse]")
 {
   // Guards against quotas, permits and polls that are shared anew because the list of
   // what leaves makes digests long and therefore rare.
--- a/entry/testing/store_lapse_test.cc
+++ b/entry/testing/store_lapse_test.cc
@@ -109,8 +109,11 @@
   entry.Post(DigestReceived{ "10.0.0.2:1", DigestOf(1, 12, true) });
   CHECK_FALSE(entry.Uses("booking1"));
   entry.Advance(1s);
-  for (const SendDigest& sent : entry.TakeActions<SendDigest>()) {
-    CHECK(sent.digest.leaving.empty()); // it is not this daemon's own knowledge
+  const auto sent = entry.TakeActions<SendDigest>();
+  REQUIRE_FALSE(sent.empty());
+  for (const SendDigest& one : sent) {
+    REQUIRE(one.digest.leaving.size() == 1); // it is told on with the peer's position
+    CHECK(one.digest.leaving[0].removedBefore == 12);
   }
   SECTION("and the entry is still there")
   {
@@ -129,6 +132,26 @@
     entry.Beat("booking2", 3, 11);
     CHECK_FALSE(entry.Uses("booking1")); // not far enough
   }
+  SECTION("and it is not told on for longer than the peer told of it")
+  {
+    entry.Advance(3s);
+    entry.TakeActions<SendDigest>();
+    entry.Advance(1s);
+    for (const SendDigest& one : entry.TakeActions<SendDigest>()) {
+      CHECK(one.digest.leaving.empty());
+    }
+  }
+  SECTION("and the store never comes as far")
+  {
+    // Guards against a corrupt datagram that empties the fleet for good.
+    const TopicConfirmed confirmed{ .read = { .topic = StoreTopic::Fleet } };
+    entry.Advance(8s);
+    entry.Post(confirmed);
+    CHECK_FALSE(entry.Uses("booking1"));
+    entry.Advance(2s);
+    entry.Post(confirmed);
+    CHECK(entry.Uses("booking1"));
+  }
 }
 
 TEST_CASE("Entry: a daemon's own doubt does not undo a removal that a peer has confirmed",
--- a/entry/world.h
+++ b/entry/world.h
@@ -90,9 +90,11 @@
   /// A peer has read that its entry was removed. It gets no new calls until this daemon
   /// has read the store as far.
   std::optional<RemovalPosition> reportedRemoved;
-  uint32_t inFlight = 0;      // calls of this daemon
-  uint32_t waitingTokens = 0; // prompt tokens of these calls before their first event
-  uint32_t kvTokens = 0;      // KV cache that these calls need
+  TimePoint reportedAt{};       // when a peer told of it first
+  bool isLeavingUntold = false; // no digest of this daemon has listed it as leaving yet
+  uint32_t inFlight = 0;        // calls of this daemon
+  uint32_t waitingTokens = 0;   // prompt tokens of these calls before their first event
+  uint32_t kvTokens = 0;        // KV cache that these calls need
 };
 
 /// The load of a backend by the calls of all daemons.
