Entry: each daemon has a time by which it has read the fleet or had it confirmed

Callers saw calls at backends that had left, because no daemon polled the store for 2.3 s: a wave of new backends made all 74 daemons read at once, and each then waited anew for its interval of 7.4 s, times 0.5 to 1.5. That all daemons together poll ten times a second was held against nothing.

Waits between polls are exponential now, with the same mean: an early read or a common start does not line up the polls that follow. Digests carry as of when the sender knows the fleet and the offset behind the last change that it knows; who has read as far takes that over. A fleet that nobody has confirmed for 0.7 s is read, in turns as the configuration is, the last daemons after their batch delay. The order of turns is one piece of code for both topics.

--- a/entry/configuration_watch.cc
+++ b/entry/configuration_watch.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "entry/duration_text.h"
+#include "entry/read_turns.h"
 #include "entry/store_polling.h"
 
 namespace gooseberrypath::entry {
@@ -17,11 +18,8 @@
 // which a change must be in force.
 constexpr Duration kCheckAge = milliseconds(1000);
 
-// Daemons take turns, so that one of them reads and tells the others. The time between
-// turns covers a read and a digest.
-constexpr Duration kTurn = milliseconds(100);
-constexpr size_t kMaxTurns = 4;
-constexpr Duration kLateTurns = milliseconds(200); // for all daemons after those turns
+constexpr Duration kLateTurns =
+  milliseconds(200); // for all daemons after the first turns
 
 // A first read is given up early, for its answer may be lost; a slow store gets the whole
 // time when it is asked again.
@@ -41,41 +39,16 @@
 
 void ConfigurationWatch::Start()
 {
-  lateTurn_ = Random(kLateTurns);
+  lateTurn_ = RandomUpTo(world_, kLateTurns);
   Schedule();
 }
 
-Duration ConfigurationWatch::Random(Duration aMax)
-{
-  return Duration(std::uniform_int_distribution<int64_t>(0, aMax.count())(world_.random));
-}
-
-size_t ConfigurationWatch::LiveDaemons() const
-{
-  return 1 + std::ranges::count_if(
-               world_.peers, [](const auto& aItem) { return aItem.second.isAlive; });
-}
-
-Duration ConfigurationWatch::TurnDelay() const
-{
-  const std::string& host = world_.options.host;
-  const auto order = std::pair(DigestKey(host), std::string_view(host));
-  const auto before =
-    static_cast<size_t>(std::ranges::count_if(world_.peers, [&](const auto& aItem) {
-      const PeerRow& peer = aItem.second;
-      return peer.isAlive && peer.digest.canReachStore && !peer.digest.isStopping &&
-             std::pair(DigestKey(aItem.first), std::string_view(aItem.first)) < order;
-    }));
-  return before < kMaxTurns ? kTurn * static_cast<int64_t>(before)
-                            : kTurn * static_cast<int64_t>(kMaxTurns) + lateTurn_;
-}
-
 TimePoint ConfigurationWatch::CheckDue() const
 {
   const TimePoint known =
     world_.freshness.AsOf(StoreTopic::Configuration).value_or(world_.started);
-  const TimePoint turn =
-    std::max(known + kCheckAge + TurnDelay(), retryAt_.value_or(world_.started));
+  const TimePoint turn = std::max(known + kCheckAge + ReadTurnDelay(world_, lateTurn_),
+                                  retryAt_.value_or(world_.started));
   return fetchAt_ ? std::min(turn, *fetchAt_) : turn;
 }
 
@@ -135,10 +108,10 @@
   }
   isChecking_ = false;
   const Duration delay =
-    failures_ == 0 ? kFirstRetryDelay : StoreRetryDelay(LiveDaemons());
+    failures_ == 0 ? kFirstRetryDelay : StoreRetryDelay(LiveDaemons(world_));
   ++failures_;
-  retryAt_ = world_.Now() + delay / 2 + Random(delay);
-  lateTurn_ = Random(kLateTurns);
+  retryAt_ = world_.Now() + delay / 2 + RandomUpTo(world_, delay);
+  lateTurn_ = RandomUpTo(world_, kLateTurns);
   const auto age = world_.freshness.AgeOf(StoreTopic::Configuration, world_.Now());
   if (!isReported_ && age && *age > kMaxAge) {
     isReported_ = true;
@@ -186,9 +159,9 @@
     return;
   }
   peerVersion_ = digest.configVersion;
-  const auto spread =
-    std::min(kMaxFetchDelay, kFetchDelayPerDaemon * static_cast<int64_t>(LiveDaemons()));
-  fetchAt_ = world_.Now() + kMinFetchDelay + Random(spread);
+  const auto spread = std::min(
+    kMaxFetchDelay, kFetchDelayPerDaemon * static_cast<int64_t>(LiveDaemons(world_)));
+  fetchAt_ = world_.Now() + kMinFetchDelay + RandomUpTo(world_, spread);
   Schedule();
 }
 
--- a/entry/configuration_watch.h
+++ b/entry/configuration_watch.h
@@ -36,20 +36,11 @@
   /// Returns when the configuration must be read, if it is not confirmed before.
   TimePoint CheckDue() const;
 
-  /// Returns the time that this daemon leaves to others, which read before it.
-  Duration TurnDelay() const;
-
-  /// Returns the number of live daemons, including this one.
-  size_t LiveDaemons() const;
-
   /// Wakes this system when the check is due.
   void Schedule();
   void CheckIfDue();
   void NoteConfirmed();
 
-  /// Returns a random duration up to this one.
-  Duration Random(Duration aMax);
-
   World& world_;
   TimerId timer_;
   bool isChecking_ = false;          // a read was ordered and has not ended
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -12,6 +12,7 @@
 #include "entry/configuration_watch.h"
 #include "entry/duty_system.h"
 #include "entry/fleet_system.h"
+#include "entry/fleet_watch.h"
 #include "entry/gossip_system.h"
 #include "entry/part_system.h"
 #include "entry/permit_system.h"
@@ -23,7 +24,7 @@
 namespace gooseberrypath::entry {
 
 using EntryCore =
-  BasicCore<World, ConfigurationWatch, FleetSystem, PermitSystem, PartSystem,
+  BasicCore<World, ConfigurationWatch, FleetWatch, FleetSystem, PermitSystem, PartSystem,
             RequestSystem, DutySystem, StopSystem, GossipSystem>;
 
 } // namespace gooseberrypath::entry
--- a/entry/entry_counters.cc
+++ b/entry/entry_counters.cc
@@ -53,6 +53,7 @@
     { "configurations_applied_total", "Versions of the configuration that were applied" },
     { "configuration_checks_total", "Reads of the configuration besides the long poll" },
     { "fleet_changes_total", "Entries of backends that were read" },
+    { "fleet_checks_total", "Reads because nobody had confirmed the fleet lately" },
     { "fleet_reads_total", "Reads of the fleet that succeeded, also without changes" },
     { "store_lost_total", "Times that the platform's store got out of reach" },
     { "store_reads_failed_total", "Reads of the platform's store that failed" },
--- a/entry/entry_counters.h
+++ b/entry/entry_counters.h
@@ -51,7 +51,8 @@
   ConfigurationsApplied,
   ConfigurationChecks, // reads besides the long poll
   FleetChanges,
-  FleetReads, // also those without changes
+  FleetChecks, // reads because nobody had confirmed the fleet
+  FleetReads,  // also those without changes
   StoreDisconnects,
   StoreReadsFailed,
   StoreRestores, // times that the store came back from a copy
--- a/entry/fleet_reader.cc
+++ b/entry/fleet_reader.cc
@@ -26,6 +26,13 @@
   }
 }
 
+void FleetReader::PollNow()
+{
+  if (immediatePoll_.get() != nullptr) {
+    immediatePoll_->fulfill();
+  }
+}
+
 void FleetReader::PollUpTo(uint64_t aOffset)
 {
   const bool isKnown = offset_ && *offset_ >= aOffset;
@@ -124,12 +131,15 @@
   if (wantedConfirmation_ > lastConfirmation_) {
     return reads_.WaitForRetry(); // it was requested during the last read
   }
-  return reads_.Wait(FleetPollInterval(reads_.ReaderCount()))
+  auto immediatePoll = kj::newPromiseAndFulfiller<void>();
+  immediatePoll_ = kj::mv(immediatePoll.fulfiller);
+  return reads_.WaitForPoll()
     .exclusiveJoin(earlyPoll.promise.then([this] {
       return wantedConfirmation_ > lastConfirmation_
                ? reads_.WaitForRetry()
                : reads_.Wait(FleetBatchDelay(reads_.ReaderCount()));
-    }));
+    }))
+    .exclusiveJoin(kj::mv(immediatePoll.promise));
 }
 
 void FleetReader::Emit(const std::vector<platform::KeyedRecord>& aRecords,
--- a/entry/fleet_reader.h
+++ b/entry/fleet_reader.h
@@ -34,6 +34,9 @@
   /// Ends the pause between two polls.
   void PollSoon();
 
+  /// Polls at once, unless a read is in progress or waits to be retried.
+  void PollNow();
+
   /// Polls soon unless the records before this offset were read.
   void PollUpTo(uint64_t aOffset);
 
@@ -72,7 +75,8 @@
   std::optional<uint64_t> offset_;
   uint64_t wantedConfirmation_ = 0; // number of the newest Confirm()
   uint64_t lastConfirmation_ = 0;   // number that the last read has confirmed
-  kj::Own<kj::PromiseFulfiller<void>> earlyPoll_;
+  kj::Own<kj::PromiseFulfiller<void>> earlyPoll_;     // after a batch delay
+  kj::Own<kj::PromiseFulfiller<void>> immediatePoll_; // ends the whole pause
   TaskErrors errors_;
   kj::TaskSet tasks_;
 };
--- a/entry/fleet_system.cc
+++ b/entry/fleet_system.cc
@@ -154,6 +154,7 @@
 void FleetSystem::ApplySnapshot(const FleetRead& aEvent)
 {
   world_.nextFleetOffset = aEvent.next;
+  world_.fleetChangesEnd = aEvent.next;
   for (const std::string& id : MissingIn(aEvent)) {
     Apply(BackendRemoved{ id });
   }
@@ -204,6 +205,7 @@
 void FleetSystem::AdvanceFleetOffset(uint64_t aNext)
 {
   world_.fleetDeltaStart = std::max(world_.fleetDeltaStart, aNext);
+  world_.fleetChangesEnd = std::max(world_.fleetChangesEnd, aNext);
   if (aNext > world_.fleetOffset) {
     world_.fleetOffset = aNext;
     world_.isDigestDue = true;
@@ -479,6 +481,8 @@
   world_.nextFleetOffset = 0;
   world_.fleetDeltaStart = 0;
   world_.fleetDelta.reset();
+  world_.fleetChangesEnd = 0;
+  world_.freshness.Forget(StoreTopic::Fleet);
   ExpectLapsedEntries(); // what it lost is written again
   world_.isDigestUrgent = true;
   world_.counters.Add(EntryCounter::StoreRestores);
--- a/entry/gossip_system.cc
+++ b/entry/gossip_system.cc
@@ -195,6 +195,8 @@
                      .configurationAge =
                        world_.freshness.AgeOf(StoreTopic::Configuration, world_.Now()),
                      .storeAnswerAge = world_.freshness.AnswerAge(world_.Now()),
+                     .fleetAge = world_.freshness.AgeOf(StoreTopic::Fleet, world_.Now()),
+                     .fleetChangesEnd = world_.fleetChangesEnd,
                      .storeEra = world_.storeEra,
                      .fleetOffset = world_.fleetOffset,
                      .dutyToken = world_.dutyToken,
--- a/entry/messages.h
+++ b/entry/messages.h
@@ -457,6 +457,10 @@
   Duration timeout{};
 };
 
+/// Reads the fleet now, unless a read is in progress or was refused lately.
+struct RefreshFleet
+{};
+
 /// Skips the records before this offset: a peer sent their changes.
 struct SkipFleetRecords
 {
@@ -528,13 +532,15 @@
   std::vector<std::pair<std::string, std::string>> fields{};
 };
 
-using Action = std::variant<
-  WriteResponse, WriteStreamHead, WriteStreamBytes, FinishStream, AbortResponse,
-  SetCallerLimits, SetReady, CloseIdleCallerConnections, StopAccepting, StartAttempt,
-  CancelAttempt, WithdrawAttempt, CloseIdleBackendConnections, SendDigest,
-  SendPermitMessage, ReadFleet, ConfirmFleet, ReadConfiguration, SkipFleetRecords,
-  NoteStoreEra, SetReaderCount, ReadDutyState, WriteDutyState, WriteUsage, ReadUsage,
-  WritePartEvidence, ReadPartEvidence, SendUsage, SendOrder, WriteEvent, ExitProcess>;
+using Action =
+  std::variant<WriteResponse, WriteStreamHead, WriteStreamBytes, FinishStream,
+               AbortResponse, SetCallerLimits, SetReady, CloseIdleCallerConnections,
+               StopAccepting, StartAttempt, CancelAttempt, WithdrawAttempt,
+               CloseIdleBackendConnections, SendDigest, SendPermitMessage, ReadFleet,
+               RefreshFleet, ConfirmFleet, ReadConfiguration, SkipFleetRecords,
+               NoteStoreEra, SetReaderCount, ReadDutyState, WriteDutyState, WriteUsage,
+               ReadUsage, WritePartEvidence, ReadPartEvidence, SendUsage, SendOrder,
+               WriteEvent, ExitProcess>;
 
 } // namespace gooseberrypath::entry
 
--- a/entry/peer_digest.cc
+++ b/entry/peer_digest.cc
@@ -164,6 +164,8 @@
                      .dutyRenewal = aMessage.getDutyRenewal() };
   digest.configurationAge = ReadAge(aMessage.getConfigurationAgeMs());
   digest.storeAnswerAge = ReadAge(aMessage.getStoreAnswerAgeMs());
+  digest.fleetAge = ReadAge(aMessage.getFleetAgeMs());
+  digest.fleetChangesEnd = aMessage.getFleetChangesEnd();
   for (const auto demand : aMessage.getDemands()) {
     digest.demands.push_back({ .service = demand.getService(),
                                .promptTokensPerSecond = demand.getTokensPerSecond() });
@@ -223,6 +225,8 @@
     aBuilder.setStoreEra(aDigest.storeEra);
     aBuilder.setConfigurationAgeMs(ToAgeMs(aDigest.configurationAge));
     aBuilder.setStoreAnswerAgeMs(ToAgeMs(aDigest.storeAnswerAge));
+    aBuilder.setFleetAgeMs(ToAgeMs(aDigest.fleetAge));
+    aBuilder.setFleetChangesEnd(aDigest.fleetChangesEnd);
     aBuilder.setFleetOffset(aDigest.fleetOffset);
     aBuilder.setDutyToken(aDigest.dutyToken);
     aBuilder.setDutyRenewal(aDigest.dutyRenewal);
--- a/entry/peer_digest.h
+++ b/entry/peer_digest.h
@@ -104,8 +104,10 @@
   std::optional<Duration> configurationAge;
   /// Time since the store answered any daemon, as far as the sender knows.
   std::optional<Duration> storeAnswerAge;
-  uint64_t storeEra = 0;    // newest known one; offsets are valid in it; 0: none
-  uint64_t fleetOffset = 0; // store offset of the last backend that joined or left
+  std::optional<Duration> fleetAge; // time since which the sender may lack changes
+  uint64_t fleetChangesEnd = 0; // store offset behind the last change that it knows of
+  uint64_t storeEra = 0;        // newest known one; offsets are valid in it; 0: none
+  uint64_t fleetOffset = 0;     // store offset of the last backend that joined or left
   uint64_t dutyToken = 0;   // the sender holds the duties with this token; 0: it does not
   uint64_t dutyRenewal = 0; // number of the sender's newest renewal
   std::vector<ServiceDemand> demands;
--- a/entry/store_polling.cc
+++ b/entry/store_polling.cc
@@ -1,6 +1,7 @@
 #include "entry/store_polling.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace gooseberrypath::entry {
 
@@ -14,6 +15,9 @@
 constexpr Duration kMinPollInterval = milliseconds(300);
 constexpr Duration kPollIntervalPerReader = milliseconds(100);
 
+// Smallest wait of a daemon without peers, as a part of the interval.
+constexpr double kLonePollShare = 0.5;
+
 // While backends change continuously, all daemons together read 50 times a second. The
 // maximum bounds the time from the first daemon's read of a new backend to the last
 // daemon's at 2 s.
@@ -35,6 +39,12 @@
                   kPollIntervalPerReader * static_cast<int64_t>(aReaders));
 }
 
+Duration FleetPollWait(size_t aReaders, double aUniform)
+{
+  const double factor = aReaders > 1 ? -std::log1p(-aUniform) : kLonePollShare + aUniform;
+  return std::chrono::duration_cast<Duration>(FleetPollInterval(aReaders) * factor);
+}
+
 Duration StoreRetryDelay(size_t aReaders)
 {
   const Duration delay = kRetryDelayPerReader * static_cast<int64_t>(aReaders);
--- a/entry/store_polling.h
+++ b/entry/store_polling.h
@@ -22,6 +22,11 @@
 /// included, share the polling.
 Duration FleetPollInterval(size_t aReaders);
 
+/// Returns the wait until the next poll. `aUniform` is random, from 0 to below 1. Waits
+/// of daemons that share the polling are exponential: an early read or a common start
+/// does not line up the polls that follow.
+Duration FleetPollWait(size_t aReaders, double aUniform);
+
 /// Returns the delay between gossip about a change that this daemon lacks and the read of
 /// the store. The gossip itself names leaving backends, so only new backends are delayed.
 Duration FleetBatchDelay(size_t aReaders);
--- a/entry/store_port.cc
+++ b/entry/store_port.cc
@@ -70,6 +70,11 @@
   fleet_.Confirm(aAction.number);
 }
 
+void StorePort::Execute(const RefreshFleet&)
+{
+  fleet_.PollNow();
+}
+
 void StorePort::Execute(const ReadFleet& aAction)
 {
   fleet_.PollUpTo(aAction.offset);
--- a/entry/store_port.h
+++ b/entry/store_port.h
@@ -46,6 +46,7 @@
   void Start();
 
   void Execute(const ReadFleet& aAction);
+  void Execute(const RefreshFleet& aAction);
   void Execute(const ConfirmFleet& aAction);
   void Execute(const ReadConfiguration& aAction);
   void Execute(const SkipFleetRecords& aAction);
--- a/entry/store_reads.cc
+++ b/entry/store_reads.cc
@@ -75,6 +75,11 @@
   return options_.timer.afterDelay(Jittered(aTime));
 }
 
+kj::Promise<void> StoreReads::WaitForPoll()
+{
+  return options_.timer.afterDelay(ToKj(FleetPollWait(readerCount_, RandomShare())));
+}
+
 kj::Promise<void> StoreReads::WaitForRetry()
 {
   return Wait(StoreRetryDelay(readerCount_));
--- a/entry/store_reads.h
+++ b/entry/store_reads.h
@@ -72,6 +72,9 @@
   /// Waits for the duration with random jitter.
   kj::Promise<void> Wait(Duration aTime);
 
+  /// Waits until the next poll of the fleet.
+  kj::Promise<void> WaitForPoll();
+
   /// Waits until a failed call may be retried.
   kj::Promise<void> WaitForRetry();
 
--- a/entry/testing/fleet_simulation.cc
+++ b/entry/testing/fleet_simulation.cc
@@ -109,6 +109,14 @@
     }
   }
 
+  void Execute(size_t aDaemon, const RefreshFleet&)
+  {
+    const Poller& poller = pollers_[aDaemon];
+    if (!poller.isReading && poller.failures == 0) {
+      SchedulePollAt(aDaemon, now_);
+    }
+  }
+
   void Execute(size_t aDaemon, const ConfirmFleet& aAction)
   {
     Poller& poller = pollers_[aDaemon];
@@ -287,9 +295,14 @@
   // Polling of the store, as entry/store_port.h does it.
 
   void SchedulePoll(size_t aDaemon, Duration aDelay)
+  {
+    SchedulePollAt(aDaemon, now_ + aDelay / 2 + Random(aDelay) + 1ms);
+  }
+
+  void SchedulePollAt(size_t aDaemon, TimePoint aDue)
   {
     Poller& poller = pollers_[aDaemon];
-    poller.due = now_ + aDelay / 2 + Random(aDelay) + 1ms;
+    poller.due = aDue;
     queue_.Add(poller.due, [this, aDaemon, turn = ++poller.turn] {
       if (turn == pollers_[aDaemon].turn) {
         BeginPoll(aDaemon);
@@ -354,8 +367,12 @@
     }
     poller.offset = log_.size();
     const bool isWanted = poller.wantedConfirmation > poller.lastConfirmation;
-    SchedulePoll(aDaemon, isWanted ? StoreRetryDelay(poller.readers)
-                                   : FleetPollInterval(poller.readers));
+    if (isWanted) {
+      SchedulePoll(aDaemon, StoreRetryDelay(poller.readers));
+    } else {
+      const double uniform = Seconds(Random(1s));
+      SchedulePollAt(aDaemon, now_ + FleetPollWait(poller.readers, uniform) + 1ms);
+    }
     if (read.isSnapshot || !read.changes.empty() || read.confirms != 0 ||
         read.followsFailure) {
       Post(aDaemon, std::make_shared<const Event>(std::move(read)));
--- a/entry/testing/leave_bound_test.cc
+++ b/entry/testing/leave_bound_test.cc
@@ -52,7 +52,7 @@
 } // namespace
 
 TEST_CASE("Entry: removals after a wave of new backends are known to all daemons in time",
-          "[.][leave_bound_known_red]")
+          "[entry][lapse]")
 {
   // Guards against calls to backends that have left, because no daemon polls the store
   // after a wave, or because what one reads does not reach all.
--- a/entry/topic_freshness.h
+++ b/entry/topic_freshness.h
@@ -50,6 +50,9 @@
     known = known ? std::max(*known, aAsOf) : aAsOf;
   }
 
+  /// Forgets as of when the topic is known, because the store went back.
+  void Forget(StoreTopic aTopic) { asOf_.at(static_cast<size_t>(aTopic)).reset(); }
+
   /// Records that the store has answered a daemon at this time, whatever it said.
   void NoteAnswer(TimePoint aAt)
   {
--- a/entry/world.h
+++ b/entry/world.h
@@ -219,6 +219,7 @@
   uint64_t storeEra = 0;                          // newest known one; 0: none
   uint64_t fleetOffset = 0; // store offset of the last backend that was added or removed
   uint64_t nextFleetOffset = 0; // all store records before this offset are applied
+  uint64_t fleetChangesEnd = 0; // all known changes of the fleet are before this offset
   uint64_t fleetDeltaStart = 0; // each change after this offset is known individually
   std::optional<FleetDelta> fleetDelta; // to be sent to the peers at once
   bool isDigestDue = false;             // the next digest has changes
--- a/gooseberrypath/http_io.cc
+++ b/gooseberrypath/http_io.cc
@@ -80,6 +80,11 @@
   return distribution(JitterGenerator()) * kj::MICROSECONDS;
 }
 
+double RandomShare()
+{
+  return std::uniform_real_distribution<double>(0, 1)(JitterGenerator());
+}
+
 kj::Maybe<kj::Own<kj::NetworkAddress>> ParseAddress(kj::Network& aNetwork,
                                                     const std::string& aAddress)
 {
--- a/gooseberrypath/http_io.h
+++ b/gooseberrypath/http_io.h
@@ -31,6 +31,9 @@
 /// poll in step.
 kj::Duration Jittered(Duration aDuration);
 
+/// Returns a random number from 0 to below 1, from the generator of Jittered().
+double RandomShare();
+
 /// Makes the durations of Jittered() in this thread repeatable. Only tests call it.
 void SeedJitter(uint32_t aSeed);
 
