--- a/entry/testing/config_in_force_test.cc
+++ b/entry/testing/config_in_force_test.cc
@@ -156,7 +156,7 @@
 // Started by hand: prints the calls a second to the store by topic.
 TEST_CASE("Entry: calls to a calm store", "[.][config_calls]")
 {
-  for (const size_t daemons : { 1, 8, 30, 95 }) {
+  for (const size_t daemons : { 1, 8, 30, 74, 95 }) {
     std::string text = std::to_string(daemons) + " daemons:";
     for (const auto& [topic, calls] : CalmCalls(daemons)) {
       text += " " + topic + " " + std::to_string(calls);
--- a/entry/testing/config_simulation.cc
+++ b/entry/testing/config_simulation.cc
@@ -77,6 +77,7 @@
   using DaemonSimulation::Execute;
 
   void Execute(size_t aDaemon, const ReadFleet& aAction) { Pass(aDaemon, aAction); }
+  void Execute(size_t aDaemon, const RefreshFleet& aAction) { Pass(aDaemon, aAction); }
   void Execute(size_t aDaemon, const ConfirmFleet& aAction) { Pass(aDaemon, aAction); }
   void Execute(size_t aDaemon, const NoteStoreEra& aAction) { Pass(aDaemon, aAction); }
   void Execute(size_t aDaemon, const SetReaderCount& aAction) { Pass(aDaemon, aAction); }
--- a/entry/testing/leave_bound_test.cc
+++ b/entry/testing/leave_bound_test.cc
@@ -101,6 +101,28 @@
   }
 }
 
+// Started by hand: prints reads of the fleet and bytes of digests.
+TEST_CASE("Entry: reads of the fleet and bytes of digests", "[.][leave_figures]")
+{
+  for (const size_t daemons : { 8, 30, 74, 95 }) {
+    FleetScenario calm{ .daemons = daemons,
+                        .network = { .link = LinkLimits{} },
+                        .length = 24s };
+    FleetScenario wave = AfterWave(daemons, 1s, 1);
+    wave.length = 14s;
+    for (const FleetScenario& scenario : { calm, wave }) {
+      const FleetOutcome outcome = PlayFleet(scenario);
+      const double seconds = Seconds(scenario.length) - 4; // without the warm-up
+      WARN(daemons << " daemons" << (scenario.wave ? " and a wave: " : ": ")
+                   << static_cast<double>(outcome.fleetReads) / seconds << " reads, "
+                   << static_cast<double>(outcome.sentBytes) / seconds
+                   << " bytes a second, " << outcome.droppedDatagrams
+                   << " datagrams dropped by full links, " << outcome.unheard
+                   << " times unheard");
+    }
+  }
+}
+
 // Started by hand: takes minutes.
 TEST_CASE("Entry: removals after a wave, in small steps and at 381 daemons",
           "[.][leave_hunt]")
