--- a/entry/leaving_gossip.cc
+++ b/entry/leaving_gossip.cc
@@ -11,7 +11,7 @@
 // Removals are told for this time; each peer has read them from the store by then.
 constexpr Duration kRemovedGossipTime = std::chrono::seconds(3);
 
-// An urgent digest stays below the size of a datagram that every network passes.
+// Keeps an urgent digest to some two kilobytes.
 constexpr size_t kMaxUrgentLeaving = 60;
 
 /// Returns what to tell of a backend; no value if it stays or was told for long enough.
