--- a/entry/testing/store_lapse_test.cc
+++ b/entry/testing/store_lapse_test.cc
@@ -178,6 +178,24 @@
   }
 }
 
+TEST_CASE("Entry: a peer with a newer configuration shows that the store answers",
+          "[entry][lapse]")
+{
+  // Guards against a daemon that takes its own cut for an outage of the store, because
+  // the evidence of its peers hangs on the version that they have.
+  LapseFixture entry;
+  entry.Post(DigestReceived{ "10.0.0.2:1",
+                             { .daemon = "d2",
+                               .incarnation = 1,
+                               .sequence = 1,
+                               .configVersion = 99,
+                               .storeAnswerAge = Duration(50ms) } });
+  const World& world = entry.GetWorld();
+  const auto age = world.freshness.AnswerAge(world.Now());
+  REQUIRE(age);
+  CHECK(*age <= Duration(50ms));
+}
+
 TEST_CASE("Entry: a report of a removal is about one start of a backend",
           "[entry][lapse]")
 {
