--- a/entry/model.h
+++ b/entry/model.h
@@ -13,6 +13,7 @@
 #include <variant>
 #include <vector>
 
+#include "entry/load_report.h"
 #include "entry/response_body.h"
 #include "gooseberrypath/types.h"
 
@@ -203,6 +204,7 @@
   bool isLeaving = false;          // the backend is leaving and accepts no new calls
   std::optional<Duration> retryAfter; // back-off that a refusing backend asks for
   AnnouncedLimit limit;
+  AnnouncedLoad load;
   std::vector<std::string> unknownFields; // names of the platform that are not known
   bool closesConnection = false;
   BodyFraming framing = BodyFraming::None;
