Placement: one daemon places the calls of a plain service for all daemons

A daemon asks the placer of the service, chosen like the granter of a limit, and starts the call at the backend that it names. Held requests wait in the placer's queue. Each placement is released when its attempt ends in any way. Enabled above 16 daemons for services without engines whose backends report their load.

The whole suite was not run yet.

--- a/entry/attempt_log.cc
+++ b/entry/attempt_log.cc
@@ -18,6 +18,15 @@
                { "version", std::to_string(aRow.configuration->version) } });
 }
 
+void LogPlacement(World& aWorld, const RequestRow& aRow)
+{
+  const CallPlacement& placement = aRow.placement;
+  aWorld.Log(LogLevel::Info, "placed", aRow.call.requestId,
+             { { "backend", placement.backend },
+               { "wait_ms", MsText(ToMs(aWorld.Now() - placement.askedAt)) },
+               { "placer", placement.placer } });
+}
+
 void LogBrokenAttempt(World& aWorld, const RunningAttempt& aRunning,
                       const AttemptBroken& aEvent)
 {
--- a/entry/attempt_log.h
+++ b/entry/attempt_log.h
@@ -17,6 +17,9 @@
 /// Logs an attempt that begins at the selected backend.
 void LogAttempt(World& aWorld, const RequestRow& aRow, const BackendChoice& aChoice);
 
+/// Logs the backend that a placer named and how long the call waited for it.
+void LogPlacement(World& aWorld, const RequestRow& aRow);
+
 /// Logs a broken attempt, with whether its answer had begun and the shared parts of its
 /// prompt.
 void LogBrokenAttempt(World& aWorld, const RunningAttempt& aRunning,
--- a/entry/backend_choice.cc
+++ b/entry/backend_choice.cc
@@ -18,10 +18,6 @@
   bool hasBackendAtLimit = false; // it is usable, but not among them
 };
 
-// With up to this many daemons, the load reported by peers is recent enough to compare
-// all backends. With more, all daemons would pick the same backend until the next digests
-// arrive, so each daemon compares a few random ones and the prompt's affinity engine.
-constexpr size_t kMaxDaemonsForFullScan = 16;
 constexpr size_t kEngineSampleSize = 4;
 // Calls to plain services are shorter than the digest interval, so the load reported by
 // peers is mostly outdated. A larger sample only makes more daemons pick the same
@@ -193,6 +189,18 @@
   return best;
 }
 
+BackendChoice PlacedChoice(const World& aWorld, const RequestRow& aRow,
+                           const BackendRow& aBackend)
+{
+  const auto found = aWorld.serviceStats.find(aRow.service);
+  const double baseMs =
+    found == aWorld.serviceStats.end() ? ServiceStats{}.baseMs : found->second.baseMs;
+  const int64_t inFlight = aWorld.TotalUseOf(aBackend).inFlight;
+  return { .id = aBackend.entry.id,
+           .expectedMs = baseMs * aBackend.health.Slowness(aWorld.Now()),
+           .inFlight = static_cast<uint32_t>(std::max<int64_t>(inFlight, 0)) };
+}
+
 std::string DescribeLimits(const World& aWorld, const RequestRow& aRow)
 {
   constexpr int kMaxNamed = 3;
--- a/entry/backend_choice.h
+++ b/entry/backend_choice.h
@@ -13,6 +13,11 @@
 
 namespace gooseberrypath::entry {
 
+// With up to this many daemons, the load reported by peers is recent enough to compare
+// all backends. With more, all daemons would pick the same backend until the next digests
+// arrive, so each daemon compares a few random ones and the prompt's affinity engine.
+constexpr size_t kMaxDaemonsForFullScan = 16;
+
 struct BackendChoice
 {
   std::string id;
@@ -29,6 +34,10 @@
 /// chosen if there is no other one, and one that is at its limit is not chosen.
 std::optional<BackendChoice> ChooseBackend(World& aWorld, const RequestRow& aRow);
 
+/// Returns the choice of a backend that was made by the placer of a service.
+BackendChoice PlacedChoice(const World& aWorld, const RequestRow& aRow,
+                           const BackendRow& aBackend);
+
 /// Returns the backends that the call could be sent to now if they were not at their
 /// limits, with the limits, as text; empty if there is none.
 std::string DescribeLimits(const World& aWorld, const RequestRow& aRow);
--- a/entry/call_completion.cc
+++ b/entry/call_completion.cc
@@ -141,6 +141,9 @@
 
 void CallCompletion::Remove(RequestRef aRequest)
 {
+  if (aRequest.row->placement.id != 0) {
+    world_.endedPlacements.push_back({ .id = aRequest.row->placement.id });
+  }
   world_.timers.Cancel(aRequest.row->deadlineTimer);
   world_.timers.Cancel(aRequest.row->hedgeTimer);
   world_.timers.Cancel(aRequest.row->stallTimer);
--- a/entry/digest_port.cc
+++ b/entry/digest_port.cc
@@ -49,6 +49,12 @@
        std::make_shared<const std::string>(EncodePermitMessage(aAction.message)));
 }
 
+void DigestPort::Execute(const SendPlacementMessage& aAction)
+{
+  Send(aAction.to,
+       std::make_shared<const std::string>(EncodePlacementMessage(aAction.message)));
+}
+
 void DigestPort::Send(const std::string& aTo,
                       const std::shared_ptr<const std::string>& aBytes)
 {
@@ -72,14 +78,19 @@
 
 void DigestPort::Receive(std::span<const char> aBytes, const std::string& aFrom)
 {
-  if (!IsPermitMessage(aBytes)) {
-    if (auto digest = DecodeDigest(aBytes)) {
-      options_.sink(DigestReceived{ aFrom, *std::move(digest) });
-    } else {
-      ++malformedCount_;
-    }
-    return;
+  if (IsPermitMessage(aBytes)) {
+    ReceivePermit(aBytes, aFrom);
+  } else if (IsPlacementMessage(aBytes)) {
+    ReceivePlacement(aBytes, aFrom);
+  } else if (auto digest = DecodeDigest(aBytes)) {
+    options_.sink(DigestReceived{ aFrom, *std::move(digest) });
+  } else {
+    ++malformedCount_;
   }
+}
+
+void DigestPort::ReceivePermit(std::span<const char> aBytes, const std::string& aFrom)
+{
   auto message = DecodePermitMessage(aBytes);
   if (!message) {
     ++malformedCount_;
@@ -90,6 +101,20 @@
   }
 }
 
+void DigestPort::ReceivePlacement(std::span<const char> aBytes, const std::string& aFrom)
+{
+  auto message = DecodePlacementMessage(aBytes);
+  if (!message) {
+    ++malformedCount_;
+  } else if (auto* request = std::get_if<PlaceRequest>(&*message)) {
+    options_.sink(PlaceRequestReceived{ aFrom, std::move(*request) });
+  } else if (auto* reply = std::get_if<PlaceReply>(&*message)) {
+    options_.sink(PlaceReplyReceived{ aFrom, *reply });
+  } else {
+    options_.sink(PlaceReleaseReceived{ std::get<PlaceRelease>(*std::move(message)) });
+  }
+}
+
 kj::Promise<void> DigestPort::ReceiveLoop()
 {
   return receiver_->receive()
--- a/entry/digest_port.h
+++ b/entry/digest_port.h
@@ -1,4 +1,5 @@
-// Exchanges gossip digests and permit messages with peer daemons as UDP datagrams.
+// Exchanges gossip digests, permit messages and placement messages with peer daemons as
+// UDP datagrams.
 //
 //   DigestPort digests({ .network = network, .sink = sink, .address = "10.0.0.1:8361" });
 //   digests.Execute(SendDigest{ .to = { "10.0.0.2:8361" }, .digest = digest });
@@ -40,6 +41,7 @@
 
   /// Sends the message without retries. A malformed address is skipped.
   void Execute(const SendPermitMessage& aAction);
+  void Execute(const SendPlacementMessage& aAction);
 
   /// Returns the number of received datagrams that were not a valid message.
   uint64_t MalformedCount() const { return malformedCount_; }
@@ -49,6 +51,8 @@
 
   /// Passes a received datagram to the sink, unless it is malformed.
   void Receive(std::span<const char> aBytes, const std::string& aFrom);
+  void ReceivePermit(std::span<const char> aBytes, const std::string& aFrom);
+  void ReceivePlacement(std::span<const char> aBytes, const std::string& aFrom);
 
   /// Sends a datagram to the address, unless that is malformed.
   void Send(const std::string& aTo, const std::shared_ptr<const std::string>& aBytes);
--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -16,6 +16,7 @@
 #include "entry/gossip_system.h"
 #include "entry/part_system.h"
 #include "entry/permit_system.h"
+#include "entry/placement_system.h"
 #include "entry/request_system.h"
 #include "entry/stop_system.h"
 #include "entry/world.h"
@@ -25,7 +26,7 @@
 
 using EntryCore =
   BasicCore<World, ConfigurationWatch, FleetWatch, FleetSystem, PermitSystem, PartSystem,
-            RequestSystem, DutySystem, StopSystem, GossipSystem>;
+            PlacementSystem, RequestSystem, DutySystem, StopSystem, GossipSystem>;
 
 } // namespace gooseberrypath::entry
 
--- a/entry/entry_counters.cc
+++ b/entry/entry_counters.cc
@@ -47,6 +47,13 @@
     { "permits_unanswered_total", "Requests for permits without a reply" },
     { "permits_granted_total", "Permits that this daemon granted" },
     { "permits_denied_total", "Requests for permits that got none from this daemon" },
+    { "placements_asked_total", "Calls for whose placement a placer was asked" },
+    { "placements_placed_total", "Calls that a placer gave a backend" },
+    { "placements_held_total", "Calls that waited for a free slot" },
+    { "placements_refused_total", "Calls refused as no slot was free in time" },
+    { "placements_unanswered_total", "Requests for placements without a reply in time" },
+    { "placements_released_total", "Placements that ended after their call was sent" },
+    { "placements_given_up_total", "Requests and placements that were not used" },
     { "unknown_fields_total", "Names of the platform that this version does not know" },
     { "attempts_repeated_total", "Calls sent to another backend" },
     { "repeats_denied_total", "Repeats that the retry budget did not allow" },
@@ -74,6 +81,7 @@
     { "first_event_ms", "From the arrival of a streamed call to its first event" },
     { "plain_answer_ms", "From the arrival of another call to its answer" },
     { "refusal_ms", "From the arrival of a call to its refusal" },
+    { "placement_reply_ms", "From a request for a placement to the first reply" },
   } };
 
 /// Upper bounds of the buckets in milliseconds.
--- a/entry/entry_counters.h
+++ b/entry/entry_counters.h
@@ -45,7 +45,14 @@
   PermitsUnanswered, // requests for permits without a reply
   PermitsGranted,    // by this daemon
   PermitsDenied,     // requests that got none from this daemon
-  UnknownFields,     // names that the platform uses and this version does not know
+  PlacementsAsked,
+  PlacementsPlaced,     // replies with a backend
+  PlacementsHeld,       // replies that a call waits for a slot
+  PlacementsRefused,    // calls refused as they could not start in time
+  PlacementsUnanswered, // requests for placements without a reply in time
+  PlacementsReleased,   // after the call was sent
+  PlacementsGivenUp,    // requests and placements that were not used
+  UnknownFields,        // names that the platform uses and this version does not know
   AttemptsRetried,
   RetriesDenied, // because the retry budget was exhausted
   StreamsResumed,
@@ -69,10 +76,11 @@
 
 enum class EntryHistogram : uint8_t
 {
-  FirstEvent,  // from the arrival of a call on a streaming route to its first event
-  PlainAnswer, // from the arrival of any other call to its response
-  Refusal,     // from the arrival of a call to its refusal
-  Count_,      // not a histogram
+  FirstEvent,     // from the arrival of a call on a streaming route to its first event
+  PlainAnswer,    // from the arrival of any other call to its response
+  Refusal,        // from the arrival of a call to its refusal
+  PlacementReply, // from a request for a placement to the first reply
+  Count_,         // not a histogram
 };
 
 class EntryCounters
--- a/entry/messages.h
+++ b/entry/messages.h
@@ -14,6 +14,7 @@
 #include "entry/model.h"
 #include "entry/peer_digest.h"
 #include "entry/permit_message.h"
+#include "entry/placement_message.h"
 #include "entry/topic_freshness.h"
 #include "gooseberrypath/actions.h"
 
@@ -253,6 +254,26 @@
   PermitReply reply;
 };
 
+/// A peer asks for the placement of a call.
+struct PlaceRequestReceived
+{
+  std::string from; // "IP:port"
+  PlaceRequest request;
+};
+
+/// A peer answers a request for a placement.
+struct PlaceReplyReceived
+{
+  std::string from; // "IP:port"
+  PlaceReply reply;
+};
+
+/// A placement or a request for one ended.
+struct PlaceReleaseReceived
+{
+  PlaceRelease release;
+};
+
 /// The gossip addresses of the daemons that are registered in the store.
 struct PeerAddressesRead
 {
@@ -316,8 +337,9 @@
   StoreEraRead, RecordIgnored, CallArrived, CallerDisconnected, AllCallersDisconnected,
   AttemptNotSent, AttemptWithdrawn, AttemptSent, AttemptAnswered, StreamStarted,
   StreamEvents, StreamEnded, AttemptBroken, UnsolicitedBytes, DigestReceived,
-  PermitRequestReceived, PermitReplyReceived, PeerAddressesRead, PartEvidenceRead,
-  DutyStateRead, DutyStateWritten, UsageSent, UsageRead, OrderSent, StopRequested>;
+  PermitRequestReceived, PermitReplyReceived, PlaceRequestReceived, PlaceReplyReceived,
+  PlaceReleaseReceived, PeerAddressesRead, PartEvidenceRead, DutyStateRead,
+  DutyStateWritten, UsageSent, UsageRead, OrderSent, StopRequested>;
 
 // Actions towards callers.
 
@@ -439,6 +461,13 @@
   PermitMessage message;
 };
 
+/// Sends a placement message to a peer.
+struct SendPlacementMessage
+{
+  std::string to; // "IP:port"
+  PlacementMessage message;
+};
+
 /// Reads the fleet from the store: a peer knows a change at this offset.
 struct ReadFleet
 {
@@ -539,11 +568,11 @@
   std::variant<WriteResponse, WriteStreamHead, WriteStreamBytes, FinishStream,
                AbortResponse, SetCallerLimits, SetReady, CloseIdleCallerConnections,
                StopAccepting, StartAttempt, CancelAttempt, WithdrawAttempt,
-               CloseIdleBackendConnections, SendDigest, SendPermitMessage, ReadFleet,
-               RefreshFleet, ConfirmFleet, ReadConfiguration, SkipFleetRecords,
-               NoteStoreEra, SetReaderCount, ReadDutyState, WriteDutyState, WriteUsage,
-               ReadUsage, WritePartEvidence, ReadPartEvidence, SendUsage, SendOrder,
-               WriteEvent, ExitProcess>;
+               CloseIdleBackendConnections, SendDigest, SendPermitMessage,
+               SendPlacementMessage, ReadFleet, RefreshFleet, ConfirmFleet,
+               ReadConfiguration, SkipFleetRecords, NoteStoreEra, SetReaderCount,
+               ReadDutyState, WriteDutyState, WriteUsage, ReadUsage, WritePartEvidence,
+               ReadPartEvidence, SendUsage, SendOrder, WriteEvent, ExitProcess>;
 
 } // namespace gooseberrypath::entry
 
--- a/entry/request_system.cc
+++ b/entry/request_system.cc
@@ -8,6 +8,8 @@
 #include "entry/backend_notice.h"
 #include "entry/call_validation.h"
 #include "entry/duration_text.h"
+#include "entry/fleet_system.h"
+#include "entry/placement_system.h"
 #include "entry/stop_system.h"
 
 namespace gooseberrypath::entry {
@@ -117,6 +119,7 @@
   WithdrawUnsentAttempts();
   StopBlockedAttempts();
   DispatchAwaitingPermit();
+  DispatchPlaced();
   if (waitingCalls_.empty() || IsStarting()) {
     return;
   }
@@ -228,7 +231,7 @@
 {
   RequestRow& row = *aRequest.row;
   row.stage = RequestStage::Choosing;
-  if (RefuseBlocked(aRequest)) {
+  if (RefuseBlocked(aRequest) || AskForPlacement(aRequest)) {
     return;
   }
   const auto choice = ChooseBackend(world_, row);
@@ -305,6 +308,59 @@
   }
 }
 
+bool RequestSystem::AskForPlacement(RequestRef aRequest)
+{
+  RequestRow& row = *aRequest.row;
+  const Duration remaining = row.deadline - world_.Now();
+  if (!MayBePlaced(world_, row) || remaining < RetryDecision::kMinTimeLeft) {
+    return false;
+  }
+  row.stage = RequestStage::AwaitingPlacement;
+  row.placement.state = PlacementState::Awaited;
+  row.placement.longestTime = row.countedAttempts == 0
+                                ? std::min(remaining, FromMs(MaxFirstEventMs(row)))
+                                : remaining;
+  world_.placementsWanted.push_back(aRequest.id);
+  return true;
+}
+
+void RequestSystem::DispatchPlaced()
+{
+  for (const ExchangeId id : std::exchange(world_.placementsDecided, {})) {
+    RequestRow* row = world_.requests.Find(id);
+    if (row == nullptr || row->stage != RequestStage::AwaitingPlacement) {
+      continue;
+    }
+    if (row->placement.state == PlacementState::Refused) {
+      completion_.EndUnserved(
+        { id, row },
+        Error{ ErrorKind::Overloaded, "no slot of the service is free in time" },
+        row->placement.retryAfter);
+    } else if (!RefuseBlocked({ id, row }) && !StartPlaced({ id, row })) {
+      Dispatch({ id, row });
+    }
+  }
+}
+
+bool RequestSystem::StartPlaced(RequestRef aRequest)
+{
+  RequestRow& row = *aRequest.row;
+  if (row.placement.state != PlacementState::Placed) {
+    return false;
+  }
+  BackendRow* backend = world_.backends.Find(row.placement.backend);
+  const bool hasTime = row.deadline - world_.Now() >= RetryDecision::kMinTimeLeft;
+  if (hasTime && backend != nullptr && IsUsable(*backend, world_.Now()) &&
+      (!backend->limit.Enforced() || backend->permits.Take(world_.Now()))) {
+    LogPlacement(world_, row);
+    StartAttemptAt(aRequest, PlacedChoice(world_, row, *backend));
+    return true;
+  }
+  world_.endedPlacements.push_back({ .id = row.placement.id });
+  row.placement = { .state = PlacementState::Alone };
+  return false;
+}
+
 void RequestSystem::StartAttemptAt(RequestRef aRequest, const BackendChoice& aChoice)
 {
   RequestRow& row = *aRequest.row;
--- a/entry/request_system.h
+++ b/entry/request_system.h
@@ -37,7 +37,7 @@
   void Start();
 
   /// Admits the calls that waited for the first read of the store, withdraws unsent
-  /// attempts, and dispatches calls that waited for permits.
+  /// attempts, and dispatches calls that waited for permits or placements.
   void Run();
 
   void Handle(const CallArrived& aEvent);
@@ -83,6 +83,17 @@
   /// Dispatches the calls again whose permits have come or were denied.
   void DispatchAwaitingPermit();
 
+  /// Lets the call wait for the placer of its service. Returns false if there is none.
+  bool AskForPlacement(RequestRef aRequest);
+
+  /// Starts or refuses the calls of which their placers decided. Those without a usable
+  /// placement choose their backends here.
+  void DispatchPlaced();
+
+  /// Starts the call at the backend that the placer named. Returns false if that cannot
+  /// be used now.
+  bool StartPlaced(RequestRef aRequest);
+
   /// Sends the call to another backend if a retry is allowed, or ends the request.
   /// `aIsKnownNotExecuted` is true if the last attempt certainly did not execute the
   /// call.
--- a/entry/running_attempts.cc
+++ b/entry/running_attempts.cc
@@ -36,7 +36,9 @@
                                          .lastEvent = now,
                                          .expectedMs = aChoice.expectedMs,
                                          .waitingTokens = aChoice.uncachedTokens,
-                                         .kvTokens = aChoice.kvTokens });
+                                         .kvTokens = aChoice.kvTokens,
+                                         .placement = row.placement.id });
+  row.placement = {};
   backend.inFlight += 1;
   backend.waitingTokens += aChoice.uncachedTokens;
   backend.kvTokens += aChoice.kvTokens;
@@ -69,6 +71,11 @@
     backend->waitingTokens -= attempt->waitingTokens;
     backend->kvTokens -= attempt->kvTokens;
   }
+  if (attempt->placement != 0) {
+    world_.endedPlacements.push_back({ .id = attempt->placement,
+                                       .wasUsed = attempt->wasSent,
+                                       .timeAtBackend = world_.Now() - attempt->sent });
+  }
   if (RequestRow* row = world_.requests.Find(attempt->exchange)) {
     world_.timers.Cancel(row->hedgeTimer);
     world_.timers.Cancel(std::exchange(row->stallTimer, TimerId{}));
--- a/entry/serve_entry.cc
+++ b/entry/serve_entry.cc
@@ -257,7 +257,7 @@
   std::string RenderMetrics() const
   {
     const World& world = daemon_->GetWorld();
-    const std::array<Gauge, 6> gauges{
+    const std::array<Gauge, 7> gauges{
       Gauge{ "entry_requests", "Calls being served",
              static_cast<double>(world.requests.Size()) },
       Gauge{ "entry_backends", "Backends that are known",
@@ -266,6 +266,8 @@
              static_cast<double>(world.partEvidence.Blocks().size()) },
       Gauge{ "entry_caller_connections", "Open connections of callers",
              static_cast<double>(callers_.ConnectionCount()) },
+      Gauge{ "entry_placements", "Placements granted by this daemon that are in use",
+             static_cast<double>(world.placementsInUse) },
       Gauge{ "entry_duty_token", "Fencing token of the duties held here, or 0",
              static_cast<double>(world.dutyToken) },
       Gauge{ "entry_events_failed", "Unexpected errors in the handling of an event",
--- a/entry/testing/daemon_simulation.h
+++ b/entry/testing/daemon_simulation.h
@@ -373,6 +373,20 @@
     }
   }
 
+  void Execute(size_t aDaemon, const SendPlacementMessage& aAction)
+  {
+    const std::string& from = daemons_[aDaemon].address;
+    Event event;
+    if (const auto* request = std::get_if<PlaceRequest>(&aAction.message)) {
+      event = PlaceRequestReceived{ from, *request };
+    } else if (const auto* reply = std::get_if<PlaceReply>(&aAction.message)) {
+      event = PlaceReplyReceived{ from, *reply };
+    } else {
+      event = PlaceReleaseReceived{ std::get<PlaceRelease>(aAction.message) };
+    }
+    SendDatagram(aDaemon, aAction.to, std::make_shared<const Event>(std::move(event)));
+  }
+
   void Execute(size_t aDaemon, const ExitProcess&)
   {
     KillDaemon(aDaemon);
--- a/entry/testing/entry_fixture.h
+++ b/entry/testing/entry_fixture.h
@@ -119,6 +119,9 @@
     }
   }
 
+  /// Lets time pass without a tick, as when the process is suspended.
+  void Suspend(Duration aTime) { now_ += aTime; }
+
   /// Posts the arrival of a call on a route and returns its exchange.
   ExchangeId PostCall(const std::string& aRoute, const std::string& aKey = "k",
                       std::optional<ModelDemand> aDemand = std::nullopt)
--- a/entry/world.h
+++ b/entry/world.h
@@ -118,10 +118,40 @@
 
 enum class RequestStage : uint8_t
 {
-  Choosing,       // a backend has to be selected
-  AwaitingPermit, // a limited backend was selected
-  Running,        // an attempt is in progress
-  Ended,          // the final response was sent
+  Choosing,          // a backend has to be selected
+  AwaitingPlacement, // the placer of the service was asked for a backend
+  AwaitingPermit,    // a limited backend was selected
+  Running,           // an attempt is in progress
+  Ended,             // the final response was sent
+};
+
+enum class PlacementState : uint8_t
+{
+  None,    // the placer was not asked
+  Awaited, // it has to be asked, or has not decided yet
+  Placed,
+  Refused,
+  Alone, // this daemon chooses the backend
+};
+
+/// The placement of a call by the placer of its service.
+struct CallPlacement
+{
+  PlacementState state = PlacementState::None;
+  uint64_t id = 0;     // of the request that the placer may still count; 0: none
+  std::string backend; // id, if placed
+  std::string placer;  // host
+  TimePoint askedAt{};
+  Duration longestTime{}; // longest useful time to the response
+  Duration retryAfter{};  // if refused
+};
+
+/// A placement, or a request for one, that ended.
+struct EndedPlacement
+{
+  uint64_t id = 0;
+  bool wasUsed = false;     // the call was sent
+  Duration timeAtBackend{}; // if it was used
 };
 
 /// A call in progress.
@@ -140,6 +170,7 @@
   AttemptId attempt;                      // the current attempt; 0: none
   std::string permitBackend;              // id of the backend whose permit it awaits
   std::optional<TimePoint> permitWaitEnd; // from then on, it waits for no permit
+  CallPlacement placement;
   /// Attempts that may have reached the intended backend. They count against the route's
   /// maximum.
   uint32_t countedAttempts = 0;
@@ -170,6 +201,7 @@
   uint32_t waitingTokens = 0; // included in the backend's sum until the first event
   uint32_t kvTokens = 0;
   uint32_t inFlight = 1;
+  uint64_t placement = 0; // id of the placement that it uses; 0: none
   bool wasSent = false;
   bool hasEvents = false;
 };
@@ -232,6 +264,12 @@
   double aliveShare = 1;        // of the daemons of the last minute, this one included
   bool grantsPermits = false;   // this daemon may be chosen as the granter of a backend
   std::set<std::string> permitsWanted; // ids of backends whose permits calls wait for
+  std::vector<ExchangeId> placementsWanted;    // calls that wait for a placer
+  std::vector<ExchangeId> placementsDecided;   // calls of which the placer decided
+  std::vector<EndedPlacement> endedPlacements; // to be told to the placers
+  size_t placementsInUse = 0;                  // that this daemon granted as a placer
+  /// When a backend last reported its load to this daemon, by service.
+  std::map<std::string, TimePoint, std::less<>> loadReportedAt;
 
   Table<ExchangeId, RequestRow> requests;
   Table<AttemptId, AttemptRow> attempts;
@@ -271,9 +309,13 @@
     return options.host + "/" + std::to_string(options.incarnation);
   }
 
-  /// Tells whether a call that began to wait for a permit in this tick needs a second
-  /// pass of the systems.
-  bool HasWork() const { return !permitsWanted.empty(); }
+  /// Tells whether a call that began to wait for a permit or a placement in this tick, or
+  /// whose placement ended, needs a second pass of the systems.
+  bool HasWork() const
+  {
+    return !permitsWanted.empty() || !placementsWanted.empty() ||
+           !endedPlacements.empty();
+  }
 
   /// Queues an action.
   void Emit(Action aAction) { outbox.push_back(std::move(aAction)); }
