--- a/entry/running_attempts.cc
+++ b/entry/running_attempts.cc
@@ -40,6 +40,7 @@
                                          .placement = row.placement.id });
   row.placement = {};
   backend.inFlight += 1;
+  backend.reportedLoad.CountCalls(now, 1);
   backend.waitingTokens += aChoice.uncachedTokens;
   backend.kvTokens += aChoice.kvTokens;
   world_.isDigestDue = true;
@@ -68,6 +69,7 @@
   }
   if (BackendRow* backend = world_.backends.Find(attempt->backend)) {
     backend->inFlight -= 1;
+    backend->reportedLoad.CountCalls(world_.Now(), -1);
     backend->waitingTokens -= attempt->waitingTokens;
     backend->kvTokens -= attempt->kvTokens;
   }
