--- a/entry/placement_system.cc
+++ b/entry/placement_system.cc
@@ -37,6 +37,9 @@
 // The newest report of a backend is passed on up to this age.
 constexpr Duration kMaxPassedAge = milliseconds(300);
 
+// Older reports in digests are passed over.
+constexpr Duration kMaxGossipedAge = std::chrono::seconds(1);
+
 // How often the placer looks for free slots while requests are held. Releases free slots
 // at once; this covers what expires.
 constexpr Duration kHeldCheckInterval = milliseconds(10);
@@ -282,12 +285,24 @@
   if (backend == nullptr) {
     return;
   }
-  const TimePoint now = world_.Now();
-  world_.loadReportedAt[backend->entry.service] = now;
-  loads_[backend->entry.id] = { .report = *aHead.load.report, .receivedAt = now };
-  const auto placed = placed_.find(DigestKey(backend->entry.service));
+  NoteLoad(*backend, { .report = *aHead.load.report, .receivedAt = world_.Now() });
+}
+
+void PlacementSystem::NoteLoad(const BackendRow& aBackend, const NotedLoad& aLoad)
+{
+  if (!IsValid(aLoad.report) || aLoad.receivedAt < aBackend.reportedLoad.RestartedAt()) {
+    return;
+  }
+  TimePoint& reportedAt = world_.loadReportedAt[aBackend.entry.service];
+  reportedAt = std::max(reportedAt, aLoad.receivedAt);
+  NotedLoad& noted = loads_[aBackend.entry.id];
+  if (aLoad.receivedAt >= noted.receivedAt) {
+    noted = aLoad;
+  }
+  const auto placed = placed_.find(DigestKey(aBackend.entry.service));
   if (placed != placed_.end()) {
-    placed->second.placer.ApplyReport(now, backend->key, *aHead.load.report, now);
+    placed->second.placer.ApplyReport(world_.Now(), aBackend.key, aLoad.report,
+                                      aLoad.receivedAt);
   }
 }
 
@@ -445,9 +460,18 @@
 void PlacementSystem::Handle(const DigestReceived& aEvent)
 {
   const PeerDigest& digest = aEvent.digest;
-  if (digest.daemon != world_.options.host) {
-    placers_.SetEligible(world_.Now(), digest.daemon,
-                         digest.grantsPermits && !digest.isStopping);
+  if (digest.daemon == world_.options.host) {
+    return;
+  }
+  placers_.SetEligible(world_.Now(), digest.daemon,
+                       digest.grantsPermits && !digest.isStopping);
+  for (const GossipedLoad& load : digest.loads) {
+    const BackendRow* backend = FindBackend(load.backend);
+    if (backend != nullptr && load.age >= Duration::zero() &&
+        load.age <= kMaxGossipedAge) {
+      NoteLoad(*backend,
+               { .report = load.report, .receivedAt = world_.Now() - load.age });
+    }
   }
 }
 
