--- a/entry/backend_choice.cc
+++ b/entry/backend_choice.cc
@@ -226,9 +226,16 @@
   const double baseMs =
     found == aWorld.serviceStats.end() ? ServiceStats{}.baseMs : found->second.baseMs;
   const int64_t inFlight = aWorld.TotalUseOf(aBackend).inFlight;
-  return { .id = aBackend.entry.id,
-           .expectedMs = baseMs * aBackend.health.Slowness(aWorld.Now()),
-           .inFlight = static_cast<uint32_t>(std::max<int64_t>(inFlight, 0)) };
+  BackendChoice choice{ .id = aBackend.entry.id,
+                        .expectedMs = baseMs * aBackend.health.Slowness(aWorld.Now()),
+                        .inFlight =
+                          static_cast<uint32_t>(std::max<int64_t>(inFlight, 0)) };
+  const auto reported = aBackend.reportedLoad.Estimate(aWorld.Now());
+  if (reported && reported->calls) {
+    choice.inFlight = *reported->calls;
+    choice.loadAge = reported->age;
+  }
+  return choice;
 }
 
 std::string DescribeLimits(const World& aWorld, const RequestRow& aRow)
--- a/entry/placement_system.h
+++ b/entry/placement_system.h
@@ -48,7 +48,7 @@
   void Handle(const AttemptAnswered& aEvent) { NoteLoad(aEvent.attempt, aEvent.head); }
   void Handle(const StreamStarted& aEvent) { NoteLoad(aEvent.attempt, aEvent.head); }
 
-  /// Updates whether a peer may place calls.
+  /// Notes the load reports that a peer received, and whether it may place calls.
   void Handle(const DigestReceived& aEvent);
 
 private:
@@ -74,7 +74,7 @@
     bool hasTimer = false;
   };
 
-  /// The newest load that a backend reported to this daemon.
+  /// The newest known load report of a backend.
   struct NotedLoad
   {
     LoadReport report;
@@ -102,6 +102,7 @@
   void SendRelease(const std::string& aTo, const PlaceRelease& aRelease);
 
   void NoteLoad(AttemptId aAttempt, const ResponseHead& aHead);
+  void NoteLoad(const BackendRow& aBackend, const NotedLoad& aLoad);
 
   /// Returns the backend with the key, or null.
   BackendRow* FindBackend(uint32_t aKey);
