Entry: less urgent calls leave a reserve of each engine free for urgent ones

Where the routes of a model service have different priorities and there are more than 16 daemons, less urgent calls leave 10% to 40% of the slots and of the KV memory of each engine free, by what urgent calls needed recently. A less urgent call for which no engine has room is refused at its admission with a retry time; one in ten is sent all the same.

--- a/entry/backend_choice.cc
+++ b/entry/backend_choice.cc
@@ -143,9 +143,55 @@
   return aDemand.promptTokens + aDemand.maxOutputTokens / 2;
 }
 
+/// Returns the engine as the reserve for urgent calls sees it.
+EngineRoom RoomAt(const World& aWorld, const RequestRow& aRow, const BackendRow& aEngine)
+{
+  const EngineProperties& properties =
+    *aRow.configuration->services.find(aRow.service)->second.engine;
+  const TotalBackendUse use = KnownLoadOf(aWorld, aEngine, true).use;
+  return { .slots = static_cast<double>(std::max<uint32_t>(aEngine.entry.slots, 1)),
+           .inFlight = static_cast<double>(use.inFlight),
+           .kvCapacityTokens = static_cast<double>(properties.kvCapacityTokens),
+           .kvTokens = static_cast<double>(use.kvTokens),
+           .neededKvTokens = static_cast<double>(NeededKvTokens(*aRow.call.model)) };
+}
+
+/// Removes the engines without room for a less urgent call, unless none has room.
+void KeepRoomy(const World& aWorld, const RequestRow& aRow,
+               const ReservedShares& aReserved, Candidates& aCandidates)
+{
+  Candidates roomy{ .hasBackendAtLimit = aCandidates.hasBackendAtLimit };
+  for (size_t i = 0; i < aCandidates.rows.size(); ++i) {
+    if (HasRoom(RoomAt(aWorld, aRow, *aCandidates.rows[i].second), aReserved)) {
+      roomy.rows.push_back(aCandidates.rows[i]);
+      roomy.keys.push_back(aCandidates.keys[i]);
+    }
+  }
+  if (!roomy.rows.empty()) {
+    aCandidates = std::move(roomy);
+  }
+}
+
 } // namespace
 
-std::optional<BackendChoice> ChooseBackend(World& aWorld, const RequestRow& aRow)
+std::optional<double> CallsOverReserve(const World& aWorld, const RequestRow& aRow,
+                                       const ReservedShares& aReserved)
+{
+  std::optional<double> least;
+  for (const auto& [id, engine] : FindCandidates(aWorld, aRow, false).rows) {
+    const EngineRoom room = RoomAt(aWorld, aRow, *engine);
+    if (HasRoom(room, aReserved)) {
+      return 0;
+    }
+    const double calls = room.inFlight + 1 - room.slots * (1 - aReserved.slots);
+    const double share = std::max(calls, 1.0) / room.slots;
+    least = std::min(least.value_or(share), share);
+  }
+  return least;
+}
+
+std::optional<BackendChoice> ChooseBackend(World& aWorld, const RequestRow& aRow,
+                                           const std::optional<ReservedShares>& aReserved)
 {
   Candidates candidates = FindCandidates(aWorld, aRow, false);
   if (candidates.rows.empty()) {
@@ -154,6 +200,9 @@
   if (candidates.rows.empty()) {
     return std::nullopt;
   }
+  if (aReserved) {
+    KeepRoomy(aWorld, aRow, *aReserved, candidates);
+  }
   const auto& demand = aRow.call.model;
   std::optional<size_t> affinity;
   if (demand) {
--- a/entry/backend_choice.h
+++ b/entry/backend_choice.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 
+#include "entry/urgent_reserve.h"
 #include "entry/world.h"
 
 namespace gooseberrypath::entry {
@@ -36,7 +37,17 @@
 /// Returns the usable backend of the call's service with the lowest expected cost, or
 /// nothing if no backend is usable. A backend that already failed this call is only
 /// chosen if there is no other one, and one that is at its limit is not chosen.
-std::optional<BackendChoice> ChooseBackend(World& aWorld, const RequestRow& aRow);
+/// Engines where the call would use the reserved shares are only chosen if there is no
+/// other one.
+std::optional<BackendChoice> ChooseBackend(
+  World& aWorld, const RequestRow& aRow,
+  const std::optional<ReservedShares>& aReserved = std::nullopt);
+
+/// Returns the share of an engine's calls that have to end before an engine has room for
+/// the call besides the reserved shares: 0 if one has room now. Returns nothing if no
+/// engine is usable.
+std::optional<double> CallsOverReserve(const World& aWorld, const RequestRow& aRow,
+                                       const ReservedShares& aReserved);
 
 /// Returns the backends that the call could be sent to now if they were not at their
 /// limits, with the limits, as text; empty if there is none.
--- a/entry/request_system.cc
+++ b/entry/request_system.cc
@@ -221,7 +221,23 @@
   }
   row.deadlineTimer = world_.timers.SubscribeAt(
     row.deadline, [this, id = aRequest.id](TimePoint) { OnDeadline(id); });
-  Dispatch(aRequest);
+  reserve_.RecordArrival(row);
+  if (!RefuseForUrgent(aRequest)) {
+    Dispatch(aRequest);
+  }
+}
+
+bool RequestSystem::RefuseForUrgent(RequestRef aRequest)
+{
+  const auto retryAfter = reserve_.Check(*aRequest.row);
+  if (!retryAfter) {
+    return false;
+  }
+  completion_.EndUnserved(
+    aRequest,
+    Error{ ErrorKind::Overloaded, "the engines are kept free for more urgent calls" },
+    *retryAfter);
+  return true;
 }
 
 void RequestSystem::Dispatch(RequestRef aRequest)
@@ -231,7 +247,7 @@
   if (RefuseBlocked(aRequest)) {
     return;
   }
-  const auto choice = ChooseBackend(world_, row);
+  const auto choice = ChooseBackend(world_, row, reserve_.SharesToLeave(row));
   if (!choice) {
     RefuseUnserved(aRequest);
     return;
@@ -462,6 +478,7 @@
                           Error{ ErrorKind::BackendFailed, "the answer was malformed" });
     return;
   }
+  reserve_.RecordUse(row, *running->attempt);
   const std::string backend = running->attempt->backend;
   attempts_.Remove(aEvent.attempt);
   completion_.ForwardResponse(running->request, backend, aEvent);
@@ -535,6 +552,7 @@
   }
   world_.serviceStats[running->request.row->service].RecordSlotTime(
     ToMs(world_.Now() - running->attempt->sent));
+  reserve_.RecordUse(*running->request.row, *running->attempt);
   const std::string backend = running->attempt->backend;
   parts_.RecordAnswer(*running->request.row);
   attempts_.Remove(aEvent.attempt);
--- a/entry/request_system.h
+++ b/entry/request_system.h
@@ -14,6 +14,7 @@
 
 #include "entry/attempt_watch.h"
 #include "entry/call_completion.h"
+#include "entry/engine_reserve.h"
 #include "entry/part_guard.h"
 #include "entry/retry_decision.h"
 #include "entry/running_attempts.h"
@@ -31,6 +32,7 @@
     , watch_(aWorld)
     , parts_(aWorld)
     , retries_(aWorld)
+    , reserve_(aWorld)
   {
   }
 
@@ -69,6 +71,10 @@
   /// Validates a call, charges the quota and dispatches the call, or refuses it.
   void Admit(RequestRef aRequest);
 
+  /// Refuses a less urgent call if its engines are kept free for urgent ones. Returns
+  /// whether it did.
+  bool RefuseForUrgent(RequestRef aRequest);
+
   /// Selects a backend and starts an attempt, or ends the request.
   void Dispatch(RequestRef aRequest);
   void StartAttemptAt(RequestRef aRequest, const BackendChoice& aChoice);
@@ -101,6 +107,7 @@
   AttemptWatch watch_;
   PartGuard parts_;
   RetryDecision retries_;
+  EngineReserve reserve_;
   std::vector<ExchangeId> waitingCalls_; // until the store has been read
   std::vector<ExchangeId> awaitingPermit_;
 };
