Team limits: a reserve for urgent calls, the log line and metrics of what a limit is used

With more than 16 daemons, a call that is less urgent than others of its team leaves what these needed in half a second. A tenth of the limit stays open to it. The reserve only refuses more, so the limit holds.

--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -18,6 +18,7 @@
 #include "entry/permit_system.h"
 #include "entry/request_system.h"
 #include "entry/stop_system.h"
+#include "entry/team_quota_report.h"
 #include "entry/world.h"
 #include "gooseberrypath/core.h"
 
@@ -25,7 +26,7 @@
 
 using EntryCore =
   BasicCore<World, ConfigurationWatch, FleetWatch, FleetSystem, PermitSystem, PartSystem,
-            RequestSystem, DutySystem, StopSystem, GossipSystem>;
+            RequestSystem, DutySystem, StopSystem, GossipSystem, TeamQuotaReport>;
 
 } // namespace gooseberrypath::entry
 
--- a/entry/entry_counters.cc
+++ b/entry/entry_counters.cc
@@ -37,6 +37,7 @@
     { "limit_changes_total", "Limits that backends named, changed or lifted" },
     { "limits_avoided_total", "Attempts sent elsewhere as a backend was at its limit" },
     { "limits_refused_total", "Calls refused as all backends were at their limits" },
+    { "quota_refused_total", "Calls refused as their team was over its limit" },
     { "parts_blocked_total", "Times that a part of a prompt was blocked" },
     { "parts_freed_total", "Times that a blocked part of a prompt was freed" },
     { "requests_blocked_total", "Times that a request was blocked" },
--- a/entry/entry_counters.h
+++ b/entry/entry_counters.h
@@ -35,6 +35,7 @@
   LimitChanges,      // limits that backends named, changed or lifted
   LimitsAvoided,     // attempts sent elsewhere because a backend was at its limit
   LimitsRefused,     // calls refused because all backends were at their limits
+  QuotaRefused,      // calls refused because their team was over its limit
   PartsBlocked,      // times that a part of a prompt was blocked
   PartsFreed,
   RequestsBlocked, // times that a request was blocked
--- a/entry/limit_report.cc
+++ b/entry/limit_report.cc
@@ -1,29 +1,13 @@
 #include "entry/limit_report.h"
 
+#include "entry/metric_label.h"
+
 namespace gooseberrypath::entry {
 
 namespace {
 
 constexpr std::string_view kMetric = "gooseberrypath_entry_backend_limit_per_second";
 
-/// Returns the text as a quoted label value. Ids of backends come from outside and may
-/// contain any character.
-std::string QuoteLabel(const std::string& aText)
-{
-  std::string quoted = "\"";
-  for (const char character : aText) {
-    if (character == '\n') {
-      quoted += "\\n";
-      continue;
-    }
-    if (character == '"' || character == '\\') {
-      quoted += '\\';
-    }
-    quoted += character;
-  }
-  return quoted + "\"";
-}
-
 /// Calls the function with each backend that has a limit and is not removed.
 template<typename F>
 void ForEachLimit(const World& aWorld, F aFunction)
--- a/entry/request_system.cc
+++ b/entry/request_system.cc
@@ -45,6 +45,15 @@
 // Retry-After when another daemon can serve the call at once.
 constexpr Duration kDrainingRetryAfter = milliseconds(20);
 
+// Minimum Retry-After when the team is over its limit, and what is added for each more
+// urgent priority of the team, so that less urgent calls return later.
+constexpr Duration kMinQuotaRetryAfter = milliseconds(50);
+constexpr Duration kLessUrgentRetryAfter = milliseconds(150);
+
+// With more daemons, a part of a team's limit is kept for its more urgent calls. Small
+// deployments behave as before.
+constexpr size_t kMaxDaemonsWithoutReserve = 16;
+
 // Retry-After when a backend refused the call. Its queue shortens within a fraction of
 // the duration of a call.
 constexpr Duration kRefusedRetryAfter = milliseconds(150);
@@ -205,23 +214,41 @@
   row.service = PickService(*row.route, row.call.requestId);
   const Duration callerTimeout = row.call.callerTimeout.value_or(kDefaultCallerTimeout);
   row.deadline = row.arrived + std::min(callerTimeout, row.route->timeout);
-  if (row.team != nullptr) {
-    TeamRow* team = world_.teams.Find(row.team->name);
-    if (team != nullptr && !team->quota.TryAdmit(world_.Now(), validated->quotaCost)) {
+  if (row.team != nullptr && !ChargeQuota(aRequest, validated->quotaCost)) {
+    return;
+  }
+  row.deadlineTimer = world_.timers.SubscribeAt(
+    row.deadline, [this, id = aRequest.id](TimePoint) { OnDeadline(id); });
+  Dispatch(aRequest);
+}
+
+bool RequestSystem::ChargeQuota(RequestRef aRequest, double aCost)
+{
+  RequestRow& row = *aRequest.row;
+  if (TeamRow* team = world_.teams.Find(row.team->name)) {
+    const TimePoint now = world_.Now();
+    const uint32_t priority = row.route->priority;
+    team->demand.Record(now, priority, aCost);
+    const UrgentNeed need = world_.DaemonCount() > kMaxDaemonsWithoutReserve
+                              ? team->demand.NeedAbove(now, priority)
+                              : UrgentNeed{};
+    if (!team->quota.TryAdmit(now, aCost, need.reserve)) {
+      world_.counters.Add(EntryCounter::QuotaRefused);
+      team->demand.RecordRefused(priority, aCost);
+      const Duration least =
+        kMinQuotaRetryAfter + static_cast<int>(need.priorities) * kLessUrgentRetryAfter;
       completion_.SendError(
         aRequest,
         Error{ ErrorKind::RateLimited, "team " + row.team->name +
                                          " is over its limit of " +
                                          MsText(row.team->ratePerSecond) + " a second" },
-        std::max<Duration>(team->quota.RefillTime(world_.Now()), milliseconds(50)));
-      return;
+        std::max(team->quota.RefillTime(now, aCost, need.reserve), least));
+      return false;
     }
-    row.quotaCost = validated->quotaCost;
-    world_.isDigestDue = true;
   }
-  row.deadlineTimer = world_.timers.SubscribeAt(
-    row.deadline, [this, id = aRequest.id](TimePoint) { OnDeadline(id); });
-  Dispatch(aRequest);
+  row.quotaCost = aCost;
+  world_.isDigestDue = true;
+  return true;
 }
 
 void RequestSystem::Dispatch(RequestRef aRequest)
--- a/entry/request_system.h
+++ b/entry/request_system.h
@@ -69,6 +69,9 @@
   /// Validates a call, charges the quota and dispatches the call, or refuses it.
   void Admit(RequestRef aRequest);
 
+  /// Charges the call to its team's quota, or refuses it and returns false.
+  bool ChargeQuota(RequestRef aRequest, double aCost);
+
   /// Selects a backend and starts an attempt, or ends the request.
   void Dispatch(RequestRef aRequest);
   void StartAttemptAt(RequestRef aRequest, const BackendChoice& aChoice);
--- a/entry/serve_entry.cc
+++ b/entry/serve_entry.cc
@@ -23,6 +23,7 @@
 #include "entry/status_report.h"
 #include "entry/store_port.h"
 #include "entry/store_report.h"
+#include "entry/team_quota_report.h"
 #include "gooseberrypath/daemon.h"
 #include "platform/settings_file.h"
 
@@ -272,7 +273,7 @@
              static_cast<double>(failedEvents_) }
     };
     return world.counters.Render() + RenderGauges(gauges) + RenderLimitMetrics(world) +
-           RenderStoreMetrics(world);
+           RenderTeamQuotaMetrics(world) + RenderStoreMetrics(world);
   }
 
   void LogEventFailure(std::string_view aReason)
--- a/entry/team_quota.cc
+++ b/entry/team_quota.cc
@@ -65,6 +65,10 @@
 // bucket includes what all daemons admitted.
 constexpr double kConvergenceIntervals = 2;
 
+// Calls that are less urgent than others of their team may take this share of the limit
+// without leaving a reserve, so that they are never shut out.
+constexpr double kOpenShare = 0.1;
+
 } // namespace
 
 QuotaLimit EnforcedLimit(QuotaLimit aLimit, const QuotaTolerance& aTolerance,
@@ -186,17 +190,37 @@
   return (requestRate_.PerSecond(aNow) + peerAdmitRate_.PerSecond(aNow)) * seconds;
 }
 
-bool TeamQuota::TryAdmit(TimePoint aNow, double aAmount)
+TeamQuota::NeededLevels TeamQuota::LevelsFor(double aAmount, double aReserve) const
+{
+  if (aReserve <= 0 || openLevel_ > 0) {
+    return {};
+  }
+  // The call's own amount must not use up the reserve. A call that needs more than a
+  // bucket holds waits until the bucket is nearly full.
+  constexpr double kMaxLevel = 1 - kOpenShare;
+  const double localBurst = kLocalBurstFactor * limit_.burst * localShare_;
+  return { .shared =
+             std::min(aReserve / localShare_, kMaxLevel * limit_.burst * liveShare_),
+           .local = std::min(aReserve + aAmount, kMaxLevel * localBurst) };
+}
+
+bool TeamQuota::TryAdmit(TimePoint aNow, double aAmount, double aReserve)
 {
   Refill(aNow);
   requestRate_.Add(aNow, aAmount);
   // The shared level lacks what peers may have admitted since their last digests.
   const double unreported = EstimateUnreported(aNow);
+  const NeededLevels needed = LevelsFor(aAmount, aReserve);
+  const double sharedLevel = sharedLevel_ - needed.shared;
   const bool isBucketOpen =
-    sharedLevel_ > unreported || (localLevel_ > 0 && sharedLevel_ > -unreported);
-  if (limit_.rate > 0 && !(IsIsolated() ? equalShareLevel_ > 0 : isBucketOpen)) {
+    sharedLevel > unreported || (localLevel_ > needed.local && sharedLevel > -unreported);
+  const bool isOpen = IsIsolated() ? equalShareLevel_ > needed.local : isBucketOpen;
+  if (limit_.rate > 0 && !isOpen) {
     return false;
   }
+  if (aReserve > 0) {
+    openLevel_ = std::max(openLevel_ - aAmount, -aAmount);
+  }
   sharedLevel_ -= aAmount;
   localLevel_ = std::max(localLevel_ - aAmount, -aAmount);
   const double maxDebt = limit_.rate * EqualShare() * kMaxDebtSeconds;
@@ -233,6 +257,7 @@
     std::clamp(aAdmitted - lastTotal.value_or(aAdmitted), -maxChange, maxChange);
   sharedLevel_ = std::min(sharedLevel_ - admitted, limit_.burst);
   peerAdmitRate_.Add(aNow, admitted);
+  peersAdmitted_ += admitted;
   lastTotal = aAdmitted;
 }
 
@@ -243,7 +268,7 @@
   lastTotal.reset();
 }
 
-Duration TeamQuota::RefillTime(TimePoint aNow)
+Duration TeamQuota::RefillTime(TimePoint aNow, double aAmount, double aReserve)
 {
   Refill(aNow);
   if (limit_.rate <= 0 || liveShare_ <= 0) {
@@ -253,14 +278,16 @@
     return std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(std::max(aSeconds, 0.0)));
   };
+  const NeededLevels needed = LevelsFor(aAmount, aReserve);
   if (IsIsolated()) {
-    return toDuration(-equalShareLevel_ / (limit_.rate * EqualShare()));
+    return toDuration((needed.local - equalShareLevel_) / (limit_.rate * EqualShare()));
   }
   const double unreported = EstimateUnreported(aNow);
   const double sharedRate = SharedRefillRate();
-  const double untilLocal =
-    std::max((-unreported - sharedLevel_) / sharedRate, -localLevel_ / LocalRefillRate());
-  const double untilShared = (unreported - sharedLevel_) / sharedRate;
+  const double missing = needed.shared - sharedLevel_;
+  const double untilLocal = std::max((missing - unreported) / sharedRate,
+                                     (needed.local - localLevel_) / LocalRefillRate());
+  const double untilShared = (missing + unreported) / sharedRate;
   return toDuration(std::min(untilShared, untilLocal));
 }
 
@@ -275,6 +302,8 @@
     const double localBurst = kLocalBurstFactor * limit_.burst * localShare_;
     const double refilledLevel = localLevel_ + seconds * LocalRefillRate();
     localLevel_ = std::min(localBurst, refilledLevel);
+    const double openRate = kOpenShare * limit_.rate * localShare_;
+    openLevel_ = std::min(kOpenShare * localBurst, openLevel_ + seconds * openRate);
     RefillEqualShare(seconds);
   }
 }
--- a/entry/team_quota.h
+++ b/entry/team_quota.h
@@ -19,6 +19,7 @@
 //   TeamQuota quota(now);
 //   quota.SetLimit(now, { .rate = 1000, .burst = 1000 });
 //   if (quota.TryAdmit(now, tokens)) { ... } else { quota.RefillTime(now); }
+//   if (quota.TryAdmit(now, tokens, neededByMoreUrgentCalls)) { ... }
 //   quota.ApplyPeerTotal(now, "d2/17", admittedByPeer, peerStartedFirst);
 
 #ifndef ENTRY_TEAM_QUOTA_H_
@@ -96,8 +97,11 @@
   void SetDigestInterval(Duration aInterval) { digestInterval_ = aInterval; }
 
   /// Admits the amount if the buckets allow it. A bucket that holds less than the amount
-  /// goes below zero.
-  bool TryAdmit(TimePoint aNow, double aAmount);
+  /// goes below zero. A call that is less urgent than others of the team is admitted only
+  /// if `aReserve` units at this daemon are left for these, but a tenth of the limit
+  /// stays open to such calls. The reserve never leads to an admission that would be
+  /// refused without it.
+  bool TryAdmit(TimePoint aNow, double aAmount, double aReserve = 0);
 
   /// Returns an admitted but unused amount to the buckets.
   void Refund(TimePoint aNow, double aAmount);
@@ -113,13 +117,28 @@
   /// bucket fills without the peer's share until then, which accounts for what it admits.
   void ForgetPeer(std::string_view aPeer);
 
-  /// Returns the estimated time until a call can be admitted.
-  Duration RefillTime(TimePoint aNow);
+  /// Returns the estimated time until a call can be admitted, with amount and reserve as
+  /// for TryAdmit().
+  Duration RefillTime(TimePoint aNow, double aAmount = 0, double aReserve = 0);
 
   /// Returns the total amount that this daemon admitted, less refunds.
   double TotalAdmitted() const { return admitted_; }
 
+  /// Returns the total amount that all daemons admitted, as far as the peers' digests
+  /// tell.
+  double TotalAdmittedByAll() const { return admitted_ + peersAdmitted_; }
+
 private:
+  /// What the buckets must hold for a call to be admitted.
+  struct NeededLevels
+  {
+    double shared = 0;
+    double local = 0; // also of the equal-share bucket
+  };
+
+  /// Returns the levels for a call that leaves the reserve to others.
+  NeededLevels LevelsFor(double aAmount, double aReserve) const;
+
   void Refill(TimePoint aNow);
   void RefillEqualShare(double aSeconds);
 
@@ -147,6 +166,7 @@
   double sharedLevel_ = 0; // below 0: a debt
   double localLevel_ = 0;
   double equalShareLevel_ = 0; // below 0: a debt
+  double openLevel_ = 0;       // what calls may take without leaving a reserve
   SmoothedRate requestRate_;   // at this daemon, admitted or refused
   SmoothedRate localAdmitRate_;
   SmoothedRate peerAdmitRate_;
@@ -157,6 +177,7 @@
   Duration digestInterval_{};
   double liveShare_ = 1;
   double admitted_ = 0;
+  double peersAdmitted_ = 0;
   TimePoint lastRefill_;
   /// The last total of each peer; empty if the next total is a new baseline.
   std::unordered_map<std::string, std::optional<double>> peerTotals_;
--- a/entry/world.h
+++ b/entry/world.h
@@ -32,6 +32,7 @@
 #include "entry/route_index.h"
 #include "entry/service_stats.h"
 #include "entry/smoothed_rate.h"
+#include "entry/team_demand.h"
 #include "entry/team_quota.h"
 #include "entry/usage_count.h"
 #include "gooseberrypath/errors.h"
@@ -174,10 +175,21 @@
   bool hasEvents = false;
 };
 
+/// What the daemons admitted for a team in an interval, and what this one refused.
+struct TeamQuotaUse
+{
+  double totalAdmitted = 0;  // by all daemons until the end of the interval, in units
+  double admitted = 0;       // by all daemons in the interval, in units
+  double limit = 0;          // units that the configured limit allows in the interval
+  double refusedInTotal = 0; // by this daemon since its start, in units
+};
+
 /// The state of a team's limit.
 struct TeamRow
 {
   TeamQuota quota;
+  TeamDemand demand{};
+  TeamQuotaUse use{}; // in the last interval of the log line
 };
 
 /// The state of one entry daemon.
