Entry: responses without a valid status are malformed, and a reset upload is no end of a response

A status outside 200 to 599 was passed on as an answer. A write that met a reset first left the read an end of file, so that a response without length looked complete.

--- a/entry/http_reader.cc
+++ b/entry/http_reader.cc
@@ -10,11 +10,21 @@
 // Returned by on_headers_complete, tells http_parser that the message has no body.
 constexpr int kSkipBody = 1;
 
+// Returned by on_headers_complete, makes http_parser fail.
+constexpr int kFailParsing = -1;
+
 bool IsInterim(int aStatus)
 {
   return aStatus >= 100 && aStatus < 200;
 }
 
+/// Tells whether a response with this status can be a call's answer. No caller
+/// understands others.
+bool IsFinal(int aStatus)
+{
+  return aStatus >= 200 && aStatus < 600;
+}
+
 /// Returns what marks the end of the body of a response that may have one.
 BodyFraming FramingOf(const http_parser& aParser)
 {
@@ -164,6 +174,9 @@
   if (IsInterim(head_.status)) {
     return kSkipBody;
   }
+  if (!options_.isRequest && !IsFinal(head_.status)) {
+    return kFailParsing;
+  }
   head_.keepsConnectionOpen = http_should_keep_alive(&parser_) != 0;
   head_.acceptsChunks =
     parser_.http_major > 1 || (parser_.http_major == 1 && parser_.http_minor >= 1);
--- a/entry/http_reader.h
+++ b/entry/http_reader.h
@@ -53,8 +53,9 @@
   HttpReader(const HttpReader&) = delete;
   HttpReader& operator=(const HttpReader&) = delete;
 
-  /// Parses bytes, or buffers them while paused. Returns false if they are not valid HTTP
-  /// or the head is too large. Feed() must not be called again after that.
+  /// Parses bytes, or buffers them while paused. Returns false if they are not valid
+  /// HTTP, the head is too large or the status of a response is neither interim (1xx) nor
+  /// 200 to 599. Feed() must not be called again after that.
   bool Feed(std::span<const char> aBytes);
 
   /// Reports that the peer closed the connection without a reset. Returns false if that
--- a/entry/socket.cc
+++ b/entry/socket.cc
@@ -4,6 +4,8 @@
 #include <utility>
 
 #include <linux/sockios.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -61,7 +63,7 @@
   return stream_->tryRead(readBuffer_.data(), 1, readBuffer_.size())
     .then([this](size_t aRead) -> kj::Promise<void> {
       if (aRead == 0) {
-        ReportClosed(SocketEnd::Closed);
+        ReportClosed(WasReset() ? SocketEnd::Reset : SocketEnd::Closed);
         return kj::READY_NOW;
       }
       if (!areCallbacksDisabled_) {
@@ -79,6 +81,7 @@
         SetResetOnClose(false);
       }
       stream_->shutdownWrite();
+      areWritesShutDown_ = true;
       if (options_.onFlushed && !areCallbacksDisabled_) {
         options_.onFlushed();
       }
@@ -154,6 +157,20 @@
   Fulfill(writeFulfiller_);
 }
 
+bool Socket::WasReset() const
+{
+  if (areWritesShutDown_) {
+    return false;
+  }
+  KJ_IF_MAYBE (descriptor, stream_->getFd()) {
+    tcp_info info{};
+    socklen_t size = sizeof(info);
+    return getsockopt(*descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 &&
+           info.tcpi_state == TCP_CLOSE;
+  }
+  return false;
+}
+
 void Socket::ReportClosed(SocketEnd aEnd)
 {
   if (std::exchange(isClosed_, true) || areCallbacksDisabled_) {
--- a/entry/socket.h
+++ b/entry/socket.h
@@ -86,6 +86,11 @@
   /// Sets whether closing the socket resets the connection.
   void SetResetOnClose(bool aResets);
 
+  /// Tells whether an end of file is in truth a reset. The operating system reports a
+  /// reset only once: if a write met it, the next read sees an end of file. A connection
+  /// whose peer closed its side in order stays half open until this side closes, too.
+  bool WasReset() const;
+
   /// Calls onClosed unless it was called before.
   void ReportClosed(SocketEnd aEnd);
 
@@ -102,6 +107,7 @@
   bool areCallbacksDisabled_ = false;
   bool isClosed_ = false;
   bool closesAfterWrites_ = false;
+  bool areWritesShutDown_ = false;
   bool resetsUnlessFinished_ = false;
   kj::Own<kj::PromiseFulfiller<void>> resumeFulfiller_;
   kj::Own<kj::PromiseFulfiller<void>> writeFulfiller_;
--- a/entry/testing/cut_response.cc
+++ b/entry/testing/cut_response.cc
@@ -32,13 +32,15 @@
   return aHead.substr(begin, aHead.find("\r\n", begin) - begin);
 }
 
-std::string HeadOf(const std::string& aRequestId, BodyFraming aFraming, size_t aBodySize)
+std::string HeadOf(const std::string& aRequestId, const ScriptedResponse& aResponse,
+                   size_t aBodySize)
 {
-  std::string head = "HTTP/1.1 200 OK\r\nGooseberrypath-Request-Id: " + aRequestId +
+  std::string head = "HTTP/1.1 " + std::string(aResponse.status) +
+                     "\r\nGooseberrypath-Request-Id: " + aRequestId +
                      "\r\nGooseberrypath-Response-Stamp: s\r\n";
-  if (aFraming == BodyFraming::Length) {
+  if (aResponse.framing == BodyFraming::Length) {
     head += "Content-Length: " + std::to_string(aBodySize) + "\r\n";
-  } else if (aFraming == BodyFraming::Chunked) {
+  } else if (aResponse.framing == BodyFraming::Chunked) {
     head += "Transfer-Encoding: chunked\r\n";
   }
   return head + "\r\n";
@@ -70,7 +72,7 @@
 std::string BytesOf(const ScriptedResponse& aResponse, const std::string& aRequestId,
                     const std::string& aBody)
 {
-  const std::string head = HeadOf(aRequestId, aResponse.framing, aBody.size());
+  const std::string head = HeadOf(aRequestId, aResponse, aBody.size());
   if (aResponse.point == CutPoint::BeforeHead) {
     return {};
   }
--- a/entry/testing/cut_response.h
+++ b/entry/testing/cut_response.h
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "entry/response_body.h"
@@ -42,6 +43,7 @@
   BodyFraming framing = BodyFraming::Chunked;
   CutPoint point = CutPoint::Nowhere;
   CutEnd end = CutEnd::Fin;
+  std::string_view status = "200 OK"; // in the status line
 };
 
 /// Returns the three events of a whole stream, or those after an event id.
--- a/entry/testing/response_end_test.cc
+++ b/entry/testing/response_end_test.cc
@@ -228,4 +228,26 @@
   });
 }
 
+TEST_CASE("A response whose status is no final one is treated like a malformed one",
+          "[entry][response_end]")
+{
+  // Guards against a status that no caller understands and that is passed on as a valid
+  // answer.
+  EntryLoop loop;
+  ForEachCall([&](EndCase aCase) {
+    if (!aCase.route.earlier.empty()) {
+      return;
+    }
+    for (const std::string_view status :
+         { "000 None", "099 Low", "0", "20 OK", "600 High", "999 High", "1000 High" }) {
+      aCase.response.status = status;
+      const ReceivedResponse received = Play(loop, aCase);
+      INFO(Describe(aCase) << ", status line " << status);
+      CHECK(received.status == (aCase.route.mayRetry ? 200 : 502));
+      CHECK(received.claim != EndClaim::Broken);
+      CHECK((received.body == EventsAfter("")) == aCase.route.mayRetry);
+    }
+  });
+}
+
 } // namespace gooseberrypath::entry
