--- a/gooseberrypath/backend_http.cc
+++ b/gooseberrypath/backend_http.cc
@@ -19,6 +19,12 @@
   return aError.getDescription().cStr();
 }
 
+/// Tells whether a status is neither interim (1xx) nor final. No caller understands it.
+bool IsInvalidStatus(int aStatus)
+{
+  return aStatus < 100 || aStatus >= 600;
+}
+
 /// Parses the answer of GET /load. Absent figures are 0.
 std::optional<LoadReport> ParseLoad(const std::string& aAddress, const std::string& aBody)
 {
@@ -112,6 +118,11 @@
     client_ = kj::newHttpClient(HeaderTable(), *stream_);
     call_ = kj::heap<HttpCall>(*client_, std::move(request_));
     return call_->Send().then([this]() -> kj::Promise<void> {
+      if (const int status = call_->reply.status; IsInvalidStatus(status)) {
+        End(AttemptBroken{ id_, "the answer is malformed: its status is " +
+                                  std::to_string(status) });
+        return kj::READY_NOW;
+      }
       if (isStream_ && call_->reply.status == 200) {
         return ReadTokens();
       }
--- a/gooseberrypath/testing/backend_http_test.cc
+++ b/gooseberrypath/testing/backend_http_test.cc
@@ -114,6 +114,30 @@
   CHECK(backends.Errors().Count() == 0);
 }
 
+TEST_CASE("BackendHttp takes an answer whose status is no final one for a broken one",
+          "[backend]")
+{
+  // Guards against a status that no caller understands and that is passed on as an
+  // answer.
+  LoopFixture loop;
+  BackendHttp backends(OptionsOf(loop));
+  auto listener = loop.Listen();
+  const bool isModel = GENERATE(false, true);
+  const std::string status = GENERATE("000", "099", "0", "20", "600", "999");
+  INFO(status << (isModel ? " of an engine" : " of a service"));
+  if (isModel) {
+    backends.Execute(StartModelAttempt{ { 5 }, loop.AddressOf(*listener), {}, "pickup" });
+  } else {
+    backends.Execute(ServiceAttempt(loop.AddressOf(*listener)));
+  }
+  RawPeer service = loop.Accept(*listener);
+  service.ReadUntil("\r\n\r\npickup");
+  service.Write("HTTP/1.1 " + status + " Odd\r\nContent-Length: 2\r\n\r\nok");
+  CHECK(loop.WaitFor<AttemptBroken>().attempt == AttemptId{ 5 });
+  CHECK(loop.events.empty());
+  CHECK(backends.AttemptCount() == 0);
+}
+
 TEST_CASE("BackendHttp: an answer without length that was cut does not look whole",
           "[.][product_end_known_red]")
 {
