--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -19,6 +19,7 @@
 #include "entry/placement_system.h"
 #include "entry/request_system.h"
 #include "entry/stop_system.h"
+#include "entry/team_quota_report.h"
 #include "entry/world.h"
 #include "gooseberrypath/core.h"
 
@@ -26,7 +27,8 @@
 
 using EntryCore =
   BasicCore<World, ConfigurationWatch, FleetWatch, FleetSystem, PermitSystem, PartSystem,
-            PlacementSystem, RequestSystem, DutySystem, StopSystem, GossipSystem>;
+            PlacementSystem, RequestSystem, DutySystem, StopSystem, GossipSystem,
+            TeamQuotaReport>;
 
 } // namespace gooseberrypath::entry
 
