--- a/tests/entry_test.py
+++ b/tests/entry_test.py
@@ -31,7 +31,7 @@
 class EntryDaemon:
     """One daemon with its settings file."""
 
-    def __init__(self, store):
+    def __init__(self, store, settings=()):
         self.folder = tempfile.TemporaryDirectory()
         self.caller, self.ready, peer = free_ports(3)
         path = pathlib.Path(self.folder.name) / "settings.conf"
@@ -40,7 +40,7 @@
             f"listen.front=127.0.0.1:{self.caller}",
             f"listen.ready=127.0.0.1:{self.ready}",
             f"port_range={peer},{peer}", f"platform.address={store.address}",
-            "bounds.grace_s=8", ""]), encoding="utf-8")
+            "bounds.grace_s=8", *settings, ""]), encoding="utf-8")
         self.log = open(pathlib.Path(self.folder.name) / "log", "w+", encoding="utf-8")
         self.process = subprocess.Popen([ENTRY, str(path)], stdout=self.log)
 
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -177,13 +177,14 @@
 
 
 class Backend:
-    """A backend that answers each call with its method, target and body. While
-    `is_leaving`, it says so in its answers; with `quiet_s` it turns calls away and asks for
+    """A backend that answers each call with its method, target and, while it `echoes`, body.
+    While `is_leaving`, it says so in its answers; with `quiet_s` it turns calls away and asks for
     no more of them for so many seconds."""
 
     def __init__(self, name, delay=0):
         self.name = name
         self.delay = delay
+        self.echoes = True
         self.is_leaving = False
         self.quiet_s = 0
         self.refused = []
@@ -223,5 +224,7 @@
         backend.runs.append(request)
         backend.headers.append(dict(self.headers))
         time.sleep(backend.delay)
-        text = f"{self.command} {self.path} ".encode() + body
+        text = f"{self.command} {self.path} ".encode()
+        if backend.echoes:
+            text += body
         self.answer(200, text, echo + [("Gooseberrypath-Response-Stamp", "s")])
