Entry: bound the memory that callers' requests take up

A body is one shared buffer for the call, its attempts and the write queues, so no copies remain. An announced length over the body limit is refused at the head; without room, the slowest incomplete requests are dropped (408) and then the new one refused (503). A body needs 1 KiB/s on average from the idle timeout on. A new connection replaces the one that has waited longest when all are taken.

The print test changes a body by assignment, because it is immutable now; it compares the same two calls.

--- a/entry/backend_port.cc
+++ b/entry/backend_port.cc
@@ -62,7 +62,7 @@
       reader_.ExpectNoBody();
     }
     socket_.Write(platform::EncodeAttemptHead(aAction));
-    socket_.Write(aAction.body);
+    socket_.WriteShared(aAction.body);
   }
 
   /// Emits no more events, not even for bytes that are being processed in this turn.
@@ -210,7 +210,7 @@
   void ClearBody()
   {
     SetBufferedBytes(0);
-    body_ = std::string();
+    std::string().swap(body_); // an assignment of an empty string would keep the memory
     splitter_ = SseEventSplitter{};
   }
 
--- a/entry/caller_port.cc
+++ b/entry/caller_port.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <malloc.h>
+
 #include "entry/http_format.h"
 #include "entry/http_reader.h"
 #include "entry/socket.h"
@@ -42,6 +44,35 @@
 // Reading pauses when this many bytes of pipelined requests are buffered.
 constexpr size_t kMaxPipelinedBytes = size_t{ 64 } * 1024;
 
+// The head of a call is held twice: in the core and in the attempt that is being sent.
+constexpr size_t kHeadCopies = 2;
+
+// Mean rate that a body needs after the idle timeout, in bytes a second. A mobile
+// connection of 20 kbit/s has more than twice of it.
+constexpr double kMinBodyRate = 1024;
+
+// A request makes progress when this much of its body has arrived, so that single bytes
+// do not count.
+constexpr size_t kProgressBytes = size_t{ 16 } * 1024;
+
+// A request is dropped for others only after it made no progress for this time, which is
+// longer than a lost packet usually delays one.
+constexpr Duration kMinStall = std::chrono::milliseconds(500);
+
+// Requests that take up less are not dropped, because that would make no room.
+constexpr size_t kMinDroppedBytes = size_t{ 4 } * 1024;
+
+// A body begins with this much memory if its length is unknown or larger. It has its own
+// pages then, so that growing bodies leave no holes in the heap.
+constexpr size_t kFirstBodyBytes = size_t{ 16 } * 1024;
+
+// Bodies grow by this factor. Doubling would leave up to half of the memory unused.
+constexpr size_t kGrowthNumerator = 3;
+constexpr size_t kGrowthDenominator = 2;
+
+// Freed memory is returned to the operating system after so much of it was freed.
+constexpr size_t kTrimBytes = size_t{ 1024 } * 1024;
+
 } // namespace
 
 /// A connection of a caller. It serves one request at a time.
@@ -56,7 +87,9 @@
                 .onHead = [this](HttpHead& aHead) { OnHead(aHead); },
                 .onBody = [this](std::string_view aBytes) { OnBody(aBytes); },
                 .onEnd = [this] { isRequestComplete_ = true; } })
+    , charge_(aPort.options_.memory)
     , timeoutStart_(aPort.options_.now())
+    , progressAt_(timeoutStart_)
     , socket_(kj::mv(aStream),
               { .onBytes = [this](std::span<const char> aBytes) { OnBytes(aBytes); },
                 .onClosed = [this](SocketEnd) { OnClosed(); } })
@@ -142,7 +175,7 @@
       return;
     } else if (reader_.IsInMessage()) {
       const Duration limit = isHeadRead_ ? limits.idleTimeout : limits.headTimeout;
-      if (timeoutStart_ + limit <= aNow) {
+      if (timeoutStart_ + limit <= aNow || IsBodyTooSlow(aNow)) {
         Refuse(ErrorKind::RequestTimeout, "the request was sent too slowly");
       }
     } else if (timeoutStart_ + limits.idleTimeout <= aNow) {
@@ -154,7 +187,56 @@
 
   void DisableCallbacks() { socket_.DisableCallbacks(); }
 
+  uint64_t Id() const { return id_; }
+
+  /// Returns the time since which an incomplete request, which takes up enough memory to
+  /// be worth dropping, made no progress. Empty: there is none.
+  std::optional<TimePoint> StalledSince() const
+  {
+    return IsIncomplete() && charge_.Bytes() >= kMinDroppedBytes
+             ? std::optional(progressAt_)
+             : std::nullopt;
+  }
+
+  /// Returns the time since which the connection has nothing to do but to wait for its
+  /// caller. Empty: it carries a call, or a response that is being written.
+  std::optional<TimePoint> WaitsSince() const
+  {
+    if (exchange_ != ExchangeId{} || socket_.QueuedBytes() > 0) {
+      return std::nullopt;
+    }
+    if (lingerEnd_) {
+      return *lingerEnd_ - kLingerTime;
+    }
+    return IsIncomplete() ? progressAt_ : timeoutStart_;
+  }
+
+  /// Refuses the incomplete request, which is slow, to make room for others.
+  void DropSlowRequest()
+  {
+    Refuse(ErrorKind::RequestTimeout,
+           "the request was sent too slowly while memory ran short");
+  }
+
 private:
+  /// Tells whether a request is being received and not yet passed to the core.
+  bool IsIncomplete() const
+  {
+    return exchange_ == ExchangeId{} && !lingerEnd_ && reader_.IsInMessage();
+  }
+
+  /// Tells whether the body arrives at less than the minimum rate. A byte now and then
+  /// restarts the idle timeout and must not keep the body open without end.
+  bool IsBodyTooSlow(TimePoint aNow) const
+  {
+    if (!isHeadRead_) {
+      return false;
+    }
+    const std::chrono::duration<double> late =
+      aNow - bodyStart_ - port_.limits_.idleTimeout;
+    return static_cast<double>(body_.size()) < kMinBodyRate * late.count();
+  }
+
   void OnBytes(std::span<const char> aBytes)
   {
     if (lingerEnd_) {
@@ -165,9 +247,34 @@
     if (reader_.IsInMessage() && (!wasInMessage || isHeadRead_)) {
       timeoutStart_ = port_.options_.now();
     }
+    if (reader_.IsInMessage() && !wasInMessage && !isHeadRead_) {
+      progressAt_ = timeoutStart_;
+    }
     HandleParsed(isValid);
   }
 
+  /// Returns the memory of the request that is being read and of buffered bytes.
+  size_t HeldBytes() const
+  {
+    const size_t head = isHeadRead_ ? headMemory_ : reader_.HeadMemoryBytes();
+    return kHeadCopies * head + body_.capacity() + reader_.BufferedBytes();
+  }
+
+  /// Charges the memory that the connection holds, and aMore bytes that it is about to
+  /// take up, after making room for them if need be. Returns false if there is none.
+  bool Charge(size_t aMore = 0)
+  {
+    const size_t bytes = HeldBytes() + aMore;
+    return charge_.TryResize(bytes) ||
+           (port_.MakeRoom(bytes - charge_.Bytes(), *this) && charge_.TryResize(bytes));
+  }
+
+  void RefuseForMemory()
+  {
+    ++port_.shortages_.refusedRequests;
+    Refuse(ErrorKind::Overloaded, "the requests that are being read take up all memory");
+  }
+
   /// Submits or refuses the request after bytes were parsed. aIsValid: the bytes are a
   /// valid part of an HTTP request.
   void HandleParsed(bool aIsValid)
@@ -183,10 +290,26 @@
       }
       return;
     }
+    if (exchange_ == ExchangeId{} && !Charge()) {
+      RefuseForMemory();
+      return;
+    }
     if (std::exchange(isRequestComplete_, false)) {
       Submit();
     }
-    if (reader_.BufferedBytes() > kMaxPipelinedBytes && !isPaused_) {
+    if (exchange_ != ExchangeId{}) {
+      ChargePipelinedBytes();
+    }
+  }
+
+  /// Charges the bytes that are buffered behind a running call. They are never dropped,
+  /// so reading pauses when they are many or memory runs short.
+  void ChargePipelinedBytes()
+  {
+    charge_.Resize(reader_.BufferedBytes());
+    const bool isShort =
+      reader_.BufferedBytes() > 0 && port_.options_.memory->Free() == 0;
+    if ((reader_.BufferedBytes() > kMaxPipelinedBytes || isShort) && !isPaused_) {
       isPaused_ = true;
       socket_.Pause();
     }
@@ -194,11 +317,22 @@
 
   void OnHead(HttpHead& aHead)
   {
+    headMemory_ = reader_.HeadMemoryBytes();
     head_ = std::move(aHead);
-    body_.clear();
     isHeadRead_ = true;
+    bodyStart_ = port_.options_.now();
+    progressAt_ = bodyStart_;
+    progressBytes_ = 0;
     if (!requestStart_) {
-      requestStart_ = port_.options_.now();
+      requestStart_ = bodyStart_;
+    }
+    if (head_.bodyBytes.value_or(0) > port_.limits_.maxBodyBytes) {
+      Refuse(ErrorKind::BodyTooLarge, "the body is too large");
+      return;
+    }
+    if (!Charge()) {
+      RefuseForMemory();
+      return;
     }
     if (!FindHeader(head_.headers, "Expect").empty()) {
       socket_.Write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -210,10 +344,42 @@
     if (lingerEnd_) {
       return;
     }
-    body_.append(aBytes);
-    if (body_.size() > port_.limits_.maxBodyBytes) {
+    if (body_.size() + aBytes.size() > port_.limits_.maxBodyBytes) {
       Refuse(ErrorKind::BodyTooLarge, "the body is too large");
+      return;
+    }
+    if (!GrowBody(body_.size() + aBytes.size())) {
+      RefuseForMemory();
+      return;
     }
+    body_.append(aBytes);
+    if (body_.size() >= progressBytes_ + kProgressBytes) {
+      progressBytes_ = body_.size();
+      progressAt_ = port_.options_.now();
+    }
+  }
+
+  /// Charges and reserves memory for a body of at least this size, and more for what is
+  /// still to come. Returns false if there is no room.
+  bool GrowBody(size_t aSize)
+  {
+    if (aSize <= body_.capacity()) {
+      return true;
+    }
+    const size_t limit = std::max(
+      aSize, static_cast<size_t>(head_.bodyBytes.value_or(port_.limits_.maxBodyBytes)));
+    const size_t grown =
+      std::max(kFirstBodyBytes, body_.capacity() * kGrowthNumerator / kGrowthDenominator);
+    const size_t capacity = std::min(limit, std::max(aSize, grown));
+    if (!Charge(capacity - body_.capacity())) {
+      return false;
+    }
+    // std::string::reserve() would at least double the capacity.
+    std::string body;
+    body.reserve(capacity);
+    body += body_;
+    body_ = std::move(body);
+    return true;
   }
 
   /// Passes a complete request to the core.
@@ -222,8 +388,21 @@
     exchange_ = ExchangeId{ ++port_.lastExchangeId_ };
     port_.exchanges_.emplace(exchange_, id_);
     const TimePoint requestStart = requestStart_.value_or(port_.options_.now());
-    port_.options_.sink(CallArrived{
-      exchange_, platform::DecodeCall(head_, std::move(body_), requestStart) });
+    MemoryCharge charge = charge_.Split(kHeadCopies * headMemory_ + body_.capacity());
+    SharedBytes body(std::exchange(body_, {}), std::move(charge));
+    Call call = platform::DecodeCall(head_, std::move(body), requestStart);
+    ReleaseHead();
+    port_.options_.sink(CallArrived{ exchange_, std::move(call) });
+  }
+
+  /// Frees the request's head but for what its response depends on.
+  void ReleaseHead()
+  {
+    HttpHead kept{ .method = std::move(head_.method),
+                   .keepsConnectionOpen = head_.keepsConnectionOpen,
+                   .acceptsChunks = head_.acceptsChunks };
+    std::swap(head_, kept); // an assignment of empty strings would keep their memory
+    headMemory_ = 0;
   }
 
   /// Decides how the body that begins will end: its framing, and whether the connection
@@ -284,9 +463,13 @@
   /// Sends an error response to a request that cannot be read and closes the connection.
   void Refuse(ErrorKind aKind, const char* aMessage)
   {
+    const ErrorInfo& info = InfoOf(aKind);
     const std::string body = ErrorBody(Error{ aKind, aMessage });
-    socket_.Write(FormatResponseHead(InfoOf(aKind).status,
-                                     { { "Content-Type", "application/json" } },
+    Headers headers{ { "Content-Type", "application/json" } };
+    if (info.retryAfterSeconds > 0) {
+      headers.push_back({ "Retry-After", std::to_string(info.retryAfterSeconds) });
+    }
+    socket_.Write(FormatResponseHead(info.status, headers,
                                      { .bodySize = body.size(), .closes = true }));
     socket_.Write(body);
     StartLingering();
@@ -316,8 +499,13 @@
     socket_.CloseAfterWrites();
   }
 
+  /// Begins the time after which the connection is closed. What was read is freed.
   void BeginLingerTime()
   {
+    std::string().swap(body_); // an assignment of an empty string would keep the memory
+    ReleaseHead();
+    reader_.Release();
+    charge_.Resize(0);
     lingerEnd_ = port_.options_.now() + kLingerTime;
     lingeringBytes_ = socket_.QueuedBytes();
   }
@@ -337,8 +525,13 @@
   HttpReader reader_;
   HttpHead head_;
   std::string body_;
+  MemoryCharge charge_;                   // for what was read and not passed to the core
+  size_t headMemory_ = 0;                 // of head_, in bytes
+  size_t progressBytes_ = 0;              // of the body, at the last progress
   ExchangeId exchange_;                   // of the submitted request; 0 if there is none
   TimePoint timeoutStart_;                // of the idle, head or body timeout
+  TimePoint bodyStart_;                   // when its head was read
+  TimePoint progressAt_;                  // when the request last made progress
   std::optional<TimePoint> requestStart_; // when its head was read
   std::optional<TimePoint> lingerEnd_;
   size_t lingeringBytes_ = 0; // queued at the last check, while lingering
@@ -372,7 +565,7 @@
   return listener_->accept()
     .then(
       [this](kj::Own<kj::AsyncIoStream> aStream) -> kj::Promise<void> {
-        if (connections_.size() < options_.maxConnections) {
+        if (connections_.size() < options_.maxConnections || MakeRoomForConnection()) {
           const uint64_t id = ++lastConnectionId_;
           connections_.emplace(id, kj::heap<Connection>(*this, id, kj::mv(aStream)));
         }
@@ -398,10 +591,68 @@
     for (Connection* connection : connections) {
       connection->CheckTimeouts(now); // may remove it; it is destroyed in a later turn
     }
+    ReportMemory();
     return SweepLoop();
   });
 }
 
+bool CallerPort::MakeRoom(size_t aBytes, const Connection& aFor)
+{
+  const TimePoint latest = options_.now() - kMinStall;
+  while (options_.memory->Free() < aBytes) {
+    Connection* slowest = nullptr;
+    TimePoint since = latest;
+    for (auto& [id, connection] : connections_) {
+      const auto stalledSince = connection->StalledSince();
+      if (stalledSince && *stalledSince <= since && connection.get() != &aFor) {
+        slowest = connection.get();
+        since = *stalledSince;
+      }
+    }
+    if (slowest == nullptr) {
+      return false;
+    }
+    ++shortages_.droppedRequests;
+    slowest->DropSlowRequest(); // frees its memory
+  }
+  return true;
+}
+
+bool CallerPort::MakeRoomForConnection()
+{
+  Connection* longest = nullptr;
+  TimePoint since = options_.now() - kMinStall;
+  for (auto& [id, connection] : connections_) {
+    const auto waitsSince = connection->WaitsSince();
+    if (waitsSince && *waitsSince <= since) {
+      longest = connection.get();
+      since = *waitsSince;
+    }
+  }
+  if (longest == nullptr) {
+    return false;
+  }
+  ++shortages_.droppedConnections;
+  Remove(longest->Id());
+  return true;
+}
+
+void CallerPort::ReportMemory()
+{
+  const size_t inUse = options_.memory->InUse();
+  peakMemory_ = std::max(peakMemory_, inUse);
+  if (peakMemory_ - inUse >= kTrimBytes) {
+    malloc_trim(0);
+    peakMemory_ = inUse;
+  }
+  if (shortages_ != reportedShortages_) {
+    reportedShortages_ = shortages_;
+    if (options_.onShortage) {
+      options_.onShortage(shortages_);
+    }
+  }
+}
+
 CallerPort::Connection* CallerPort::Find(ExchangeId aId)
 {
   const auto exchange = exchanges_.find(aId);
@@ -493,6 +744,9 @@
 void CallerPort::Execute(const SetCallerLimits& aAction)
 {
   limits_ = aAction.limits;
+  options_.memory->SetLargestRequest(
+    limits_.maxBodyBytes + kMaxPipelinedBytes +
+    kHeadCopies * HttpReader::MaxHeadMemoryBytes(limits_.maxHeadBytes));
 }
 
 void CallerPort::Execute(const CloseIdleCallerConnections&)
--- a/entry/caller_port.h
+++ b/entry/caller_port.h
@@ -16,18 +16,32 @@
 #include <kj/timer.h>
 
 #include "entry/messages.h"
+#include "entry/request_memory.h"
 #include "gooseberrypath/task_errors.h"
 
 namespace gooseberrypath::entry {
 
+/// What the port did because memory or connections ran short.
+struct ShortageCounts
+{
+  uint64_t refusedRequests = 0;    // found no room in the request memory
+  uint64_t droppedRequests = 0;    // slow and incomplete, dropped to make room
+  uint64_t droppedConnections = 0; // slow, idle or lingering, closed for a new connection
+
+  bool operator==(const ShortageCounts&) const = default;
+};
+
 struct CallerPortOptions
 {
   kj::Network& network;
   kj::Timer& timer;
   std::function<void(Event)> sink;
   std::function<TimePoint()> now;
-  std::string address;          // "IP:port"
-  size_t maxConnections = 3000; // connections beyond it are closed at once
+  std::string address; // "IP:port"
+  size_t maxConnections = 3000;
+  RequestMemoryPtr memory = std::make_shared<RequestMemory>();
+  // Called at most every 250 ms, after the counts have changed.
+  std::function<void(const ShortageCounts&)> onShortage = {};
 };
 
 class CallerPort
@@ -63,11 +77,24 @@
 
   size_t ConnectionCount() const { return connections_.size(); }
 
+  const ShortageCounts& Shortages() const { return shortages_; }
+
   const TaskErrors& Errors() const { return errors_; }
 
 private:
   class Connection;
 
+  /// Drops the slowest incomplete requests until the request memory has room for this
+  /// many bytes of another request. Returns whether it has.
+  bool MakeRoom(size_t aBytes, const Connection& aFor);
+
+  /// Closes a connection that no longer carries a request or carries one too slowly, so
+  /// that a new one fits. Returns whether there was any.
+  bool MakeRoomForConnection();
+
+  /// Returns freed memory to the operating system and reports shortages.
+  void ReportMemory();
+
   kj::Promise<void> AcceptLoop();
   kj::Promise<void> SweepLoop();
 
@@ -87,6 +114,9 @@
   CallerPortOptions options_;
   CallerLimits limits_;
   bool isDraining_ = false;
+  ShortageCounts shortages_;
+  ShortageCounts reportedShortages_;
+  size_t peakMemory_ = 0; // in use since memory was last returned
   uint64_t lastConnectionId_ = 0;
   uint64_t lastExchangeId_ = 0;
   std::unordered_map<uint64_t, kj::Own<Connection>> connections_;
--- a/entry/http_reader.cc
+++ b/entry/http_reader.cc
@@ -158,6 +158,10 @@
   isInHead_ = false;
   if (options_.isRequest) {
     head_.method = http_method_str(static_cast<http_method>(parser_.method));
+    const bool isAnnounced =
+      (parser_.flags & F_CHUNKED) == 0 && parser_.content_length != ULLONG_MAX;
+    head_.bodyBytes =
+      isAnnounced ? std::optional<uint64_t>(parser_.content_length) : std::nullopt;
   } else {
     head_.status = parser_.status_code;
   }
--- a/entry/http_reader.h
+++ b/entry/http_reader.h
@@ -9,9 +9,11 @@
 #define ENTRY_HTTP_READER_H_
 
 #include <functional>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include <http_parser.h>
 
@@ -31,6 +33,7 @@
   bool keepsConnectionOpen = true;         // for further messages
   bool acceptsChunks = true;               // its sender speaks HTTP/1.1 or later
   BodyFraming framing = BodyFraming::None; // of a response
+  std::optional<uint64_t> bodyBytes;       // announced by a request
 };
 
 struct HttpReaderOptions
@@ -80,6 +83,29 @@
   /// Returns the number of buffered bytes that follow the last message.
   size_t BufferedBytes() const { return buffered_.size(); }
 
+  /// Returns the memory that the head of the current message takes up, in bytes. A field
+  /// of a few bytes takes up much more than it has.
+  size_t HeadMemoryBytes() const
+  {
+    return headBytes_ + kFieldMemoryBytes * head_.headers.capacity();
+  }
+
+  /// Returns the memory that a head of this many bytes may take up: each of its bytes may
+  /// be a field of its own, and the list of fields may have twice their capacity.
+  static constexpr size_t MaxHeadMemoryBytes(size_t aHeadBytes)
+  {
+    return aHeadBytes * (1 + 2 * kFieldMemoryBytes);
+  }
+
+  /// Frees the head and the buffered bytes. The reader must not be fed after that.
+  void Release()
+  {
+    HttpHead head;
+    std::swap(head_, head); // an assignment of an empty string would keep its memory
+    std::string().swap(buffered_);
+    headBytes_ = 0;
+  }
+
   /// Tells whether the end of the connection ends the body of the current response.
   bool EndsWithConnection() const { return head_.framing == BodyFraming::CloseDelimited; }
 
@@ -92,6 +118,8 @@
     return *static_cast<HttpReader*>(aParser->data);
   }
 
+  static constexpr size_t kFieldMemoryBytes = sizeof(Header);
+
   static const http_parser_settings& ParserCallbacks();
   bool Parse(const char* aData, size_t aSize);
 
--- a/entry/messages.h
+++ b/entry/messages.h
@@ -392,7 +392,7 @@
   std::string method;
   std::string target;
   Headers headers;
-  std::string body;
+  SharedBytes body;
   std::string requestId;
   std::string team;                    // empty: none
   std::string lastEventId;             // resume after this event; empty: from the start
--- a/entry/model.h
+++ b/entry/model.h
@@ -15,6 +15,7 @@
 
 #include "entry/load_report.h"
 #include "entry/response_body.h"
+#include "entry/shared_bytes.h"
 #include "gooseberrypath/types.h"
 
 namespace gooseberrypath::entry {
@@ -171,7 +172,7 @@
   std::string target; // path and query, unchanged
   std::string host;   // in lower case, without port
   Headers headers;    // fields that are forwarded unchanged
-  std::string body;
+  SharedBytes body;
   std::optional<Duration> callerTimeout; // counted from `started`; empty: unknown
   TimePoint started;                     // when the first byte was read
   std::string key;                       // API key; empty: none
--- /dev/null
+++ b/entry/request_memory.h
@@ -0,0 +1,84 @@
+// Account of the memory that callers' requests take up: while they are read, wait or run
+// in the core, and are queued to backends. It counts bytes and holds none.
+//
+//   auto memory = std::make_shared<RequestMemory>(bound);
+//   MemoryCharge charge(memory);
+//   if (!charge.TryResize(bytes)) { ... }   // there is no room
+//   MemoryCharge bodyCharge = charge.Split(body.capacity());
+
+#ifndef ENTRY_REQUEST_MEMORY_H_
+#define ENTRY_REQUEST_MEMORY_H_
+
+#include <algorithm>
+#include <cstddef>
+#include <memory>
+
+namespace gooseberrypath::entry {
+
+/// The bound for a host whose memory is unknown.
+inline constexpr size_t kDefaultRequestMemoryBytes = size_t{ 32 } * 1024 * 1024;
+
+class RequestMemory
+{
+public:
+  explicit RequestMemory(size_t aBound = kDefaultRequestMemoryBytes)
+    : bound_(aBound)
+  {
+  }
+
+  /// Sets the bytes that one legal request may need. The bound is never lower.
+  void SetLargestRequest(size_t aBytes) { largestRequest_ = aBytes; }
+
+  /// Returns the bytes that all requests together may take up.
+  size_t Bound() const { return std::max(bound_, largestRequest_); }
+
+  /// Returns the bytes that are charged now. They may exceed the bound after
+  /// MemoryCharge::Resize() or a lower limit.
+  size_t InUse() const { return inUse_; }
+
+  /// Returns the bytes that may still be charged.
+  size_t Free() const { return Bound() - std::min(Bound(), inUse_); }
+
+private:
+  friend class MemoryCharge;
+
+  size_t bound_;
+  size_t largestRequest_ = 0;
+  size_t inUse_ = 0;
+};
+
+using RequestMemoryPtr = std::shared_ptr<RequestMemory>;
+
+/// The bytes that one request or a part of it takes up. They are returned to the account
+/// when the charge is destroyed.
+class MemoryCharge
+{
+public:
+  /// A charge without an account counts nothing.
+  MemoryCharge() = default;
+  explicit MemoryCharge(RequestMemoryPtr aMemory);
+  ~MemoryCharge();
+
+  MemoryCharge(MemoryCharge&& aOther) noexcept;
+  MemoryCharge& operator=(MemoryCharge&& aOther) noexcept;
+
+  size_t Bytes() const { return bytes_; }
+
+  /// Changes the bytes of the charge. Returns false, and changes nothing, if it would
+  /// grow and the account has no room for that.
+  bool TryResize(size_t aBytes);
+
+  /// Changes the bytes of the charge even beyond the account's bound.
+  void Resize(size_t aBytes);
+
+  /// Moves up to aBytes of this charge into a new one.
+  MemoryCharge Split(size_t aBytes);
+
+private:
+  RequestMemoryPtr memory_;
+  size_t bytes_ = 0;
+};
+
+} // namespace gooseberrypath::entry
+
+#endif // ENTRY_REQUEST_MEMORY_H_
--- a/entry/serve_entry.cc
+++ b/entry/serve_entry.cc
@@ -7,6 +7,9 @@
 #include <random>
 #include <sstream>
 
+#include <malloc.h>
+#include <sys/resource.h>
+
 #include <kj/async-io.h>
 #include <kj/async-unix.h>
 
@@ -33,6 +36,10 @@
 // File descriptors that are reserved for everything except callers' connections.
 constexpr size_t kReservedDescriptors = 1000;
 
+// Allocations of this size and more have their own pages. With 64 KiB, bodies that grew
+// side by side left so many holes in the heap that it took three times what they held.
+constexpr int kMmapThresholdBytes = 16 * 1024;
+
 // How often the settings file is read again without SIGHUP.
 constexpr Duration kSettingsPollInterval = std::chrono::seconds(2);
 
@@ -100,17 +107,21 @@
     , clock_({ .timer = timer_ })
     , wallOffset_(ReadWallClock() -
                   std::chrono::duration_cast<WallTime>(clock_.Now().time_since_epoch()))
+    , requestMemory_(std::make_shared<RequestMemory>(aSettings.maxRequestMemory))
     , log_({ .host = aSettings.host,
              .wallNow = [this] { return WallNow(); },
              .now = [this] { return clock_.Now(); } })
-    , callers_({ .network = aIo.provider->getNetwork(),
-                 .timer = timer_,
-                 .sink = EventSink(),
-                 .now = [this] { return clock_.Now(); },
-                 .address = aSettings.callerAddress,
-                 .maxConnections = aSettings.maxDescriptors > 2 * kReservedDescriptors
-                                     ? aSettings.maxDescriptors - kReservedDescriptors
-                                     : aSettings.maxDescriptors / 2 })
+    , callers_(
+        { .network = aIo.provider->getNetwork(),
+          .timer = timer_,
+          .sink = EventSink(),
+          .now = [this] { return clock_.Now(); },
+          .address = aSettings.callerAddress,
+          .maxConnections = aSettings.maxDescriptors > 2 * kReservedDescriptors
+                              ? aSettings.maxDescriptors - kReservedDescriptors
+                              : aSettings.maxDescriptors / 2,
+          .memory = requestMemory_,
+          .onShortage = [this](const ShortageCounts& aCounts) { LogShortage(aCounts); } })
     , backends_({ .network = aIo.provider->getNetwork(),
                   .timer = timer_,
                   .sink = EventSink(),
@@ -257,7 +268,7 @@
   std::string RenderMetrics() const
   {
     const World& world = daemon_->GetWorld();
-    const std::array<Gauge, 6> gauges{
+    const std::array<Gauge, 11> gauges{
       Gauge{ "entry_requests", "Calls being served",
              static_cast<double>(world.requests.Size()) },
       Gauge{ "entry_backends", "Backends that are known",
@@ -269,7 +280,18 @@
       Gauge{ "entry_duty_token", "Fencing token of the duties held here, or 0",
              static_cast<double>(world.dutyToken) },
       Gauge{ "entry_events_failed", "Unexpected errors in the handling of an event",
-             static_cast<double>(failedEvents_) }
+             static_cast<double>(failedEvents_) },
+      Gauge{ "entry_request_memory_bytes", "Memory that callers' requests take up",
+             static_cast<double>(requestMemory_->InUse()) },
+      Gauge{ "entry_request_memory_bound_bytes", "Bound of that memory",
+             static_cast<double>(requestMemory_->Bound()) },
+      Gauge{ "entry_requests_refused_for_memory", "Requests that found no room",
+             static_cast<double>(callers_.Shortages().refusedRequests) },
+      Gauge{ "entry_slow_requests_dropped", "Incomplete requests dropped to make room",
+             static_cast<double>(callers_.Shortages().droppedRequests) },
+      Gauge{ "entry_waiting_connections_dropped",
+             "Waiting connections closed to accept others",
+             static_cast<double>(callers_.Shortages().droppedConnections) }
     };
     return world.counters.Render() + RenderGauges(gauges) + RenderLimitMetrics(world) +
            RenderStoreMetrics(world);
@@ -283,6 +305,18 @@
                              .fields = { { "reason", std::string(aReason) } } });
   }
 
+  void LogShortage(const ShortageCounts& aCounts)
+  {
+    log_.Execute(WriteEvent{
+      .level = LogLevel::Warning,
+      .event = "request_memory",
+      .fields = { { "refused", std::to_string(aCounts.refusedRequests) },
+                  { "dropped_slow", std::to_string(aCounts.droppedRequests) },
+                  { "dropped_connections", std::to_string(aCounts.droppedConnections) },
+                  { "bytes", std::to_string(requestMemory_->InUse()) },
+                  { "bound", std::to_string(requestMemory_->Bound()) } } });
+  }
+
   void Log(std::string aEvent, std::vector<std::pair<std::string, std::string>> aFields)
   {
     log_.Execute(WriteEvent{ .event = std::move(aEvent), .fields = std::move(aFields) });
@@ -295,6 +329,7 @@
   std::optional<EntryDaemon> daemon_;
   BootClock clock_;
   WallTime wallOffset_;
+  RequestMemoryPtr requestMemory_;
   EventLog log_;
   CallerPort callers_;
   BackendPort backends_;
@@ -306,10 +341,25 @@
   uint64_t failedEvents_ = 0;
 };
 
+/// Lowers the process's own limit of descriptors to this number, so that connections to
+/// backends cannot pass it. A lower limit stays.
+void LimitDescriptors(size_t aDescriptors)
+{
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur > aDescriptors) {
+    limit.rlim_cur = aDescriptors;
+    setrlimit(RLIMIT_NOFILE, &limit);
+  }
+}
+
 } // namespace
 
 int RunEntry(const std::string& aSettingsPath)
 {
+  // Allocations of this size are returned to the operating system when they are freed. By
+  // default, the size grows to that of the largest freed one, and the memory of bodies
+  // stays in a fragmented heap.
+  mallopt(M_MMAP_THRESHOLD, kMmapThresholdBytes);
   const auto settings = ReadSettings(aSettingsPath);
   if (!settings) {
     std::cerr << settings.error().message << '\n';
@@ -319,6 +369,7 @@
   std::signal(SIGPIPE, SIG_IGN);
   kj::UnixEventPort::captureSignal(SIGTERM);
   kj::UnixEventPort::captureSignal(SIGHUP);
+  LimitDescriptors(settings->maxDescriptors);
   kj::AsyncIoContext io = kj::setupAsyncIo();
   EntryServer server(aSettingsPath, *settings, io);
   server.Run(io);
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -27,10 +27,11 @@
   bool ordersBackends = false; // the platform allows ordering of backends
   RetryBudgetOptions retryBudget{};
   QuotaTolerance quotaTolerance{};
-  Duration leaseDuration{};  // of the duty lease
-  WallTime usageWindow{};    // length of the window of one usage report
-  Duration stopTimeout{};    // from SIGTERM to the kill
-  size_t maxDescriptors = 0; // file descriptors that the process may open
+  Duration leaseDuration{};    // of the duty lease
+  WallTime usageWindow{};      // length of the window of one usage report
+  Duration stopTimeout{};      // from SIGTERM to the kill
+  size_t maxDescriptors = 0;   // file descriptors that the process may open
+  size_t maxRequestMemory = 0; // bytes that all callers' requests together may take up
 
   bool operator==(const EntrySettings&) const = default;
 };
--- a/entry/socket.cc
+++ b/entry/socket.cc
@@ -19,6 +19,10 @@
 // that reads on can be told from one that does not.
 constexpr size_t kWriteBytes = size_t{ 64 } * 1024;
 
+// Receive buffer of a connection that was paused. The operating system would let it grow
+// to several MB, and many paused connections to a multiple of a small host's memory.
+constexpr int kPausedReceiveBytes = 32 * 1024;
+
 /// Returns how the connection ended. kj reports a timeout of the connection (ETIMEDOUT)
 /// as OVERLOADED and a reset as DISCONNECTED.
 SocketEnd EndOf(const kj::Exception& aError)
@@ -88,19 +92,20 @@
     writeFulfiller_ = kj::mv(waiting.fulfiller);
     return waiting.promise.then([this] { return WriteLoop(); });
   }
-  if (bytesBeingWritten_.empty()) {
-    bytesBeingWritten_ = std::exchange(writeQueue_, {});
+  if (sharedQueue_.empty()) {
+    sharedQueue_.emplace_back(std::exchange(writeQueue_, {}));
   }
-  const size_t count = std::min(kWriteBytes, bytesBeingWritten_.size() - writtenBytes_);
-  return stream_->write(bytesBeingWritten_.data() + writtenBytes_, count)
-    .then([this, count] {
-      writtenBytes_ += count;
-      if (writtenBytes_ == bytesBeingWritten_.size()) {
-        bytesBeingWritten_.clear();
-        writtenBytes_ = 0;
-      }
-      return WriteLoop();
-    });
+  const std::string_view rest = sharedQueue_.front().View().substr(writtenBytes_);
+  const size_t count = std::min(kWriteBytes, rest.size());
+  return stream_->write(rest.data(), count).then([this, count] {
+    writtenBytes_ += count;
+    queuedBytes_ -= count;
+    if (writtenBytes_ == sharedQueue_.front().size()) {
+      sharedQueue_.pop_front();
+      writtenBytes_ = 0;
+    }
+    return WriteLoop();
+  });
 }
 
 void Socket::Fulfill(kj::Own<kj::PromiseFulfiller<void>>& aFulfiller)
@@ -111,6 +116,15 @@
   }
 }
 
+void Socket::Pause()
+{
+  isPaused_ = true;
+  if (!std::exchange(boundsUnreadBytes_, true)) {
+    stream_->setsockopt(SOL_SOCKET, SO_RCVBUF, &kPausedReceiveBytes,
+                        sizeof(kPausedReceiveBytes));
+  }
+}
+
 void Socket::Resume()
 {
   isPaused_ = false;
@@ -120,6 +134,20 @@
 void Socket::Write(std::string_view aBytes)
 {
   writeQueue_ += aBytes;
+  queuedBytes_ += aBytes.size();
+  Fulfill(writeFulfiller_);
+}
+
+void Socket::WriteShared(const SharedBytes& aBytes)
+{
+  if (aBytes.empty()) {
+    return;
+  }
+  if (!writeQueue_.empty()) {
+    sharedQueue_.emplace_back(std::exchange(writeQueue_, {}));
+  }
+  sharedQueue_.push_back(aBytes);
+  queuedBytes_ += aBytes.size();
   Fulfill(writeFulfiller_);
 }
 
--- a/entry/socket.h
+++ b/entry/socket.h
@@ -13,6 +13,7 @@
 
 #include <array>
 #include <chrono>
+#include <deque>
 #include <functional>
 #include <span>
 #include <string>
@@ -20,6 +21,8 @@
 
 #include <kj/async-io.h>
 
+#include "entry/shared_bytes.h"
+
 namespace gooseberrypath::entry {
 
 /// How a connection ended.
@@ -51,17 +54,19 @@
   /// keep-alive probes for this time.
   void SetPeerTimeout(std::chrono::milliseconds aLimit);
 
-  /// Queues bytes for writing.
+  /// Queues a copy of the bytes for writing.
   void Write(std::string_view aBytes);
 
+  /// Queues bytes for writing without a copy. They are held until they are written.
+  void WriteShared(const SharedBytes& aBytes);
+
   /// Returns the number of bytes that were not yet passed to the operating system.
-  size_t QueuedBytes() const
-  {
-    return writeQueue_.size() + bytesBeingWritten_.size() - writtenBytes_;
-  }
+  size_t QueuedBytes() const { return queuedBytes_; }
 
-  /// Suspends and resumes reading. Bytes of a read in progress are still passed on.
-  void Pause() { isPaused_ = true; }
+  /// Suspends and resumes reading. Bytes of a read in progress are still passed on. The
+  /// first call bounds, for the rest of the connection, the bytes that the operating
+  /// system receives meanwhile.
+  void Pause();
   void Resume();
 
   /// Tells whether the peer has acknowledged all written bytes. Throws kj::Exception if
@@ -95,10 +100,12 @@
   kj::Own<kj::AsyncIoStream> stream_;
   SocketOptions options_;
   std::array<char, 8192> readBuffer_{};
-  std::string writeQueue_;
-  std::string bytesBeingWritten_;
-  size_t writtenBytes_ = 0; // of bytesBeingWritten_
+  std::string writeQueue_;              // after the shared bytes
+  std::deque<SharedBytes> sharedQueue_; // the first one may be written in part
+  size_t writtenBytes_ = 0;             // of the first one
+  size_t queuedBytes_ = 0;
   bool isPaused_ = false;
+  bool boundsUnreadBytes_ = false;
   bool areCallbacksDisabled_ = false;
   bool isClosed_ = false;
   bool closesAfterWrites_ = false;
--- a/entry/testing/deadly_request_test.cc
+++ b/entry/testing/deadly_request_test.cc
@@ -298,8 +298,11 @@
   CHECK(differs([](Call& aCall) { aCall.method = "PUT"; }));
   CHECK(differs([](Call& aCall) { aCall.host = "g"; }));
   CHECK(differs([](Call& aCall) { aCall.target += "?a=1"; }));
-  CHECK(differs([](Call& aCall) { aCall.body += "y"; }));
-  CHECK(differs([](Call& aCall) { std::swap(aCall.key, aCall.body); }));
+  CHECK(differs([](Call& aCall) { aCall.body = std::string(aCall.body.View()) + "y"; }));
+  CHECK(differs([](Call& aCall) {
+    const std::string body(aCall.body.View());
+    aCall.body = std::exchange(aCall.key, body);
+  }));
   CHECK(
     differs([](Call& aCall) { aCall.model = ModelDemand{ .parts = { { .id = 1 } } }; }));
 }
