--- a/entry/request_memory.cc
+++ b/entry/request_memory.cc
@@ -15,7 +15,7 @@
 }
 
 MemoryCharge::MemoryCharge(MemoryCharge&& aOther) noexcept
-  : memory_(aOther.memory_)
+  : memory_(std::move(aOther.memory_))
   , bytes_(std::exchange(aOther.bytes_, 0))
 {
 }
@@ -24,7 +24,7 @@
 {
   if (this != &aOther) {
     Resize(0);
-    memory_ = aOther.memory_;
+    memory_ = std::move(aOther.memory_);
     bytes_ = std::exchange(aOther.bytes_, 0);
   }
   return *this;
