--- a/entry/testing/daemon_simulation.h
+++ b/entry/testing/daemon_simulation.h
@@ -75,7 +75,10 @@
   double repeatRate = 0;       // of datagrams
   std::optional<TimeSpan> cut; // two halves of the daemons do not hear each other
   double islandShare = 0;      // in a cut, this share of the daemons hears nobody instead
-  std::optional<LinkLimits> link; // of each daemon
+  double groupShare = 0; // in a cut, this share of the daemons does not hear the others
+  std::optional<LinkLimits> link;                     // of each daemon
+  Duration minDelay = std::chrono::microseconds(500); // of datagrams that are not late
+  Duration maxDelay = std::chrono::microseconds(2500);
 };
 
 struct DaemonSimulationOptions
@@ -296,6 +299,9 @@
     if (options_.network.islandShare > 0) {
       return IsIsland(aLeft) || IsIsland(aRight);
     }
+    if (options_.network.groupShare > 0) {
+      return IsInGroup(aLeft) != IsInGroup(aRight);
+    }
     return aLeft % 2 != aRight % 2;
   }
 
@@ -305,6 +311,14 @@
            options_.network.islandShare * static_cast<double>(daemons_.size());
   }
 
+  /// Tells whether the daemon is in the group that a cut separates from the others.
+  bool IsInGroup(size_t aDaemon) const
+  {
+    const size_t offset = (aDaemon + daemons_.size() - firstOfGroup_) % daemons_.size();
+    return static_cast<double>(offset) <
+           options_.network.groupShare * static_cast<double>(daemons_.size());
+  }
+
   /// Sends a datagram, which may be lost, late or repeated.
   void SendDatagram(size_t aFrom, const std::string& aTo,
                     const std::shared_ptr<const Event>& aEvent)
@@ -320,7 +334,10 @@
       if (Chance(network.lossRate)) {
         continue;
       }
-      const Duration delay = Chance(network.lateRate) ? Random(1s) : 500us + Random(2ms);
+      const Duration delay =
+        Chance(network.lateRate)
+          ? Random(1s)
+          : network.minDelay + Random(network.maxDelay - network.minDelay);
       queue_.Add(now_ + delay, [this, to = found->second, aEvent] { Post(to, aEvent); });
     }
   }
@@ -476,6 +493,7 @@
   std::map<uint64_t, SimulatedAttempt> attempts_;
   EventQueue queue_;
   TimePoint now_ = kStart;
+  size_t firstOfGroup_ = 0;
   uint64_t sentBytes_ = 0; // with a link, of digests
   uint64_t droppedDatagrams_ = 0;
 
