--- a/entry/placement.capnp.h
+++ b/entry/placement.capnp.h
@@ -555,3 +555,4 @@
 }  // namespace
 
 CAPNP_END_HEADER
+
