--- a/entry/testing/reset_upload_test.cc
+++ b/entry/testing/reset_upload_test.cc
@@ -44,7 +44,7 @@
 };
 
 /// A TCP connection whose reads, writes and reports of failed writes wait for gates.
-class GatedStream : public kj::AsyncIoStream
+class GatedStream final : public kj::AsyncIoStream
 {
 public:
   explicit GatedStream(kj::Own<kj::AsyncIoStream> aStream)
