Placement: held requests are repeated, slots are handed over without a pause, and a partition counts the other side once

Waiting calls are now placed for slots that become free in 5 ms. A held call whose second reply was lost waited up to its latency objective; its request is now repeated every 25 ms.

--- a/entry/placement_ledger.cc
+++ b/entry/placement_ledger.cc
@@ -44,6 +44,14 @@
 // about once a second.
 constexpr Duration kMaxDigestAge = milliseconds(1500);
 
+// From the end of a call to the arrival of the next one in its slot, a release, a reply
+// and the call itself are on their way. Waiting calls are placed that much earlier.
+constexpr double kHandOverMs = 5;
+
+// From this share of live daemons on, the others are taken to be restarting and not to be
+// behind a partition.
+constexpr double kNearlyAllShare = 0.95;
+
 // Weight of one observation in the moving average of the time that a call takes, and the
 // bounds of an observation.
 constexpr double kObservationWeight = 0.05;
@@ -147,25 +155,25 @@
 std::optional<uint32_t> PlacementLedger::Place(TimePoint aNow,
                                                const PlacementDemand& aDemand)
 {
-  return Grant(aNow, aDemand, false);
+  return Grant(aNow, aDemand, SlotUse::Free);
 }
 
-std::optional<uint32_t> PlacementLedger::PlaceAnyway(TimePoint aNow,
-                                                     const PlacementDemand& aDemand)
+std::optional<uint32_t> PlacementLedger::PlaceWaiting(TimePoint aNow,
+                                                      const PlacementDemand& aDemand)
 {
-  const auto placed = Grant(aNow, aDemand, false);
-  return placed || aDemand.excluded.empty() ? placed : Grant(aNow, aDemand, true);
+  const auto placed = Grant(aNow, aDemand, SlotUse::Soon);
+  return placed || aDemand.excluded.empty() ? placed : Grant(aNow, aDemand, SlotUse::Any);
 }
 
 std::optional<uint32_t> PlacementLedger::Grant(TimePoint aNow,
                                                const PlacementDemand& aDemand,
-                                               bool aMayExceedSlots)
+                                               SlotUse aUse)
 {
   if (const auto placed = FindPlacement(aDemand.key)) {
     return placed;
   }
   RemoveExpired(aNow);
-  const auto [key, best] = FindBest(aNow, aDemand, aMayExceedSlots);
+  const auto [key, best] = FindBest(aNow, aDemand, aUse);
   if (best == nullptr) {
     return std::nullopt;
   }
@@ -178,7 +186,7 @@
 }
 
 std::pair<uint32_t, const PlacementLedger::Backend*> PlacementLedger::FindBest(
-  TimePoint aNow, const PlacementDemand& aDemand, bool aMayExceedSlots) const
+  TimePoint aNow, const PlacementDemand& aDemand, SlotUse aUse) const
 {
   const auto isExcluded = [&](uint32_t aKey) {
     return std::ranges::find(aDemand.excluded, aKey) != aDemand.excluded.end();
@@ -198,9 +206,8 @@
   double bestCost = std::numeric_limits<double>::infinity();
   for (const auto& item : backends_) {
     const auto& [key, backend] = item;
-    const bool isFull = Calls(aNow, backend) >= Capacity(aNow, backend);
     if (!isCandidate(item) || (hasHealthy && !IsHealthy(backend.known)) ||
-        (isFull && !aMayExceedSlots)) {
+        !HasSlot(aNow, backend, aUse)) {
       continue;
     }
     const double cost = Cost(aNow, backend, aDemand);
@@ -273,7 +280,30 @@
 
 bool PlacementLedger::HasFreeSlot(TimePoint aNow) const
 {
-  return FindBest(aNow, {}, false).second != nullptr;
+  return FindBest(aNow, {}, SlotUse::Free).second != nullptr;
+}
+
+bool PlacementLedger::HasSlotForWaiting(TimePoint aNow) const
+{
+  return FindBest(aNow, {}, SlotUse::Soon).second != nullptr;
+}
+
+bool PlacementLedger::HasSlot(TimePoint aNow, const Backend& aBackend, SlotUse aUse) const
+{
+  if (aUse == SlotUse::Any) {
+    return true;
+  }
+  const uint32_t slots = Slots(aNow, aBackend);
+  const auto soon = aUse == SlotUse::Soon
+                      ? static_cast<uint32_t>(std::lround(slots * kHandOverMs / workMs_))
+                      : 0;
+  const bool isPartitioned = share_ < kNearlyAllShare;
+  // In a partition, each part of the daemons may always use its own share of the slots.
+  // The rest is free if reports do not show that the other part uses it.
+  const bool hasOwnSlot =
+    isPartitioned && aBackend.placements.size() < Capacity(aNow, aBackend);
+  const bool knowsOthers = !isPartitioned || IsReportFresh(aNow, aBackend);
+  return hasOwnSlot || (knowsOthers && Calls(aNow, aBackend) < slots + soon);
 }
 
 uint32_t PlacementLedger::CallsAt(TimePoint aNow, uint32_t aBackend) const
@@ -302,19 +332,30 @@
   return sum;
 }
 
+bool PlacementLedger::IsReportFresh(TimePoint aNow, const Backend& aBackend)
+{
+  return aBackend.report && aBackend.reportedAt + kMaxCallsAge > aNow;
+}
+
+uint32_t PlacementLedger::Slots(TimePoint aNow, const Backend& aBackend)
+{
+  return IsReportFresh(aNow, aBackend)
+           ? std::min(aBackend.known.slots, aBackend.report->slots)
+           : aBackend.known.slots;
+}
+
 uint32_t PlacementLedger::Capacity(TimePoint aNow, const Backend& aBackend) const
 {
-  uint32_t slots = aBackend.known.slots;
-  if (aBackend.report && aBackend.reportedAt + kMaxCallsAge > aNow) {
-    slots = std::min(slots, aBackend.report->slots);
-  }
-  return std::max(static_cast<uint32_t>(std::floor(slots * share_)), 1U);
+  const uint32_t slots = Slots(aNow, aBackend);
+  return share_ < kNearlyAllShare
+           ? std::max(static_cast<uint32_t>(std::lround(slots * share_)), 1U)
+           : slots;
 }
 
 uint32_t PlacementLedger::Calls(TimePoint aNow, const Backend& aBackend) const
 {
   const auto placed = static_cast<uint32_t>(aBackend.placements.size());
-  if (aBackend.report && aBackend.reportedAt + kMaxCallsAge > aNow) {
+  if (IsReportFresh(aNow, aBackend)) {
     return placed + aBackend.unplaced;
   }
   // The digests may be older than the youngest placements. A new placer takes all calls
--- a/entry/placement_ledger.h
+++ b/entry/placement_ledger.h
@@ -65,8 +65,8 @@
   {
   }
 
-  /// Sets the share of each backend's slots that may be used, from 0 to 1. One slot is
-  /// always used.
+  /// Sets the share of all daemons that are alive, from 0 to 1. In a partition, they may
+  /// always use this share of each backend's slots, and at least one.
   void SetShare(double aShare) { share_ = aShare; }
 
   /// Sets the backends of the service, by the hash of their ids. The placements at a
@@ -82,9 +82,9 @@
   /// that was placed before keeps its backend.
   std::optional<uint32_t> Place(TimePoint aNow, const PlacementDemand& aDemand);
 
-  /// Places the call as Place() does, at a backend without a free slot if it failed at
-  /// those that have one.
-  std::optional<uint32_t> PlaceAnyway(TimePoint aNow, const PlacementDemand& aDemand);
+  /// Places a call that waited for a slot, also for one that becomes free before the call
+  /// reaches the backend, or at a full backend if it failed at the others.
+  std::optional<uint32_t> PlaceWaiting(TimePoint aNow, const PlacementDemand& aDemand);
 
   /// Applies the report of the release and removes its placement, if there is one.
   void Release(TimePoint aNow, const PlaceRelease& aRelease);
@@ -102,6 +102,9 @@
   /// Tells whether a call that failed nowhere could be placed.
   bool HasFreeSlot(TimePoint aNow) const;
 
+  /// Tells whether PlaceWaiting() has a slot for a call that failed nowhere.
+  bool HasSlotForWaiting(TimePoint aNow) const;
+
   /// Returns the calls at the backend: the placements, and the others that are known.
   uint32_t CallsAt(TimePoint aNow, uint32_t aBackend) const;
 
@@ -118,6 +121,14 @@
   size_t Size() const { return backendOf_.size(); }
 
 private:
+  /// Which backends a call may be placed at.
+  enum class SlotUse : uint8_t
+  {
+    Free, // with a free slot
+    Soon, // or with one that becomes free before the call arrives
+    Any,
+  };
+
   struct Placement
   {
     PlacementKey key;
@@ -139,17 +150,26 @@
   /// Returns the best backend for the call and its key, or null.
   std::pair<uint32_t, const Backend*> FindBest(TimePoint aNow,
                                                const PlacementDemand& aDemand,
-                                               bool aMayExceedSlots) const;
+                                               SlotUse aUse) const;
 
   /// Adds a placement at the backend if there is one.
   std::optional<uint32_t> Grant(TimePoint aNow, const PlacementDemand& aDemand,
-                                bool aMayExceedSlots);
+                                SlotUse aUse);
+
+  /// Tells whether the backend can take one more call.
+  bool HasSlot(TimePoint aNow, const Backend& aBackend, SlotUse aUse) const;
 
   /// Keeps the report if it is the newest one. Returns whether it is.
   bool StoreReport(TimePoint aNow, Backend& aBackend, const LoadReport& aReport,
                    TimePoint aReceivedAt);
 
-  /// Returns the slots of the backend that may be used.
+  /// Tells whether the newest report still shows how many calls the backend has.
+  static bool IsReportFresh(TimePoint aNow, const Backend& aBackend);
+
+  /// Returns the slots of the backend, as registered or reported.
+  static uint32_t Slots(TimePoint aNow, const Backend& aBackend);
+
+  /// Returns the slots of the backend that belong to the daemons that are alive.
   uint32_t Capacity(TimePoint aNow, const Backend& aBackend) const;
 
   /// Returns the calls at the backend.
--- a/entry/placement_system.cc
+++ b/entry/placement_system.cc
@@ -27,6 +27,10 @@
 // that it does not place.
 constexpr Duration kNoPlacerPause = milliseconds(200);
 
+// A held request is sent again after this time. If the placer was replaced or its reply
+// was lost, the call waits for no longer than this and the reply timeout.
+constexpr Duration kHeldRepeatTime = milliseconds(25);
+
 // Time in which the reply to a held request may be late.
 constexpr Duration kHeldReplyMargin = milliseconds(20);
 
@@ -137,6 +141,7 @@
       world_.timers.SubscribeAt(ask.replyBy, [this, id](TimePoint) { OnTimeout(id); });
     world_.Emit(SendPlacementMessage{ .to = ask.address, .message = request });
   }
+  ask.request = request;
   asks_.emplace(id, std::move(ask));
   if (isOwn) {
     ApplyReply(Answer({}, request), {});
@@ -168,10 +173,11 @@
     return;
   }
   Ask& ask = found->second;
-  if (ask.backend != 0 || (ask.isHeld && aReply.outcome == PlaceOutcome::Held)) {
+  const bool isHeldAgain = ask.isHeld && aReply.outcome == PlaceOutcome::Held;
+  if (ask.backend != 0 || (isHeldAgain && !ask.isRepeated)) {
     return; // a repeated reply
   }
-  if (now > ask.replyBy) {
+  if (now > (ask.isHeld ? ask.heldUntil : ask.replyBy)) {
     OnTimeout(aReply.id); // this process was suspended
     return;
   }
@@ -196,11 +202,7 @@
       return;
     }
     case PlaceOutcome::Held:
-      world_.counters.Add(EntryCounter::PlacementsHeld);
-      ask.isHeld = true;
-      ask.replyBy = now + aReply.wait + kHeldReplyMargin;
-      ask.timer = world_.timers.SubscribeAt(
-        ask.replyBy, [this, id = aReply.id](TimePoint) { OnTimeout(id); });
+      Hold(ask, aReply);
       return;
     case PlaceOutcome::Refused:
       world_.counters.Add(EntryCounter::PlacementsRefused);
@@ -221,14 +223,45 @@
   Decide(ask.mapped(), { .state = aState, .retryAfter = aRetryAfter });
 }
 
+void PlacementSystem::Hold(Ask& aAsk, const PlaceReply& aReply)
+{
+  const TimePoint now = world_.Now();
+  if (!std::exchange(aAsk.isHeld, true)) {
+    world_.counters.Add(EntryCounter::PlacementsHeld);
+    aAsk.heldUntil = now + aReply.wait + kHeldReplyMargin;
+  }
+  aAsk.isRepeated = false;
+  aAsk.replyBy = aAsk.address.empty() ? aAsk.heldUntil
+                                      : std::min(now + kHeldRepeatTime, aAsk.heldUntil);
+  aAsk.timer = world_.timers.SubscribeAt(
+    aAsk.replyBy, [this, id = aReply.id](TimePoint) { OnTimeout(id); });
+}
+
+void PlacementSystem::Repeat(uint64_t aId, Ask& aAsk)
+{
+  const TimePoint now = world_.Now();
+  aAsk.isRepeated = true;
+  aAsk.replyBy = now + kReplyTimeout;
+  aAsk.timer =
+    world_.timers.SubscribeAt(aAsk.replyBy, [this, aId](TimePoint) { OnTimeout(aId); });
+  PlaceRequest request = aAsk.request;
+  request.timeLeft -= now - aAsk.askedAt;
+  world_.Emit(SendPlacementMessage{ .to = aAsk.address, .message = std::move(request) });
+}
+
 void PlacementSystem::OnTimeout(uint64_t aId)
 {
   const auto found = asks_.find(aId);
   if (found == asks_.end() || found->second.backend != 0) {
     return;
   }
+  Ask& ask = found->second;
+  if (ask.isHeld && !ask.isRepeated && world_.Now() < ask.heldUntil) {
+    Repeat(aId, ask);
+    return;
+  }
   world_.counters.Add(EntryCounter::PlacementsUnanswered);
-  pausedUntil_[found->second.placer] = world_.Now() + kNoPlacerPause;
+  pausedUntil_[ask.placer] = world_.Now() + kNoPlacerPause;
   GiveUp(aId);
 }
 
--- a/entry/placement_system.h
+++ b/entry/placement_system.h
@@ -59,11 +59,14 @@
     uint32_t service = 0; // hash of the name
     std::string placer;   // host
     std::string address;  // of the placer; empty: this daemon
+    PlaceRequest request;
     TimePoint askedAt{};
-    TimePoint replyBy{};
+    TimePoint replyBy{}; // or, while the request is held, when it is repeated
+    TimePoint heldUntil{};
     TimerId timer;
     bool isHeld = false;
-    uint32_t backend = 0; // hash of the id; 0: not placed yet
+    bool isRepeated = false; // and the repeated request was not answered yet
+    uint32_t backend = 0;    // hash of the id; 0: not placed yet
   };
 
   /// A service whose calls this daemon places.
@@ -88,6 +91,11 @@
   void ApplyReply(const PlaceReply& aReply, const std::string& aFrom);
   void OnTimeout(uint64_t aId);
 
+  /// Lets the request wait for its slot. It is repeated from time to time, since the
+  /// reply that ends the wait may be lost.
+  void Hold(Ask& aAsk, const PlaceReply& aReply);
+  void Repeat(uint64_t aId, Ask& aAsk);
+
   /// Gives a request up and tells the placer. The daemon chooses alone.
   void GiveUp(uint64_t aId);
 
--- a/entry/service_placer.cc
+++ b/entry/service_placer.cc
@@ -139,7 +139,7 @@
              { .outcome = PlaceOutcome::Refused, .wait = refusal.retryAfter });
     }
   }
-  while (!queue_.IsEmpty() && ledger_.HasFreeSlot(aNow)) {
+  while (!queue_.IsEmpty() && ledger_.HasSlotForWaiting(aNow)) {
     const auto next = queue_.PopNext(aNow);
     if (!next) {
       break;
@@ -150,7 +150,7 @@
     }
     const Duration waited = aNow - held->second.arrived;
     const auto backend =
-      ledger_.PlaceAnyway(aNow, DemandOf(held->second.request, waited));
+      ledger_.PlaceWaiting(aNow, DemandOf(held->second.request, waited));
     answer(*next, backend
                     ? PlaceReply{ .outcome = PlaceOutcome::Placed, .backend = *backend }
                     : PlaceReply{ .outcome = PlaceOutcome::NotPlacer });
--- a/entry/testing/placement_test.cc
+++ b/entry/testing/placement_test.cc
@@ -310,8 +310,9 @@
 
 TEST_CASE("Entry: the placer may hold or refuse a call", "[entry][placement]")
 {
-  // Guards against a held call that keeps a place in the queue after its caller left, and
-  // against calls that are sent although they were refused.
+  // Guards against a held call that keeps a place in the queue after its caller left,
+  // against one that waits for a lost reply, and against calls that are sent although
+  // they were refused.
   PlacementFixture entry;
   const PlaceRequest request = entry.Ask();
   SECTION("refused")
@@ -340,7 +341,14 @@
   SECTION("held")
   {
     entry.Reply(request, PlaceOutcome::Held, 300ms);
-    entry.Advance(100ms);
+    for (int i = 0; i < 4; ++i) {
+      entry.Advance(25ms);
+      const auto repeated = entry.Take<PlaceRequest>();
+      REQUIRE(repeated.size() == 1);
+      CHECK(repeated[0].id == request.id);
+      CHECK(repeated[0].timeLeft < request.timeLeft);
+      entry.Reply(request, PlaceOutcome::Held, 300ms);
+    }
     CHECK(entry.TakeActions<StartAttempt>().empty());
     SECTION("and placed")
     {
@@ -359,7 +367,9 @@
     }
     SECTION("and the second reply is lost")
     {
-      entry.Advance(230ms);
+      entry.Advance(25ms);
+      CHECK(entry.Take<PlaceRequest>().size() == 1);
+      entry.Advance(10ms);
       CHECK(entry.SendLatestAttempt().attempt.value > 0);
       CHECK(entry.Take<PlaceRelease>().size() == 1);
     }
