--- a/entry/testing/daemon_simulation.h
+++ b/entry/testing/daemon_simulation.h
@@ -311,6 +311,11 @@
            options_.network.islandShare * static_cast<double>(daemons_.size());
   }
 
+  size_t DaemonOf(const std::string& aAddress) const
+  {
+    return daemonOfAddress_.at(aAddress);
+  }
+
   /// Tells whether the daemon is in the group that a cut separates from the others.
   bool IsInGroup(size_t aDaemon) const
   {
--- a/entry/testing/placement_simulation.cc
+++ b/entry/testing/placement_simulation.cc
@@ -39,8 +39,11 @@
 constexpr Duration kLatencyObjective = 300ms;
 constexpr double kMaxObjectives = 1.3; // a later start is refused
 
-// Peers count as known some seconds after the start.
-constexpr Duration kFirstCallAfter = 4s;
+// Daemons learn of all peers first. Then each needs a load report of its own before its
+// calls are placed, and an idea of how long calls take, so the first ones do not count.
+constexpr Duration kFirstArrivalAfter = 2500ms;
+constexpr Duration kMeasuredAfter = 4s;
+constexpr Duration kWarmUp = kMeasuredAfter - kFirstArrivalAfter;
 
 // After this time from the end of a fault, the daemons agree on the placer again.
 constexpr Duration kFaultEffect = 2s;
@@ -51,7 +54,7 @@
 /// A call and the work that it needs at the usual pace.
 struct PlannedCall
 {
-  Duration at{}; // after the first call
+  Duration at{}; // after the first one
   size_t daemon = 0;
   bool mayRepeat = false;
   Duration work{};
@@ -65,7 +68,7 @@
   explicit Demand(const PlacementScenario& aScenario)
     : random_(aScenario.seed * 1000003 + aScenario.daemons)
   {
-    const Duration end = aScenario.length + 2 * kCallTimeout;
+    const Duration end = kWarmUp + aScenario.length + 2 * kCallTimeout;
     for (Duration at{}; at < end; at += kPaceInterval) {
       std::array<double, kBackends> paces{};
       for (double& pace : paces) {
@@ -76,7 +79,7 @@
     }
     const double callsPerSecond =
       aScenario.load * kBackends * kSlots / (kMeanWorkSeconds * kMeanPace);
-    for (Duration at{}; at < aScenario.length;
+    for (Duration at{}; at < kWarmUp + aScenario.length;
          at += Exponential(kMeanBurst / callsPerSecond)) {
       do {
         calls.push_back(
@@ -194,12 +197,12 @@
   {
     StartDaemons();
     for (size_t i = 0; i < demand_.calls.size(); ++i) {
-      queue_.Add(kFirstCall + demand_.calls[i].at, [this, i] { PostCall(i); });
+      queue_.Add(kFirstArrival + demand_.calls[i].at, [this, i] { PostCall(i); });
     }
     if (scenario_.fault) {
-      queue_.Add(kFirstCall + scenario_.fault->at, [this] { HitPlacer(); });
+      queue_.Add(kMeasured + scenario_.fault->at, [this] { HitPlacer(); });
     }
-    const TimePoint lastCall = kFirstCall + scenario_.length;
+    const TimePoint lastCall = kMeasured + scenario_.length;
     queue_.RunUntil(lastCall, now_);
     RemoveBrokenCalls();
     while (!calls_.empty() && now_ < lastCall + 2 * kCallTimeout) {
@@ -212,7 +215,8 @@
   }
 
 private:
-  static constexpr TimePoint kFirstCall = kStart + kFirstCallAfter;
+  static constexpr TimePoint kFirstArrival = kStart + kFirstArrivalAfter;
+  static constexpr TimePoint kMeasured = kStart + kMeasuredAfter;
 
   static NetworkFaults NetworkOf(const PlacementScenario& aScenario)
   {
@@ -221,7 +225,7 @@
                            .minDelay = kMinDelay,
                            .maxDelay = kMaxDelay };
     if (aScenario.fault && aScenario.fault->kind == PlacerFaultKind::CutOff) {
-      const Duration from = kFirstCallAfter + aScenario.fault->at;
+      const Duration from = kMeasuredAfter + aScenario.fault->at;
       network.cut = TimeSpan{ .from = from, .to = from + aScenario.fault->lasts };
       network.groupShare = kCutShare;
     }
@@ -267,18 +271,23 @@
     }
   }
 
-  /// Tells whether the placer may be changing.
-  bool IsChanging() const
+  /// Tells whether calls beyond the slots are measured now.
+  bool CountsBeyondSlots() const
   {
     if (!scenario_.fault) {
-      return false;
+      return true;
     }
-    const TimePoint from = kFirstCall + scenario_.fault->at;
+    const TimePoint from = kMeasured + scenario_.fault->at;
     return now_ >= from && now_ < from + scenario_.fault->lasts + kFaultEffect;
   }
 
   using DaemonSimulation::Execute;
 
+  PlacementOutcome& OutcomeOf(const SimulatedCall& aCall)
+  {
+    return aCall.plan.at < kWarmUp ? warmUp_ : outcome_;
+  }
+
   // Attempts at backends.
 
   Backend& BackendOf(const std::string& aId)
@@ -306,6 +315,7 @@
   void Execute(size_t aDaemon, const StartAttempt& aAction)
   {
     SimulatedCall& call = calls_.at(std::stoull(aAction.requestId));
+    PlacementOutcome& outcome = OutcomeOf(call);
     if (!call.isChosen) {
       call.isChosen = true;
       RecordChoice(call);
@@ -315,10 +325,10 @@
       least = std::min(least, InFlight(backend));
     }
     const size_t before = InFlight(BackendOf(aAction.backend));
-    outcome_.choices += 1;
-    outcome_.unevenChoices += before >= least + kMinUneven ? 1 : 0;
-    if (IsChanging() && before + 1 > kSlots) {
-      outcome_.mostBeyondSlots = std::max(outcome_.mostBeyondSlots, before + 1 - kSlots);
+    outcome.choices += 1;
+    outcome.unevenChoices += before >= least + kMinUneven ? 1 : 0;
+    if (CountsBeyondSlots() && before + 1 > kSlots) {
+      outcome.mostBeyondSlots = std::max(outcome.mostBeyondSlots, before + 1 - kSlots);
     }
     DaemonSimulation::Execute(aDaemon, aAction);
   }
@@ -328,8 +338,9 @@
   {
     const bool wasFrozen = aCall.arrived <= daemons_[aCall.plan.daemon].thawedAt;
     if (!wasFrozen) {
-      outcome_.longestChoiceMs =
-        std::max(outcome_.longestChoiceMs, Milliseconds(now_ - aCall.arrived));
+      PlacementOutcome& outcome = OutcomeOf(aCall);
+      outcome.longestChoiceMs =
+        std::max(outcome.longestChoiceMs, Milliseconds(now_ - aCall.arrived));
     }
   }
 
@@ -357,8 +368,8 @@
       SimulatedCall& call = CallOf(id);
       outcome_.ranTwice += ++call.runs > 1 && !call.plan.mayRepeat ? 1 : 0;
       const auto index = static_cast<size_t>(&aBackend - backends_.data());
-      call.ran =
-        FromSeconds(Seconds(call.plan.work) * demand_.PaceOf(index, now_ - kFirstCall));
+      call.ran = FromSeconds(Seconds(call.plan.work) *
+                             demand_.PaceOf(index, now_ - kFirstArrival));
       aBackend.running += 1;
       aBackend.freeSince.pop_front();
       queue_.Add(now_ + call.ran, [this, id, index] { EndCall(id, index); });
@@ -377,7 +388,7 @@
         LoadReport{ .running = backend.running,
                     .waiting = static_cast<uint32_t>(backend.waiting.size()),
                     .slots = kSlots,
-                    .pace = demand_.PaceOf(aBackend, now_ - kFirstCall) };
+                    .pace = demand_.PaceOf(aBackend, now_ - kFirstArrival) };
     }
     queue_.Add(now_ + kMinDelay + Random(kMaxDelay - kMinDelay), [this, aId, head] {
       const auto found = attempts_.find(aId);
@@ -388,6 +399,23 @@
     });
   }
 
+  // Placement messages.
+
+  void Execute(size_t aDaemon, const SendPlacementMessage& aAction)
+  {
+    const bool isMeasured = now_ >= kMeasured && now_ < kMeasured + scenario_.length;
+    PlacementOutcome& outcome = isMeasured ? outcome_ : warmUp_;
+    outcome.placementMessages += 1;
+    outcome.placementBytes +=
+      EncodePlacementMessage(aAction.message).size() + kHeaderBytes;
+    if (std::holds_alternative<PlaceRequest>(aAction.message)) {
+      placer_ = DaemonOf(aAction.to);
+    }
+    const auto* reply = std::get_if<PlaceReply>(&aAction.message);
+    outcome.held += reply != nullptr && reply->outcome == PlaceOutcome::Held ? 1 : 0;
+    DaemonSimulation::Execute(aDaemon, aAction);
+  }
+
   // Callers.
 
   void PostCall(size_t aIndex)
@@ -400,7 +428,7 @@
     calls_[id.value] = SimulatedCall{ .plan = plan,
                                       .arrived = now_,
                                       .process = daemons_[plan.daemon].Process() };
-    outcome_.calls += 1;
+    OutcomeOf(calls_[id.value]).calls += 1;
     Post(plan.daemon, std::make_shared<const Event>(CallArrived{
                         id, Call{ .requestId = std::to_string(id.value),
                                   .method = "POST",
@@ -414,18 +442,19 @@
   {
     const SimulatedCall call = calls_.at(aAction.exchange.value);
     calls_.erase(aAction.exchange.value);
+    PlacementOutcome& outcome = OutcomeOf(call);
     if (aAction.status == 200) {
-      outcome_.answered += 1;
-      outcome_.waitsMs.push_back(Milliseconds(now_ - call.arrived - call.ran));
+      outcome.answered += 1;
+      outcome.waitsMs.push_back(Milliseconds(now_ - call.arrived - call.ran));
       return;
     }
     if (aAction.status != 503 && aAction.status != 429) {
-      outcome_.failed += 1;
+      outcome.failed += 1;
       return;
     }
-    outcome_.refused += 1;
-    outcome_.refusedAfterSent += call.isSent ? 1 : 0;
-    outcome_.refusedWhileFree += HasFreeSlot() ? 1 : 0;
+    outcome.refused += 1;
+    outcome.refusedAfterSent += call.isSent ? 1 : 0;
+    outcome.refusedWhileFree += HasFreeSlot() ? 1 : 0;
     if (!call.isChosen) {
       RecordChoice(call);
     }
@@ -442,8 +471,8 @@
 
   void Execute(size_t, const AbortResponse& aAction)
   {
+    OutcomeOf(calls_.at(aAction.exchange.value)).failed += 1;
     calls_.erase(aAction.exchange.value);
-    outcome_.failed += 1;
   }
 
   void Execute(size_t aDaemon, const WriteEvent& aAction)
@@ -451,7 +480,7 @@
     if (scenario_.trace == nullptr || aAction.event != "placer") {
       return;
     }
-    *scenario_.trace << Seconds(now_ - kFirstCall) << " s " << daemons_[aDaemon].host
+    *scenario_.trace << Seconds(now_ - kMeasured) << " s " << daemons_[aDaemon].host
                      << ' ' << aAction.event;
     for (const auto& [name, value] : aAction.fields) {
       *scenario_.trace << ' ' << name << '=' << value;
@@ -466,6 +495,7 @@
   std::map<uint64_t, SimulatedCall> calls_; // in progress
   size_t placer_ = 0;                       // the daemon that was asked last
   PlacementOutcome outcome_;
+  PlacementOutcome warmUp_; // of calls that do not count
 };
 
 } // namespace
@@ -533,15 +563,18 @@
       return std::pair(start, demand.PaceOf(aSlot.backend, start));
     });
     const Duration start = std::max(slot.freeAt, call.at);
-    outcome.calls += 1;
+    const bool isMeasured = call.at >= kWarmUp;
+    outcome.calls += isMeasured ? 1 : 0;
     if (Seconds(start - call.at) > kMaxObjectives * Seconds(kLatencyObjective)) {
-      outcome.refused += 1;
+      outcome.refused += isMeasured ? 1 : 0;
       continue;
     }
     slot.freeAt =
       start + FromSeconds(Seconds(call.work) * demand.PaceOf(slot.backend, start));
-    outcome.answered += 1;
-    outcome.waitsMs.push_back(Milliseconds(start - call.at));
+    if (isMeasured) {
+      outcome.answered += 1;
+      outcome.waitsMs.push_back(Milliseconds(start - call.at));
+    }
   }
   std::ranges::sort(outcome.waitsMs);
   return outcome;
