Placement: reports on their way do not block slots

A report that reached the placer after the releases of calls that it counted was taken for calls beyond the placements, and a backend without placements sent no newer report for up to 300 ms. Calls that ended while the report was on its way now explain it, and calls that only a report shows are taken to end.

--- a/entry/placement_ledger.cc
+++ b/entry/placement_ledger.cc
@@ -31,6 +31,15 @@
 // has to be established. A report from before need not show it.
 constexpr Duration kRoundTrip = milliseconds(20);
 
+// From the moment at which a backend writes a report to its arrival at a daemon that has
+// little processor time.
+constexpr Duration kReportDelay = milliseconds(30);
+
+// Calls that only a report shows are taken to end within this multiple of the time that a
+// call takes. Without it, a backend that gets no placements sends no newer reports, and
+// its slots stay unused until the report is too old.
+constexpr double kUnplacedLifetime = 2;
+
 // A report that shows fewer calls than there are placements removes only placements that
 // are older than this multiple of the time that a call takes: the releases of younger
 // ones may be on their way, and a backend that reports too few calls would be overloaded.
@@ -118,8 +127,14 @@
     std::ranges::count_if(aBackend.placements, [&](const Placement& aOne) {
       return aOne.grantedAt <= aReceivedAt;
     });
+  // The report may show calls that ended while it was on its way.
+  const auto released =
+    std::ranges::count_if(aBackend.releasedAt, [&](TimePoint aReleasedAt) {
+      return aReleasedAt + kReportDelay >= aReceivedAt;
+    });
+  const auto explained = static_cast<uint64_t>(placed + released);
   const uint64_t calls = uint64_t{ aReport.running } + aReport.waiting;
-  const uint64_t others = calls - std::min<uint64_t>(calls, placed);
+  const uint64_t others = calls - std::min(calls, explained);
   aBackend.report = aReport;
   aBackend.reportedAt = aReceivedAt;
   aBackend.unplaced =
@@ -356,7 +371,7 @@
 {
   const auto placed = static_cast<uint32_t>(aBackend.placements.size());
   if (IsReportFresh(aNow, aBackend)) {
-    return placed + aBackend.unplaced;
+    return placed + RemainingUnplaced(aNow, aBackend);
   }
   // The digests may be older than the youngest placements. A new placer takes all calls
   // that they show for those of the former one.
@@ -371,6 +386,14 @@
          static_cast<uint32_t>(std::clamp<int64_t>(others, 0, aBackend.known.slots));
 }
 
+uint32_t PlacementLedger::RemainingUnplaced(TimePoint aNow, const Backend& aBackend) const
+{
+  const double ageMs = ToMs(aNow - aBackend.reportedAt);
+  const double lifetimeMs = kUnplacedLifetime * workMs_ * Pace(aNow, aBackend);
+  const double share = std::max(1 - ageMs / lifetimeMs, 0.0);
+  return static_cast<uint32_t>(std::lround(aBackend.unplaced * share));
+}
+
 double PlacementLedger::Pace(TimePoint aNow, const Backend& aBackend)
 {
   return aBackend.report && aBackend.reportedAt + kMaxPaceAge > aNow
--- a/entry/placement_ledger.h
+++ b/entry/placement_ledger.h
@@ -175,6 +175,10 @@
   /// Returns the calls at the backend.
   uint32_t Calls(TimePoint aNow, const Backend& aBackend) const;
 
+  /// Returns the calls beyond the placements that the newest report shows and that have
+  /// not ended since.
+  uint32_t RemainingUnplaced(TimePoint aNow, const Backend& aBackend) const;
+
   /// Returns how long work takes now at the backend, relative to the usual time.
   static double Pace(TimePoint aNow, const Backend& aBackend);
 
