--- a/entry/placement_ledger.cc
+++ b/entry/placement_ledger.cc
@@ -54,7 +54,8 @@
 constexpr Duration kMaxDigestAge = milliseconds(1500);
 
 // From the end of a call to the arrival of the next one in its slot, a release, a reply
-// and the call itself are on their way. Waiting calls are placed that much earlier.
+// and the call itself are on their way. Calls are placed that much earlier, so that the
+// slot is not idle meanwhile.
 constexpr double kHandOverMs = 5;
 
 // From this share of live daemons on, the others are taken to be restarting and not to be
@@ -173,10 +174,16 @@
   return Grant(aNow, aDemand, SlotUse::Free);
 }
 
+std::optional<uint32_t> PlacementLedger::PlaceSoon(TimePoint aNow,
+                                                   const PlacementDemand& aDemand)
+{
+  return Grant(aNow, aDemand, SlotUse::Soon);
+}
+
 std::optional<uint32_t> PlacementLedger::PlaceWaiting(TimePoint aNow,
                                                       const PlacementDemand& aDemand)
 {
-  const auto placed = Grant(aNow, aDemand, SlotUse::Soon);
+  const auto placed = PlaceSoon(aNow, aDemand);
   return placed || aDemand.excluded.empty() ? placed : Grant(aNow, aDemand, SlotUse::Any);
 }
 
--- a/entry/placement_ledger.h
+++ b/entry/placement_ledger.h
@@ -82,8 +82,12 @@
   /// that was placed before keeps its backend.
   std::optional<uint32_t> Place(TimePoint aNow, const PlacementDemand& aDemand);
 
-  /// Places a call that waited for a slot, also for one that becomes free before the call
-  /// reaches the backend, or at a full backend if it failed at the others.
+  /// Places the call as Place() does, also at a backend whose slot becomes free before
+  /// the call reaches it.
+  std::optional<uint32_t> PlaceSoon(TimePoint aNow, const PlacementDemand& aDemand);
+
+  /// Places a call that waited as PlaceSoon() does, or at a full backend if it failed at
+  /// the others.
   std::optional<uint32_t> PlaceWaiting(TimePoint aNow, const PlacementDemand& aDemand);
 
   /// Applies the report of the release and removes its placement, if there is one.
--- a/entry/service_placer.cc
+++ b/entry/service_placer.cc
@@ -60,7 +60,7 @@
   // Requests that wait already are served first.
   const auto placed = ledger_.FindPlacement(demand.key);
   if (const auto backend =
-        placed || !HoldsRequests() ? ledger_.Place(aNow, demand) : std::nullopt) {
+        placed || !HoldsRequests() ? ledger_.PlaceSoon(aNow, demand) : std::nullopt) {
     if (!placed) {
       queue_.RecordService(aNow, aRequest.priority, aRequest.team);
     }
