--- a/entry/entry_core.h
+++ b/entry/entry_core.h
@@ -25,10 +25,9 @@
 
 namespace gooseberrypath::entry {
 
-using EntryCore =
-  BasicCore<World, ConfigurationWatch, FleetWatch, FleetSystem, PermitSystem, PartSystem,
-            PlacementSystem, RequestSystem, DutySystem, StopSystem, GossipSystem,
-            TeamQuotaReport>;
+using EntryCore = BasicCore<World, ConfigurationWatch, FleetWatch, FleetSystem,
+                            PermitSystem, PartSystem, PlacementSystem, RequestSystem,
+                            DutySystem, StopSystem, GossipSystem, TeamQuotaReport>;
 
 } // namespace gooseberrypath::entry
 
