--- a/entry/testing/placement_test.cc
+++ b/entry/testing/placement_test.cc
@@ -41,7 +41,7 @@
 std::string OwnHost(bool aIsPlacer)
 {
   for (int i = 0;; ++i) {
-    const std::string own = "d" + std::to_string(i);
+    std::string own = "d" + std::to_string(i);
     std::set<std::string> hosts = PeerHosts();
     hosts.insert(own);
     if ((PlacerAmong(hosts) == own) == aIsPlacer) {
@@ -217,7 +217,7 @@
                                        .service = 0xf1234567,
                                        .outcome = PlaceOutcome::Placed,
                                        .backend = 0xf7654321 });
-  CHECK(request.size() + placed.size() + release.size() + size_t{ 3 * 28 } < 400);
+  CHECK(request.size() + placed.size() + release.size() + 3 * size_t{ 28 } < 400);
 }
 
 TEST_CASE("Entry: a call starts at the backend that the placer names",
