Placement: tests of a partition, of late reports and of calls that only reports show

Three mends of placement (share in a partition, reports on their way, calls that only a report shows) had no test of their own. On the code before them a side of a partition used 2 of 6 free slots, and none while the other side was busy; a report that arrived after the releases of its calls blocked all slots; and calls that only a report showed blocked a backend until the report was too old.

--- a/entry/testing/placement_ledger_test.cc
+++ b/entry/testing/placement_ledger_test.cc
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "entry/duration_text.h"
 #include "entry/placement_ledger.h"
 #include "entry/service_placer.h"
 
@@ -238,6 +239,59 @@
   CHECK(fixture.PlaceUntilFull() == 6);
 }
 
+TEST_CASE("Entry: a part of the daemons uses slots that the other part leaves free",
+          "[entry][placement]")
+{
+  // Guards against slots that stay unused in a partition although reports show that the
+  // other side does not use them.
+  LedgerFixture fixture;
+  fixture.KeepOne();
+  fixture.ledger.SetShare(0.34);
+  fixture.Report(1, 0);
+  CHECK(fixture.PlaceUntilFull() == 6);
+}
+
+TEST_CASE("Entry: a part of the daemons keeps its share while the other part is busy",
+          "[entry][placement]")
+{
+  // Guards against subtracting the other side's calls from this side's share.
+  LedgerFixture fixture;
+  fixture.KeepOne();
+  fixture.ledger.SetShare(0.34);
+  fixture.Report(1, 6);
+  CHECK(fixture.PlaceUntilFull() == 2);
+}
+
+TEST_CASE("Entry: a report that counts calls which ended on its way blocks no slot",
+          "[entry][placement]")
+{
+  // Guards against calls that were released before their report arrived and are taken for
+  // calls beyond the placements.
+  LedgerFixture fixture;
+  fixture.KeepOne();
+  CHECK(fixture.PlaceUntilFull() == 6);
+  fixture.now += 30ms;
+  for (uint64_t id = 1; id <= 6; ++id) {
+    fixture.ledger.Release(fixture.now, { .process = "d1/1", .id = id, .backend = 1 });
+  }
+  fixture.now += 5ms;
+  fixture.Report(1, 6);
+  CHECK(fixture.PlaceUntilFull() == 6);
+}
+
+TEST_CASE("Entry: calls that only a report shows do not block a backend for long",
+          "[entry][placement]")
+{
+  // Guards against a backend that gets no call, and thus sends no newer report, until the
+  // maximum age of the last one.
+  LedgerFixture fixture;
+  fixture.KeepOne();
+  fixture.Report(1, 6);
+  CHECK(fixture.PlaceUntilFull() == 0);
+  fixture.now += FromMs(2 * fixture.ledger.WorkMs());
+  CHECK(fixture.PlaceUntilFull() == 6);
+}
+
 TEST_CASE("Entry: a request that finds no slot is held until one is free",
           "[entry][placement]")
 {
