--- /dev/null
+++ b/review/6/run.py
@@ -0,0 +1,12 @@
+"""An engine in trouble sends the bytes of one event without end, a token in each chunk."""
+
+import pathlib
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lib-2"))
+from deployment import main  # noqa: E402
+from endless import play_endless  # noqa: E402
+
+CHUNK = b"4\r\ntok \r\n"
+
+main(lambda record, has_trouble: play_endless(record, CHUNK if has_trouble else b"", 4096))
