--- a/entry/caller_port.cc
+++ b/entry/caller_port.cc
@@ -3,15 +3,15 @@
 #include <algorithm>
 #include <utility>
 
-#include <malloc.h>
-
 #include "entry/http_format.h"
 #include "entry/http_reader.h"
 #include "entry/socket.h"
+#include "gooseberrypath/body_buffer.h"
 #include "gooseberrypath/errors.h"
 #include <kj/debug.h>
 
 #include "gooseberrypath/http_io.h"
+#include "gooseberrypath/longest_waiting.h"
 #include "platform/call_format.h"
 
 namespace gooseberrypath::entry {
@@ -51,28 +51,6 @@
 // connection of 20 kbit/s has more than twice of it.
 constexpr double kMinBodyRate = 1024;
 
-// A request makes progress when this much of its body has arrived, so that single bytes
-// do not count.
-constexpr size_t kProgressBytes = size_t{ 16 } * 1024;
-
-// A request is dropped for others only after it made no progress for this time, which is
-// longer than a lost packet usually delays one.
-constexpr Duration kMinStall = std::chrono::milliseconds(500);
-
-// Requests that take up less are not dropped, because that would make no room.
-constexpr size_t kMinDroppedBytes = size_t{ 4 } * 1024;
-
-// A body begins with this much memory if its length is unknown or larger. It has its own
-// pages then, so that growing bodies leave no holes in the heap.
-constexpr size_t kFirstBodyBytes = size_t{ 16 } * 1024;
-
-// Bodies grow by this factor. Doubling would leave up to half of the memory unused.
-constexpr size_t kGrowthNumerator = 3;
-constexpr size_t kGrowthDenominator = 2;
-
-// Freed memory is returned to the operating system after so much of it was freed.
-constexpr size_t kTrimBytes = size_t{ 1024 } * 1024;
-
 } // namespace
 
 /// A connection of a caller. It serves one request at a time.
@@ -257,7 +235,7 @@
   size_t HeldBytes() const
   {
     const size_t head = isHeadRead_ ? headMemory_ : reader_.HeadMemoryBytes();
-    return kHeadCopies * head + body_.capacity() + reader_.BufferedBytes();
+    return kHeadCopies * head + body_.Capacity() + reader_.BufferedBytes();
   }
 
   /// Charges the memory that the connection holds, and aMore bytes that it is about to
@@ -272,7 +250,7 @@
   void RefuseForMemory()
   {
     ++port_.shortages_.refusedRequests;
-    Refuse(ErrorKind::Overloaded, "the requests that are being read take up all memory");
+    Refuse(ErrorKind::Overloaded, kNoRoomMessage);
   }
 
   /// Submits or refuses the request after bytes were parsed. aIsValid: the bytes are a
@@ -348,48 +326,28 @@
       Refuse(ErrorKind::BodyTooLarge, "the body is too large");
       return;
     }
-    if (!GrowBody(body_.size() + aBytes.size())) {
+    const size_t limit =
+      static_cast<size_t>(head_.bodyBytes.value_or(port_.limits_.maxBodyBytes));
+    const size_t capacity = body_.CapacityFor(body_.size() + aBytes.size(), limit);
+    if (!Charge(capacity - body_.Capacity())) {
       RefuseForMemory();
       return;
     }
-    body_.append(aBytes);
+    body_.Append(aBytes, capacity);
     if (body_.size() >= progressBytes_ + kProgressBytes) {
       progressBytes_ = body_.size();
       progressAt_ = port_.options_.now();
     }
   }
 
-  /// Charges and reserves memory for a body of at least this size, and more for what is
-  /// still to come. Returns false if there is no room.
-  bool GrowBody(size_t aSize)
-  {
-    if (aSize <= body_.capacity()) {
-      return true;
-    }
-    const size_t limit = std::max(
-      aSize, static_cast<size_t>(head_.bodyBytes.value_or(port_.limits_.maxBodyBytes)));
-    const size_t grown =
-      std::max(kFirstBodyBytes, body_.capacity() * kGrowthNumerator / kGrowthDenominator);
-    const size_t capacity = std::min(limit, std::max(aSize, grown));
-    if (!Charge(capacity - body_.capacity())) {
-      return false;
-    }
-    // std::string::reserve() would at least double the capacity.
-    std::string body;
-    body.reserve(capacity);
-    body += body_;
-    body_ = std::move(body);
-    return true;
-  }
-
   /// Passes a complete request to the core.
   void Submit()
   {
     exchange_ = ExchangeId{ ++port_.lastExchangeId_ };
     port_.exchanges_.emplace(exchange_, id_);
     const TimePoint requestStart = requestStart_.value_or(port_.options_.now());
-    MemoryCharge charge = charge_.Split(kHeadCopies * headMemory_ + body_.capacity());
-    SharedBytes body(std::exchange(body_, {}), std::move(charge));
+    MemoryCharge charge = charge_.Split(kHeadCopies * headMemory_ + body_.Capacity());
+    SharedBytes body(body_.Take(), std::move(charge));
     Call call = platform::DecodeCall(head_, std::move(body), requestStart);
     ReleaseHead();
     port_.options_.sink(CallArrived{ exchange_, std::move(call) });
@@ -461,10 +419,10 @@
   }
 
   /// Sends an error response to a request that cannot be read and closes the connection.
-  void Refuse(ErrorKind aKind, const char* aMessage)
+  void Refuse(ErrorKind aKind, std::string_view aMessage)
   {
     const ErrorInfo& info = InfoOf(aKind);
-    const std::string body = ErrorBody(Error{ aKind, aMessage });
+    const std::string body = ErrorBody(Error{ aKind, std::string(aMessage) });
     Headers headers{ { "Content-Type", "application/json" } };
     if (info.retryAfterSeconds > 0) {
       headers.push_back({ "Retry-After", std::to_string(info.retryAfterSeconds) });
@@ -502,7 +460,7 @@
   /// Begins the time after which the connection is closed. What was read is freed.
   void BeginLingerTime()
   {
-    std::string().swap(body_); // an assignment of an empty string would keep the memory
+    body_.Release();
     ReleaseHead();
     reader_.Release();
     charge_.Resize(0);
@@ -524,7 +482,7 @@
   const uint64_t id_;
   HttpReader reader_;
   HttpHead head_;
-  std::string body_;
+  BodyBuffer body_;
   MemoryCharge charge_;                   // for what was read and not passed to the core
   size_t headMemory_ = 0;                 // of head_, in bytes
   size_t progressBytes_ = 0;              // of the body, at the last progress
@@ -598,53 +556,39 @@
 
 bool CallerPort::MakeRoom(size_t aBytes, const Connection& aFor)
 {
-  const TimePoint latest = options_.now() - kMinStall;
   while (options_.memory->Free() < aBytes) {
-    Connection* slowest = nullptr;
-    TimePoint since = latest;
+    LongestWaiting<Connection> slowest(options_.now());
     for (auto& [id, connection] : connections_) {
-      const auto stalledSince = connection->StalledSince();
-      if (stalledSince && *stalledSince <= since && connection.get() != &aFor) {
-        slowest = connection.get();
-        since = *stalledSince;
+      if (connection.get() != &aFor) {
+        slowest.Offer(*connection, connection->StalledSince());
       }
     }
-    if (slowest == nullptr) {
+    if (slowest.Get() == nullptr) {
       return false;
     }
     ++shortages_.droppedRequests;
-    slowest->DropSlowRequest(); // frees its memory
+    slowest.Get()->DropSlowRequest(); // frees its memory
   }
   return true;
 }
 
 bool CallerPort::MakeRoomForConnection()
 {
-  Connection* longest = nullptr;
-  TimePoint since = options_.now() - kMinStall;
+  LongestWaiting<Connection> longest(options_.now());
   for (auto& [id, connection] : connections_) {
-    const auto waitsSince = connection->WaitsSince();
-    if (waitsSince && *waitsSince <= since) {
-      longest = connection.get();
-      since = *waitsSince;
-    }
+    longest.Offer(*connection, connection->WaitsSince());
   }
-  if (longest == nullptr) {
+  if (longest.Get() == nullptr) {
     return false;
   }
   ++shortages_.droppedConnections;
-  Remove(longest->Id());
+  Remove(longest.Get()->Id());
   return true;
 }
 
 void CallerPort::ReportMemory()
 {
-  const size_t inUse = options_.memory->InUse();
-  peakMemory_ = std::max(peakMemory_, inUse);
-  if (peakMemory_ - inUse >= kTrimBytes) {
-    malloc_trim(0);
-    peakMemory_ = inUse;
-  }
+  freedMemory_.Update(options_.memory->InUse());
   if (shortages_ != reportedShortages_) {
     reportedShortages_ = shortages_;
     if (options_.onShortage) {
--- a/entry/caller_port.h
+++ b/entry/caller_port.h
@@ -16,21 +16,13 @@
 #include <kj/timer.h>
 
 #include "entry/messages.h"
-#include "entry/request_memory.h"
+#include "gooseberrypath/freed_memory.h"
+#include "gooseberrypath/request_memory.h"
+#include "gooseberrypath/shortages.h"
 #include "gooseberrypath/task_errors.h"
 
 namespace gooseberrypath::entry {
 
-/// What the port did because memory or connections ran short.
-struct ShortageCounts
-{
-  uint64_t refusedRequests = 0;    // found no room in the request memory
-  uint64_t droppedRequests = 0;    // slow and incomplete, dropped to make room
-  uint64_t droppedConnections = 0; // slow, idle or lingering, closed for a new connection
-
-  bool operator==(const ShortageCounts&) const = default;
-};
-
 struct CallerPortOptions
 {
   kj::Network& network;
@@ -41,7 +33,7 @@
   size_t maxConnections = 3000;
   RequestMemoryPtr memory = std::make_shared<RequestMemory>();
   // Called at most every 250 ms, after the counts have changed.
-  std::function<void(const ShortageCounts&)> onShortage = {};
+  std::function<void(const Shortages&)> onShortage = {};
 };
 
 class CallerPort
@@ -77,7 +69,7 @@
 
   size_t ConnectionCount() const { return connections_.size(); }
 
-  const ShortageCounts& Shortages() const { return shortages_; }
+  const Shortages& GetShortages() const { return shortages_; }
 
   const TaskErrors& Errors() const { return errors_; }
 
@@ -114,9 +106,9 @@
   CallerPortOptions options_;
   CallerLimits limits_;
   bool isDraining_ = false;
-  ShortageCounts shortages_;
-  ShortageCounts reportedShortages_;
-  size_t peakMemory_ = 0; // in use since memory was last returned
+  Shortages shortages_;
+  Shortages reportedShortages_;
+  FreedMemory freedMemory_;
   uint64_t lastConnectionId_ = 0;
   uint64_t lastExchangeId_ = 0;
   std::unordered_map<uint64_t, kj::Own<Connection>> connections_;
--- a/entry/model.h
+++ b/entry/model.h
@@ -15,7 +15,7 @@
 
 #include "entry/load_report.h"
 #include "entry/response_body.h"
-#include "entry/shared_bytes.h"
+#include "gooseberrypath/shared_bytes.h"
 #include "gooseberrypath/types.h"
 
 namespace gooseberrypath::entry {
--- a/entry/serve_entry.cc
+++ b/entry/serve_entry.cc
@@ -7,9 +7,6 @@
 #include <random>
 #include <sstream>
 
-#include <malloc.h>
-#include <sys/resource.h>
-
 #include <kj/async-io.h>
 #include <kj/async-unix.h>
 
@@ -28,19 +25,14 @@
 #include "entry/store_report.h"
 #include "entry/team_quota_report.h"
 #include "gooseberrypath/daemon.h"
+#include "gooseberrypath/descriptors.h"
+#include "gooseberrypath/freed_memory.h"
 #include "platform/settings_file.h"
 
 namespace gooseberrypath::entry {
 
 namespace {
 
-// File descriptors that are reserved for everything except callers' connections.
-constexpr size_t kReservedDescriptors = 1000;
-
-// Allocations of this size and more have their own pages. With 64 KiB, bodies that grew
-// side by side left so many holes in the heap that it took three times what they held.
-constexpr int kMmapThresholdBytes = 16 * 1024;
-
 // How often the settings file is read again without SIGHUP.
 constexpr Duration kSettingsPollInterval = std::chrono::seconds(2);
 
@@ -118,11 +110,9 @@
           .sink = EventSink(),
           .now = [this] { return clock_.Now(); },
           .address = aSettings.callerAddress,
-          .maxConnections = aSettings.maxDescriptors > 2 * kReservedDescriptors
-                              ? aSettings.maxDescriptors - kReservedDescriptors
-                              : aSettings.maxDescriptors / 2,
+          .maxConnections = ConnectionsWithin(aSettings.maxDescriptors),
           .memory = requestMemory_,
-          .onShortage = [this](const ShortageCounts& aCounts) { LogShortage(aCounts); } })
+          .onShortage = [this](const Shortages& aCounts) { LogShortage(aCounts); } })
     , backends_({ .network = aIo.provider->getNetwork(),
                   .timer = timer_,
                   .sink = EventSink(),
@@ -289,12 +279,12 @@
       Gauge{ "entry_request_memory_bound_bytes", "Bound of that memory",
              static_cast<double>(requestMemory_->Bound()) },
       Gauge{ "entry_requests_refused_for_memory", "Requests that found no room",
-             static_cast<double>(callers_.Shortages().refusedRequests) },
+             static_cast<double>(callers_.GetShortages().refusedRequests) },
       Gauge{ "entry_slow_requests_dropped", "Incomplete requests dropped to make room",
-             static_cast<double>(callers_.Shortages().droppedRequests) },
+             static_cast<double>(callers_.GetShortages().droppedRequests) },
       Gauge{ "entry_waiting_connections_dropped",
              "Waiting connections closed to accept others",
-             static_cast<double>(callers_.Shortages().droppedConnections) }
+             static_cast<double>(callers_.GetShortages().droppedConnections) }
     };
     return world.counters.Render() + RenderGauges(gauges) + RenderLimitMetrics(world) +
            RenderTeamQuotaMetrics(world) + RenderStoreMetrics(world);
@@ -308,7 +298,7 @@
                              .fields = { { "reason", std::string(aReason) } } });
   }
 
-  void LogShortage(const ShortageCounts& aCounts)
+  void LogShortage(const Shortages& aCounts)
   {
     log_.Execute(WriteEvent{
       .level = LogLevel::Warning,
@@ -344,25 +334,11 @@
   uint64_t failedEvents_ = 0;
 };
 
-/// Lowers the process's own limit of descriptors to this number, so that connections to
-/// backends cannot pass it. A lower limit stays.
-void LimitDescriptors(size_t aDescriptors)
-{
-  rlimit limit{};
-  if (getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur > aDescriptors) {
-    limit.rlim_cur = aDescriptors;
-    setrlimit(RLIMIT_NOFILE, &limit);
-  }
-}
-
 } // namespace
 
 int RunEntry(const std::string& aSettingsPath)
 {
-  // Allocations of this size are returned to the operating system when they are freed. By
-  // default, the size grows to that of the largest freed one, and the memory of bodies
-  // stays in a fragmented heap.
-  mallopt(M_MMAP_THRESHOLD, kMmapThresholdBytes);
+  ReturnLargeAllocations();
   const auto settings = ReadSettings(aSettingsPath);
   if (!settings) {
     std::cerr << settings.error().message << '\n';
--- a/entry/socket.h
+++ b/entry/socket.h
@@ -21,7 +21,7 @@
 
 #include <kj/async-io.h>
 
-#include "entry/shared_bytes.h"
+#include "gooseberrypath/shared_bytes.h"
 
 namespace gooseberrypath::entry {
 
--- a/entry/testing/request_memory_test.cc
+++ b/entry/testing/request_memory_test.cc
@@ -1,7 +1,7 @@
 // Tests of the account of request memory and of what the port for callers does when it is
 // exhausted.
 
-#include "entry/request_memory.h"
+#include "gooseberrypath/request_memory.h"
 
 #include <numeric>
 #include <random>
@@ -10,7 +10,7 @@
 #include <catch2/catch.hpp>
 
 #include "entry/caller_port.h"
-#include "entry/shared_bytes.h"
+#include "gooseberrypath/shared_bytes.h"
 #include "gooseberrypath/testing/loop_fixture.h"
 
 namespace gooseberrypath::entry {
@@ -166,7 +166,7 @@
     CHECK(answer.find("not_run") != std::string::npos);
     CHECK(fixture.loop.Count<CallArrived>() == 0);
     CHECK(fixture.memory->InUse() == others.Bytes());
-    CHECK(fixture.callers.Shortages().refusedRequests == 1);
+    CHECK(fixture.callers.GetShortages().refusedRequests == 1);
   }
   RawPeer caller = fixture.Begin(30000, 30000);
   CHECK(fixture.loop.WaitFor<CallArrived>().call.body.size() == 30000);
@@ -192,7 +192,7 @@
   others.Resize(0);
   arriving.Write(std::string(kBodyLimit - 30000, 'x'));
   CHECK(fixture.loop.WaitFor<CallArrived>().call.body.size() == kBodyLimit);
-  CHECK(fixture.callers.Shortages() == ShortageCounts{ .droppedRequests = 1 });
+  CHECK(fixture.callers.GetShortages() == Shortages{ .droppedRequests = 1 });
 }
 
 TEST_CASE("Request memory: a byte now and then does not keep a body open",
--- a/gooseberrypath/actions.h
+++ b/gooseberrypath/actions.h
@@ -10,6 +10,7 @@
 
 #include "gooseberrypath/errors.h"
 #include "gooseberrypath/messages.h"
+#include "gooseberrypath/shared_bytes.h"
 #include "gooseberrypath/types.h"
 
 namespace gooseberrypath {
@@ -55,7 +56,7 @@
   AttemptId attempt;
   std::string address; // "IP:port"
   Headers headers;
-  std::string body;
+  SharedBytes body;
 };
 
 /// Sends a request to a service. The port connects first, on a new connection, so that a
@@ -67,7 +68,7 @@
   std::string method;
   std::string target;
   Headers headers;
-  std::string body;
+  SharedBytes body;
   Duration timeout{}; // for the whole answer
 };
 
--- a/gooseberrypath/attempt_runner.cc
+++ b/gooseberrypath/attempt_runner.cc
@@ -128,9 +128,9 @@
     .address = world_.backends.Find(aAttempt.backend)->spec.address,
     .headers = { { "traceparent", TraceParent(aRow.trace, aAttempt.span) },
                  { "X-Request-Id", name } },
-    .body = EngineRequestBody(
+    .body = aRow.chat.json.Derive(EngineRequestBody(
       aRow.chat, aRow.tokens,
-      { .requestId = name, .priority = PriorityOf(aRow), .kvHandle = aRow.kvHandle }) });
+      { .requestId = name, .priority = PriorityOf(aRow), .kvHandle = aRow.kvHandle })) });
 }
 
 void AttemptRunner::StartService(AttemptId aId, const RequestRow& aRow,
--- a/gooseberrypath/caller_exchange.cc
+++ b/gooseberrypath/caller_exchange.cc
@@ -4,22 +4,15 @@
 
 #include <kj/debug.h>
 
+#include "gooseberrypath/caller_head.h"
+#include "gooseberrypath/longest_waiting.h"
+
 namespace gooseberrypath {
 
 namespace {
 
-size_t SizeOf(const Headers& aHeaders)
-{
-  size_t size = 0;
-  for (const Header& header : aHeaders) {
-    size += header.name.size() + header.value.size();
-  }
-  return size;
-}
-
-} // namespace
-
-namespace {
+// Parts in which a body is read.
+constexpr size_t kReadBytes = size_t{ 8 } * 1024;
 
 /// Appends one field of a server-sent event. A field has one line.
 void AppendField(std::string& aInto, std::string_view aName, std::string_view aValue)
@@ -69,12 +62,13 @@
 CallerHttp::Exchange::~Exchange() noexcept(false)
 {
   port_.exchanges_.erase(id);
-  if (isComplete_) {
+  if (isComplete_ || !isEmitted_) {
     stream_.ExpectHead(true);
   }
   if (isEmitted_ && !isComplete_) {
     port_.Emit(CallerGone{ id });
   }
+  (void)stream_.connection->TakeRequestCharge(); // of a request that was given up
 }
 
 kj::Promise<void> CallerHttp::Exchange::Run(kj::HttpMethod aMethod, kj::StringPtr aUrl,
@@ -85,40 +79,97 @@
   if (port_.exchanges_.size() > options.maxRequests) {
     return Fail(ErrorKind::Overloaded, "too many requests are running");
   }
+  bodyLimit_ = options.maxBodyBytes;
   KJ_IF_MAYBE (length, aBody.tryGetLength()) {
     if (*length > options.maxBodyBytes) {
-      return FailTooLarge();
+      return RefuseTooLarge();
     }
+    bodyLimit_ = *length;
+  }
+  if (SizeOf(aHeaders).bytes > options.maxHeaderBytes) {
+    return Refuse(ErrorKind::HeadersTooLarge, "the header fields have more than " +
+                                                std::to_string(options.maxHeaderBytes) +
+                                                " bytes");
+  }
+  if (!TakeHead(aMethod, aUrl, aHeaders)) {
+    return RefuseForMemory();
+  }
+  if (bodyLimit_ == 0) {
+    return Handle();
+  }
+  stream_.connection->Wait(CallerWait::Body);
+  readBuffer_ = kj::heapArray<char>(std::min<uint64_t>(kReadBytes, bodyLimit_));
+  auto timeout = options.timer.afterDelay(ToKj(options.bodyTimeout)).then([] {
+    return ReadEnd::TimedOut;
+  });
+  return ReadBody(aBody).exclusiveJoin(kj::mv(timeout)).then([this](ReadEnd aEnd) {
+    return HandleRead(aEnd);
+  });
+}
+
+bool CallerHttp::Exchange::TakeHead(kj::HttpMethod aMethod, kj::StringPtr aUrl,
+                                    const kj::HttpHeaders& aHeaders)
+{
+  const HeadSize size = SizeOf(aHeaders);
+  headMemory_ = HeadMemory(size) + aUrl.size();
+  if (!stream_.connection->ChargeHead(0, size.fields) ||
+      !stream_.connection->ChargeRequest(headMemory_)) {
+    return false;
   }
   request_ = CallerRequest{ .request = id,
                             .method = kj::str(aMethod).cStr(),
                             .target = { aUrl.begin(), aUrl.size() },
-                            .headers = FromKj(aHeaders),
-                            .body = {} };
-  if (SizeOf(request_.headers) > options.maxHeaderBytes) {
-    return Fail(ErrorKind::HeadersTooLarge, "the header fields have more than " +
-                                              std::to_string(options.maxHeaderBytes) +
-                                              " bytes");
-  }
-  using Outcome = kj::Maybe<bool>; // null: timeout
-  auto timeout =
-    options.timer.afterDelay(ToKj(options.bodyTimeout)).then([]() -> Outcome {
-      return nullptr;
-    });
-  return ReadBounded(aBody, options.maxBodyBytes, request_.body)
-    .then([](bool aIsWhole) -> Outcome { return aIsWhole; })
-    .exclusiveJoin(kj::mv(timeout))
-    .then([this](Outcome aOutcome) -> kj::Promise<void> {
-      KJ_IF_MAYBE (isWhole, aOutcome) {
-        if (!*isWhole) {
-          return FailTooLarge();
-        }
-        return Handle();
+                            .headers = FromKj(aHeaders) };
+  return true;
+}
+
+kj::Promise<CallerHttp::Exchange::ReadEnd> CallerHttp::Exchange::ReadBody(
+  kj::AsyncInputStream& aBody)
+{
+  return aBody.tryRead(readBuffer_.begin(), 1, readBuffer_.size())
+    .then([this, &aBody](size_t aRead) -> kj::Promise<ReadEnd> {
+      if (aRead == 0) {
+        return ReadEnd::Whole;
+      }
+      if (body_.size() + aRead > bodyLimit_) {
+        return ReadEnd::TooLarge;
       }
-      return Fail(ErrorKind::RequestTimeout, "the body was sent too slowly");
+      if (!AppendBody({ readBuffer_.begin(), aRead })) {
+        return ReadEnd::NoRoom;
+      }
+      return ReadBody(aBody);
     });
 }
 
+bool CallerHttp::Exchange::AppendBody(std::string_view aBytes)
+{
+  const size_t capacity = body_.CapacityFor(body_.size() + aBytes.size(), bodyLimit_);
+  if (!stream_.connection->ChargeRequest(headMemory_ + readBuffer_.size() + capacity)) {
+    return false;
+  }
+  body_.Append(aBytes, capacity);
+  if (body_.size() >= progressBytes_ + kProgressBytes) {
+    progressBytes_ = body_.size();
+    stream_.connection->Wait(CallerWait::Body);
+  }
+  return true;
+}
+
+kj::Promise<void> CallerHttp::Exchange::HandleRead(ReadEnd aEnd)
+{
+  switch (aEnd) {
+    case ReadEnd::Whole:
+      return Handle();
+    case ReadEnd::TooLarge:
+      return RefuseTooLarge();
+    case ReadEnd::NoRoom:
+      return RefuseForMemory();
+    case ReadEnd::TimedOut:
+      break;
+  }
+  return Refuse(ErrorKind::RequestTimeout, "the body was sent too slowly");
+}
+
 void CallerHttp::Exchange::SetWhole(const ReplyWhole& aReply)
 {
   if (whole_ || head_) {
@@ -168,6 +219,9 @@
   }
   isEmitted_ = true;
   isHead_ = request_.method == "HEAD";
+  stream_.connection->Wait(CallerWait::Nothing);
+  readBuffer_ = nullptr;
+  request_.body = SharedBytes(body_.Take(), stream_.connection->TakeRequestCharge());
   // Emitted in a fresh turn, so that the answer never comes before Pump() waits.
   port_.Emit(std::move(request_));
   return Pump().then(
@@ -248,11 +302,25 @@
   return port_.SendError(response_, aKind, std::move(aMessage), id);
 }
 
-kj::Promise<void> CallerHttp::Exchange::FailTooLarge()
+kj::Promise<void> CallerHttp::Exchange::Refuse(ErrorKind aKind, std::string aMessage)
+{
+  // The connection is closed without kj, which would keep its memory until it has read
+  // and discarded what the caller still sends.
+  stream_.connection->RefuseLater(Error{ aKind, std::move(aMessage) });
+  return kj::NEVER_DONE;
+}
+
+kj::Promise<void> CallerHttp::Exchange::RefuseTooLarge()
+{
+  return Refuse(ErrorKind::BodyTooLarge, "the body is over " +
+                                           std::to_string(port_.options_.maxBodyBytes) +
+                                           " bytes");
+}
+
+kj::Promise<void> CallerHttp::Exchange::RefuseForMemory()
 {
-  return Fail(ErrorKind::BodyTooLarge, "the body is over " +
-                                         std::to_string(port_.options_.maxBodyBytes) +
-                                         " bytes");
+  ++port_.shortages_.refusedRequests;
+  return Refuse(ErrorKind::Overloaded, std::string(kNoRoomMessage));
 }
 
 void CallerHttp::Exchange::Wake()
--- a/gooseberrypath/caller_exchange.h
+++ b/gooseberrypath/caller_exchange.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "gooseberrypath/body_buffer.h"
 #include "gooseberrypath/caller_stream.h"
 
 namespace gooseberrypath {
@@ -32,6 +33,26 @@
   const RequestId id;
 
 private:
+  /// How the reading of a request ended.
+  enum class ReadEnd : uint8_t
+  {
+    Whole,
+    TooLarge,
+    NoRoom,
+    TimedOut,
+  };
+
+  /// Charges the head and copies it. Returns false if there is no room.
+  bool TakeHead(kj::HttpMethod aMethod, kj::StringPtr aUrl,
+                const kj::HttpHeaders& aHeaders);
+
+  /// Reads the body to its end, while there is room for it.
+  kj::Promise<ReadEnd> ReadBody(kj::AsyncInputStream& aBody);
+
+  /// Charges and keeps bytes of the body. Returns false if there is no room.
+  bool AppendBody(std::string_view aBytes);
+
+  kj::Promise<void> HandleRead(ReadEnd aEnd);
   kj::Promise<void> Handle();
 
   /// Writes what is there, then waits for more, until the answer is complete.
@@ -39,13 +60,22 @@
 
   kj::Promise<void> SendWhole();
   kj::Promise<void> Fail(ErrorKind aKind, std::string aMessage);
-  kj::Promise<void> FailTooLarge();
+
+  /// Frees what was read of the request, answers with an error and closes the connection.
+  kj::Promise<void> Refuse(ErrorKind aKind, std::string aMessage);
+  kj::Promise<void> RefuseTooLarge();
+  kj::Promise<void> RefuseForMemory();
   void Wake();
 
   CallerHttp& port_;
   Stream& stream_;
   kj::HttpService::Response& response_;
   CallerRequest request_;
+  size_t headMemory_ = 0; // of request_, in bytes
+  uint64_t bodyLimit_ = 0;
+  BodyBuffer body_;
+  size_t progressBytes_ = 0;             // of the body, at the last progress
+  kj::Array<char> readBuffer_ = nullptr; // for parts of the body
   bool isEmitted_ = false;
   bool isHead_ = false;
   bool isSent_ = false; // the head of the answer was given to kj
--- a/gooseberrypath/caller_http.cc
+++ b/gooseberrypath/caller_http.cc
@@ -7,6 +7,7 @@
 
 #include "gooseberrypath/caller_exchange.h"
 #include "gooseberrypath/caller_stream.h"
+#include "gooseberrypath/longest_waiting.h"
 
 namespace gooseberrypath {
 
@@ -14,6 +15,9 @@
 
 constexpr size_t kMaxRefusals = 256;
 
+// Interval between reports of shortages.
+constexpr Duration kReportInterval = std::chrono::milliseconds(250);
+
 /// Returns a whole answer for a connection that kj does not serve.
 std::string RawAnswer(const Error& aError, const std::string& aId)
 {
@@ -77,6 +81,8 @@
     KJ_FAIL_REQUIRE("the caller address is not IP:port", options_.address.c_str());
   }
   port_ = static_cast<uint16_t>(listener_->getPort());
+  options_.memory->SetLargestRequest(
+    Connection::LargestRequest(options_.maxBodyBytes, options_.maxHeaderBytes));
   kj::HttpServerSettings settings;
   settings.headerTimeout = ToKj(options_.headTimeout);
   settings.pipelineTimeout = ToKj(options_.idleTimeout);
@@ -92,6 +98,7 @@
     settings);
   accepting_ = AcceptLoop().eagerlyEvaluate(
     [this](kj::Exception&& aError) { errors_.taskFailed(kj::mv(aError)); });
+  tasks_.add(ReportLoop());
 }
 
 CallerHttp::~CallerHttp() noexcept(false)
@@ -116,7 +123,7 @@
 
 void CallerHttp::Serve(kj::Own<kj::AsyncIoStream> aStream)
 {
-  if (connectionCount_ >= options_.maxConnections) {
+  if (connections_.size() >= options_.maxConnections && !MakeRoomForConnection()) {
     Refuse(kj::mv(aStream));
     return;
   }
@@ -157,6 +164,54 @@
     .attach(kj::mv(answer), kj::mv(aStream));
 }
 
+bool CallerHttp::MakeRoom(size_t aBytes, const Connection& aFor)
+{
+  while (options_.memory->Free() < aBytes) {
+    LongestWaiting<Connection> slowest(TimeOf(options_.timer));
+    for (Connection* connection : connections_) {
+      if (connection != &aFor) {
+        slowest.Offer(*connection, connection->StalledSince());
+      }
+    }
+    if (slowest.Get() == nullptr) {
+      return false;
+    }
+    ++shortages_.droppedRequests;
+    slowest.Get()->Refuse(
+      Error{ ErrorKind::RequestTimeout,
+             "the request was sent too slowly while memory ran short" });
+  }
+  return true;
+}
+
+bool CallerHttp::MakeRoomForConnection()
+{
+  LongestWaiting<Connection> longest(TimeOf(options_.timer));
+  for (Connection* connection : connections_) {
+    longest.Offer(*connection, connection->WaitsSince());
+  }
+  if (longest.Get() == nullptr) {
+    return false;
+  }
+  ++shortages_.droppedConnections;
+  longest.Get()->Drop();
+  return true;
+}
+
+kj::Promise<void> CallerHttp::ReportLoop()
+{
+  return options_.timer.afterDelay(ToKj(kReportInterval)).then([this] {
+    freedMemory_.Update(options_.memory->InUse());
+    if (shortages_ != reportedShortages_) {
+      reportedShortages_ = shortages_;
+      if (options_.onShortage) {
+        options_.onShortage(shortages_);
+      }
+    }
+    return ReportLoop();
+  });
+}
+
 void CallerHttp::Emit(Event aEvent)
 {
   if (!isClosing_) {
@@ -255,6 +310,9 @@
       return kj::READY_NOW;
     }
     const RequestId id{ ++lastRequest_ };
+    if (aError.getType() == kj::Exception::Type::OVERLOADED) {
+      return SendError(*response, ErrorKind::Overloaded, std::string(kNoRoomMessage), id);
+    }
     // kj reports a head over its fixed limit as an exception with this text.
     if (std::strstr(aError.getDescription().cStr(), "headers too large") != nullptr) {
       return SendError(*response, ErrorKind::HeadersTooLarge, "the head is too large",
--- a/gooseberrypath/caller_http.h
+++ b/gooseberrypath/caller_http.h
@@ -11,13 +11,17 @@
 #include <cstdint>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 
 #include <kj/async-io.h>
 #include <kj/compat/http.h>
 #include <kj/timer.h>
 
+#include "gooseberrypath/freed_memory.h"
 #include "gooseberrypath/http_io.h"
 #include "gooseberrypath/ports.h"
+#include "gooseberrypath/request_memory.h"
+#include "gooseberrypath/shortages.h"
 #include "gooseberrypath/task_errors.h"
 
 namespace gooseberrypath {
@@ -48,6 +52,10 @@
   // same until something is written. If true, both are gone; if false, a half-closed
   // caller gets its answer, and a closed one is noticed on writing.
   bool isHalfCloseGone = true;
+  // Its bound is raised to what one request within the limits needs.
+  RequestMemoryPtr memory = std::make_shared<RequestMemory>();
+  // Called at most every 250 ms, after the counts have changed.
+  std::function<void(const Shortages&)> onShortage = {};
 };
 
 /// Models CallerPort. Answers for requests that are gone are ignored.
@@ -75,9 +83,11 @@
   /// Returns the port that the listener is bound to.
   uint16_t Port() const { return port_; }
 
-  size_t ConnectionCount() const { return connectionCount_; }
+  size_t ConnectionCount() const { return connections_.size(); }
   size_t RequestCount() const { return exchanges_.size(); }
 
+  const Shortages& GetShortages() const { return shortages_; }
+
   const TaskErrors& Errors() const { return errors_; }
 
 private:
@@ -91,6 +101,18 @@
   void Refuse(kj::Own<kj::AsyncIoStream> aStream);
   kj::Promise<void> CloseLingering(kj::Own<kj::AsyncIoStream> aStream,
                                    kj::Maybe<Error> aError);
+
+  /// Drops the slowest incomplete requests until the request memory has room for this
+  /// many bytes of another request. Returns whether it has.
+  bool MakeRoom(size_t aBytes, const Connection& aFor);
+
+  /// Closes the connection that has waited longest for its caller, so that a new one
+  /// fits. Returns whether there was any.
+  bool MakeRoomForConnection();
+
+  /// Returns freed memory to the operating system and reports shortages, now and then.
+  kj::Promise<void> ReportLoop();
+
   void Emit(Event aEvent);
   Exchange* Find(RequestId aId);
 
@@ -114,7 +136,10 @@
   CallerHttpOptions options_;
   bool isClosing_ = false; // the port is being destroyed
   bool isStopped_ = false;
-  size_t connectionCount_ = 0;
+  std::unordered_set<Connection*> connections_; // owned by their tasks
+  FreedMemory freedMemory_;
+  Shortages shortages_;
+  Shortages reportedShortages_;
   size_t refusalCount_ = 0;
   uint64_t lastRequest_ = 0;
   uint16_t port_ = 0;
--- a/gooseberrypath/caller_stream.cc
+++ b/gooseberrypath/caller_stream.cc
@@ -6,6 +6,9 @@
 
 #include <kj/debug.h>
 
+#include "gooseberrypath/caller_head.h"
+#include "gooseberrypath/longest_waiting.h"
+
 namespace gooseberrypath {
 
 namespace {
@@ -18,13 +21,21 @@
 
 CallerHttp::Connection::Connection(CallerHttp& aPort)
   : port_(aPort)
+  , waitsSince_(TimeOf(aPort.options_.timer))
+  , headCharge_(aPort.options_.memory)
+  , requestCharge_(aPort.options_.memory)
 {
-  ++port_.connectionCount_;
+  port_.connections_.insert(this);
 }
 
 CallerHttp::Connection::~Connection() noexcept(false)
 {
-  --port_.connectionCount_;
+  port_.connections_.erase(this);
+}
+
+size_t CallerHttp::Connection::LargestRequest(size_t aBodyBytes, size_t aHeaderBytes)
+{
+  return aBodyBytes + LargestHeadMemory(aHeaderBytes);
 }
 
 void CallerHttp::Connection::CloseLater()
@@ -36,16 +47,85 @@
   }
 }
 
+void CallerHttp::Connection::Refuse(Error aError)
+{
+  refusal_ = std::move(aError);
+  canceler.cancel("refused by the server");
+}
+
+void CallerHttp::Connection::RefuseLater(Error aError)
+{
+  port_.tasks_.add(
+    kj::evalLater([self = kj::addRef(*this), error = std::move(aError)]() mutable {
+      self->Refuse(std::move(error));
+    }));
+}
+
+void CallerHttp::Connection::Drop()
+{
+  isClosing_ = true;
+  canceler.cancel("closed by the server");
+}
+
+void CallerHttp::Connection::Wait(CallerWait aFor)
+{
+  wait_ = aFor;
+  waitsSince_ = TimeOf(port_.options_.timer);
+}
+
+std::optional<TimePoint> CallerHttp::Connection::WaitsSince() const
+{
+  return wait_ == CallerWait::Nothing ? std::nullopt : std::optional(waitsSince_);
+}
+
+std::optional<TimePoint> CallerHttp::Connection::StalledSince() const
+{
+  const size_t held = headCharge_.Bytes() + requestCharge_.Bytes();
+  return held >= kMinDroppedBytes ? WaitsSince() : std::nullopt;
+}
+
+bool CallerHttp::Connection::Charge(MemoryCharge& aCharge, size_t aBytes)
+{
+  return aCharge.TryResize(aBytes) ||
+         (port_.MakeRoom(aBytes - aCharge.Bytes(), *this) && aCharge.TryResize(aBytes));
+}
+
+bool CallerHttp::Connection::ChargeHead(size_t aBytes, size_t aFields)
+{
+  return Charge(headCharge_,
+                std::max(headCharge_.Bytes(), ParserMemory(aBytes, aFields)));
+}
+
+MemoryCharge CallerHttp::Connection::TakeRequestCharge()
+{
+  return requestCharge_.Split(requestCharge_.Bytes());
+}
+
+void CallerHttp::Connection::Release()
+{
+  headCharge_.Resize(0);
+  requestCharge_.Resize(0);
+}
+
 void CallerHttp::Connection::Linger(kj::Own<kj::AsyncIoStream> aStream,
                                     kj::Maybe<Error> aError)
 {
+  Release();
   if (isClosing_ || port_.isClosing_) {
     return; // the caller is gone or too slow
   }
+  if (refusal_) {
+    aError = std::move(*refusal_);
+  }
+  Wait(CallerWait::Close);
   port_.tasks_.add(kj::evalLater([self = kj::addRef(*this), stream = kj::mv(aStream),
                                   error = kj::mv(aError)]() mutable {
+    if (self->isClosing_) {
+      return kj::Promise<void>(kj::READY_NOW);
+    }
     auto closed = self->port_.CloseLingering(kj::mv(stream), kj::mv(error));
-    return closed.attach(kj::mv(self));
+    auto lingering = self->canceler.wrap(kj::mv(closed));
+    return lingering.catch_([](kj::Exception&&) {}).attach(kj::mv(self));
   }));
 }
 
@@ -59,6 +139,7 @@
 CallerHttp::Stream::~Stream() noexcept(false)
 {
   if (isEnded_ || isReading_) {
+    connection->Release();
     return;
   }
   kj::Maybe<Error> error;
@@ -75,6 +156,22 @@
 {
   isHeadExpected_ = aIsExpected;
   headBytes_ = 0;
+  connection->Wait(aIsExpected ? CallerWait::Request : CallerWait::Nothing);
+}
+
+void CallerHttp::Stream::NoteRead(size_t aBytes)
+{
+  if (aBytes == 0 || !isHeadExpected_) {
+    return;
+  }
+  if (headBytes_ == 0) {
+    connection->Wait(CallerWait::Head);
+  }
+  headBytes_ += aBytes;
+  if (!connection->ChargeHead(headBytes_, 0)) {
+    ++connection->GetPort().shortages_.refusedRequests;
+    kj::throwFatalException(KJ_EXCEPTION(OVERLOADED, "no memory for the head"));
+  }
 }
 
 void CallerHttp::Stream::WatchEnd(std::function<void()> aOnEnd)
@@ -117,7 +214,7 @@
   const size_t size = std::min(aMax, end_ - begin_);
   std::memcpy(aBuffer, buffer_ + begin_, size);
   begin_ += size;
-  headBytes_ += size;
+  NoteRead(size);
   if (size >= aMin || isEnded_) {
     return size;
   }
@@ -125,7 +222,7 @@
     .then(
       [this, size, aMin](size_t aRead) {
         isEnded_ = size + aRead < aMin;
-        headBytes_ += aRead;
+        NoteRead(aRead);
         return size + aRead;
       },
       [this](kj::Exception&& aError) -> size_t {
--- a/gooseberrypath/caller_stream.h
+++ b/gooseberrypath/caller_stream.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <optional>
 
 #include <kj/async-io.h>
 #include <kj/refcount.h>
@@ -13,17 +14,68 @@
 
 namespace gooseberrypath {
 
-/// One accepted connection. It outlives its stream.
+/// What a connection waits for from its caller.
+enum class CallerWait : uint8_t
+{
+  Nothing, // a request runs or its answer is being sent
+  Request, // idle
+  Head,
+  Body,
+  Close, // it reads and discards what still comes after its last answer
+};
+
+/// One accepted connection, with the charges for what its caller has sent. It outlives
+/// its stream.
 class CallerHttp::Connection : public kj::Refcounted
 {
 public:
   explicit Connection(CallerHttp& aPort);
   ~Connection() noexcept(false) override;
 
+  /// Returns the bytes that one request within these limits may take up.
+  static size_t LargestRequest(size_t aBodyBytes, size_t aHeaderBytes);
+
   /// Closes the connection in a fresh turn of the loop, because the caller may be a
   /// continuation that runs for this connection.
   void CloseLater();
 
+  /// Frees at once what was read of a request that is not complete, and answers with this
+  /// error. Must not be called from a continuation that runs for this connection.
+  void Refuse(Error aError);
+
+  /// Like Refuse(), in a fresh turn of the loop.
+  void RefuseLater(Error aError);
+
+  /// Closes the connection at once. Must not be called from a continuation that runs for
+  /// this connection.
+  void Drop();
+
+  /// Tells what the connection waits for from now on, or that some of it has come.
+  void Wait(CallerWait aFor);
+
+  /// Returns the time since which the connection waits for its caller. Empty: it does
+  /// not.
+  std::optional<TimePoint> WaitsSince() const;
+
+  /// The same, if the connection holds enough memory to be worth dropping.
+  std::optional<TimePoint> StalledSince() const;
+
+  /// Charges kj's memory for a head of this size. kj keeps it for the connection's next
+  /// heads. Returns false if there is no room.
+  bool ChargeHead(size_t aBytes, size_t aFields);
+
+  /// Sets the charge for the request that is being read. Returns false if it grows and
+  /// there is no room.
+  bool ChargeRequest(size_t aBytes) { return Charge(requestCharge_, aBytes); }
+
+  /// Returns the charge for the request, which is complete or given up.
+  MemoryCharge TakeRequestCharge();
+
+  /// Returns all charges, when the stream is gone.
+  void Release();
+
+  CallerHttp& GetPort() { return port_; }
+
   /// Closes a stream on which an answer was written: reads what the caller still sends,
   /// within limits, since closing a socket with unread data resets the answer away.
   /// An error is written first.
@@ -32,8 +84,16 @@
   kj::Canceler canceler;
 
 private:
+  /// Changes a charge after making room if need be. Returns false if there is none.
+  bool Charge(MemoryCharge& aCharge, size_t aBytes);
+
   CallerHttp& port_;
   bool isClosing_ = false;
+  std::optional<Error> refusal_; // to be written when the connection closes
+  CallerWait wait_ = CallerWait::Request;
+  TimePoint waitsSince_;
+  MemoryCharge headCharge_;
+  MemoryCharge requestCharge_;
 };
 
 /// The stream of a connection. While a request runs, it reads ahead to notice the end of
@@ -64,6 +124,10 @@
   void shutdownWrite() override { inner_->shutdownWrite(); }
 
 private:
+  /// Charges bytes of a head. Throws kj::Exception of type OVERLOADED if there is no
+  /// room.
+  void NoteRead(size_t aBytes);
+
   kj::Own<kj::AsyncIoStream> inner_;
   std::function<void()> onEnd_;
   bool isReading_ = false;
--- a/gooseberrypath/chat_format.cc
+++ b/gooseberrypath/chat_format.cc
@@ -55,16 +55,16 @@
 
 } // namespace
 
-Result<ChatRequest> ParseChatRequest(std::string_view aBody)
+Result<ChatRequest> ParseChatRequest(const SharedBytes& aBody)
 {
-  const Json body = Json::parse(aBody, nullptr, false);
+  const Json body = Json::parse(aBody.View(), nullptr, false);
   if (!body.is_object()) {
     return MakeError(ErrorKind::BadRequest, "the body is not a JSON object");
   }
   if (const auto checked = CheckMessages(body); !checked) {
     return tl::unexpected(checked.error());
   }
-  ChatRequest chat{ .json = std::string(aBody) };
+  ChatRequest chat{ .json = aBody };
   if (const auto stream = body.find("stream"); stream != body.end()) {
     if (!stream->is_boolean()) {
       return MakeError(ErrorKind::BadRequest, "field stream must be true or false");
@@ -94,7 +94,7 @@
                               std::span<const std::string> aTokens,
                               const EngineRequestOptions& aOptions)
 {
-  Json body = Json::parse(aChat.json);
+  Json body = Json::parse(aChat.json.View());
   body["stream"] = true;
   body["request_id"] = aOptions.requestId;
   body["priority"] = aOptions.priority;
--- a/gooseberrypath/chat_format.h
+++ b/gooseberrypath/chat_format.h
@@ -18,7 +18,7 @@
 namespace gooseberrypath {
 
 /// Parses and checks a caller's body. Fails with BadRequest and the name of the field.
-Result<ChatRequest> ParseChatRequest(std::string_view aBody);
+Result<ChatRequest> ParseChatRequest(const SharedBytes& aBody);
 
 /// What an engine request says besides the caller's fields.
 struct EngineRequestOptions
--- a/gooseberrypath/events.h
+++ b/gooseberrypath/events.h
@@ -12,6 +12,7 @@
 
 #include "gooseberrypath/errors.h"
 #include "gooseberrypath/messages.h"
+#include "gooseberrypath/shared_bytes.h"
 #include "gooseberrypath/types.h"
 
 namespace gooseberrypath {
@@ -25,7 +26,7 @@
   std::string method; // upper case
   std::string target; // path and query, as sent
   Headers headers;
-  std::string body;
+  SharedBytes body; // holds the charge of the whole request, also if it is empty
 };
 
 /// The caller closed its connection before its answer was complete.
--- a/gooseberrypath/http_io.cc
+++ b/gooseberrypath/http_io.cc
@@ -58,6 +58,12 @@
   return aDuration.count() * kj::MICROSECONDS;
 }
 
+TimePoint TimeOf(const kj::Timer& aTimer)
+{
+  return TimePoint{ Duration{ (aTimer.now() - kj::origin<kj::TimePoint>()) /
+                              kj::MICROSECONDS } };
+}
+
 namespace {
 
 std::minstd_rand& JitterGenerator()
@@ -299,7 +305,7 @@
       if (!request_.body.empty()) {
         // The answer may come before the whole body was sent, so a failed write only
         // matters if reading the answer fails too.
-        writing_ = out_->write(request_.body.data(), request_.body.size())
+        writing_ = out_->write(request_.body.begin(), request_.body.size())
                      .then([this] { out_ = nullptr; })
                      .eagerlyEvaluate([](kj::Exception&&) {});
       } else {
--- a/gooseberrypath/http_io.h
+++ b/gooseberrypath/http_io.h
@@ -12,6 +12,7 @@
 #include <kj/compat/http.h>
 #include <kj/timer.h>
 
+#include "gooseberrypath/shared_bytes.h"
 #include "gooseberrypath/types.h"
 
 namespace gooseberrypath {
@@ -19,6 +20,9 @@
 /// The table for all headers; no names beyond kj's own are indexed.
 const kj::HttpHeaderTable& HeaderTable();
 
+/// Returns the time that the timer of an event loop shows.
+TimePoint TimeOf(const kj::Timer& aTimer);
+
 /// Returns a view whose string must outlive it.
 inline kj::StringPtr View(const std::string& aText)
 {
@@ -78,7 +82,7 @@
   std::string method = "GET";
   std::string target{};
   Headers headers{};
-  std::string body{};
+  SharedBytes body{};
 };
 
 struct HttpReply
--- a/gooseberrypath/job_callers.cc
+++ b/gooseberrypath/job_callers.cc
@@ -139,7 +139,7 @@
     appender_.Begin(JobRecord{ .job = aIntake.job,
                                .service = aRow.service,
                                .team = aRow.team,
-                               .body = aRow.chat.json,
+                               .body = std::string(aRow.chat.json.View()),
                                .daemon = world_.options.daemon,
                                .incarnation = world_.options.incarnation,
                                .deadlineMs = ToMs(aRow.deadline - aRow.arrived),
--- a/gooseberrypath/request_intake.cc
+++ b/gooseberrypath/request_intake.cc
@@ -105,8 +105,8 @@
     return tl::unexpected(std::move(chat).error());
   }
   aRow.chat = std::move(*chat);
-  // The parsed request has its own copy.
-  aRow.caller.body.clear();
+  // The parsed request holds the same bytes.
+  aRow.caller.body = {};
   aRow.idempotent = true;
   if (PrefersAsync(aRow.caller.headers)) {
     aRow.stage = RequestStage::AwaitingJob;
--- a/entry/request_memory.cc
+++ b/gooseberrypath/request_memory.cc
@@ -1,8 +1,8 @@
-#include "entry/request_memory.h"
+#include "gooseberrypath/request_memory.h"
 
 #include <utility>
 
-namespace gooseberrypath::entry {
+namespace gooseberrypath {
 
 MemoryCharge::MemoryCharge(RequestMemoryPtr aMemory)
   : memory_(std::move(aMemory))
@@ -55,4 +55,4 @@
   return part;
 }
 
-} // namespace gooseberrypath::entry
+} // namespace gooseberrypath
--- a/entry/request_memory.h
+++ b/gooseberrypath/request_memory.h
@@ -6,18 +6,28 @@
 //   if (!charge.TryResize(bytes)) { ... }   // there is no room
 //   MemoryCharge bodyCharge = charge.Split(body.capacity());
 
-#ifndef ENTRY_REQUEST_MEMORY_H_
-#define ENTRY_REQUEST_MEMORY_H_
+#ifndef GOOSEBERRYPATH_REQUEST_MEMORY_H_
+#define GOOSEBERRYPATH_REQUEST_MEMORY_H_
 
 #include <algorithm>
 #include <cstddef>
 #include <memory>
 
-namespace gooseberrypath::entry {
+namespace gooseberrypath {
 
 /// The bound for a host whose memory is unknown.
 inline constexpr size_t kDefaultRequestMemoryBytes = size_t{ 32 } * 1024 * 1024;
 
+/// Returns the bound for a host with this much memory in MiB: a quarter of it. The rest
+/// is for responses, connections, the program and the operating system. 0: unknown.
+constexpr size_t RequestMemoryOfHost(double aHostMb)
+{
+  constexpr double kShare = 0.25;
+  constexpr double kBytesInMiB = 1024.0 * 1024.0;
+  return aHostMb > 0 ? static_cast<size_t>(aHostMb * kBytesInMiB * kShare)
+                     : kDefaultRequestMemoryBytes;
+}
+
 class RequestMemory
 {
 public:
@@ -71,6 +81,9 @@
   /// Changes the bytes of the charge even beyond the account's bound.
   void Resize(size_t aBytes);
 
+  /// Returns a charge of 0 bytes on the same account.
+  MemoryCharge Sibling() const { return MemoryCharge(memory_); }
+
   /// Moves up to aBytes of this charge into a new one.
   MemoryCharge Split(size_t aBytes);
 
@@ -79,6 +92,6 @@
   size_t bytes_ = 0;
 };
 
-} // namespace gooseberrypath::entry
+} // namespace gooseberrypath
 
-#endif // ENTRY_REQUEST_MEMORY_H_
+#endif // GOOSEBERRYPATH_REQUEST_MEMORY_H_
--- a/gooseberrypath/serve.cc
+++ b/gooseberrypath/serve.cc
@@ -1,5 +1,7 @@
 #include "gooseberrypath/serve.h"
 
+#include <algorithm>
+#include <array>
 #include <chrono>
 #include <csignal>
 #include <limits>
@@ -14,6 +16,8 @@
 #include "gooseberrypath/config_snapshots.h"
 #include "gooseberrypath/counters.h"
 #include "gooseberrypath/daemon.h"
+#include "gooseberrypath/descriptors.h"
+#include "gooseberrypath/freed_memory.h"
 #include "gooseberrypath/kj_clock.h"
 #include "gooseberrypath/log_http.h"
 #include "gooseberrypath/logging.h"
@@ -129,17 +133,23 @@
                      .spanFile = aSettings.spanFile,
                      .daemon = aSettings.daemon,
                      .wallOffset = WallNow() - clock_.Now().time_since_epoch() })
-    , callers_({ .network = network_,
-                 .timer = timer_,
-                 .sink = Sink(),
-                 .address = aSettings.listen,
-                 .idPrefix = aSettings.daemon + "-" + std::to_string(incarnation_),
-                 .maxBodyBytes = aSettings.maxBodyBytes,
-                 .maxHeaderBytes = aSettings.maxHeaderBytes,
-                 .maxConnections = aSettings.maxConnections,
-                 .maxRequests = aSettings.maxRequests,
-                 .headTimeout = aSettings.requestReadTimeout,
-                 .bodyTimeout = aSettings.requestReadTimeout })
+    , requestMemory_(
+        std::make_shared<RequestMemory>(RequestMemoryOfHost(aSettings.memoryMb)))
+    , callers_(
+        { .network = network_,
+          .timer = timer_,
+          .sink = Sink(),
+          .address = aSettings.listen,
+          .idPrefix = aSettings.daemon + "-" + std::to_string(incarnation_),
+          .maxBodyBytes = aSettings.maxBodyBytes,
+          .maxHeaderBytes = aSettings.maxHeaderBytes,
+          .maxConnections = std::min<size_t>(aSettings.maxConnections,
+                                             ConnectionsWithin(DescriptorLimit())),
+          .maxRequests = aSettings.maxRequests,
+          .headTimeout = aSettings.requestReadTimeout,
+          .bodyTimeout = aSettings.requestReadTimeout,
+          .memory = requestMemory_,
+          .onShortage = [this](const Shortages& aTotals) { LogShortages(aTotals); } })
     , backends_({ .network = network_,
                   .timer = timer_,
                   .sink = Sink(),
@@ -155,9 +165,12 @@
                .snapshot = [this] { return EncodeSnapshot(daemon_->GetWorld()); },
                // A handed-over request has the caller's body and the tokens.
                .maxMessageBytes = aSettings.maxBodyBytes + kMaxTokenBytes })
-    , operators_({ .address = aSettings.operatorListen,
-                   .sink = Sink(),
-                   .snapshot = [this] { return TakeSnapshot(daemon_->GetWorld()); } })
+    , operators_(
+        { .address = aSettings.operatorListen, .sink = Sink(), .snapshot = [this] {
+           OperatorSnapshot snapshot = TakeSnapshot(daemon_->GetWorld());
+           snapshot.metrics += RenderCallerMetrics();
+           return snapshot;
+         } })
   {
     daemon_.emplace(ToCoreOptions(aSettings, incarnation_),
                     PortSet{ .caller = callers_,
@@ -207,6 +220,41 @@
     return [this](Event aEvent) { daemon_->Post(std::move(aEvent)); };
   }
 
+  std::string RenderCallerMetrics() const
+  {
+    const Shortages& shortages = callers_.GetShortages();
+    const std::array<Gauge, 6> gauges{
+      Gauge{ "caller_connections", "Open connections of callers.",
+             static_cast<double>(callers_.ConnectionCount()) },
+      Gauge{ "request_memory_bytes", "Memory that callers' requests take up.",
+             static_cast<double>(requestMemory_->InUse()) },
+      Gauge{ "request_memory_bound_bytes", "Bound of that memory.",
+             static_cast<double>(requestMemory_->Bound()) },
+      Gauge{ "requests_refused_for_memory", "Requests that found no room.",
+             static_cast<double>(shortages.refusedRequests) },
+      Gauge{ "slow_requests_dropped", "Incomplete requests dropped to make room.",
+             static_cast<double>(shortages.droppedRequests) },
+      Gauge{ "waiting_connections_dropped",
+             "Waiting connections closed to accept others.",
+             static_cast<double>(shortages.droppedConnections) }
+    };
+    return RenderGauges(gauges);
+  }
+
+  void LogShortages(const Shortages& aTotals)
+  {
+    observation_.Execute(WriteLog{
+      .level = LogLevel::Warning,
+      .part = "callers",
+      .text = "memory or connections ran short; since the start " +
+              std::to_string(aTotals.refusedRequests) + " requests found no room, " +
+              std::to_string(aTotals.droppedRequests) + " slow requests and " +
+              std::to_string(aTotals.droppedConnections) +
+              " waiting connections were dropped; requests take up " +
+              std::to_string(requestMemory_->InUse()) + " of " +
+              std::to_string(requestMemory_->Bound()) + " bytes" });
+  }
+
   /// Waits until callers have read their answers, for a limited time.
   void Flush(kj::WaitScope& aScope)
   {
@@ -229,6 +277,7 @@
   std::optional<Daemon<PortSet>> daemon_;
   KjClock clock_;
   Observation observation_;
+  RequestMemoryPtr requestMemory_;
   CallerHttp callers_;
   BackendHttp backends_;
   LogHttp log_;
@@ -240,6 +289,10 @@
 
 int RunServe(const Settings& aSettings)
 {
+  ReturnLargeAllocations();
+  if (aSettings.maxDescriptors > 0) {
+    LimitDescriptors(aSettings.maxDescriptors);
+  }
   // A write to a connection that the peer closed must fail, not end the process.
   std::signal(SIGPIPE, SIG_IGN);
   kj::UnixEventPort::captureSignal(SIGTERM);
--- a/gooseberrypath/settings.cc
+++ b/gooseberrypath/settings.cc
@@ -84,6 +84,11 @@
        "requests running at once; more are refused" },
   Row{ "max-connections", &S::maxConnections, Number, "connections", "8192", 1, 1'000'000,
        "connections of callers; more are closed" },
+  Row{ "memory-mb", &S::memoryMb, Number, "MiB", "0", 0, 1'048'576,
+       "memory of this host; callers' requests take up a quarter of it at most; 0: "
+       "unknown, 32 MiB for requests" },
+  Row{ "max-fds", &S::maxDescriptors, Number, "descriptors", "0", 0, 1'000'000,
+       "file descriptors of this process; 0: the limit that it was started with" },
   Row{ "gossip-interval-ms", &S::gossipInterval, Number, "ms", "500", 10, 60'000,
        "time between gossip exchanges" },
   Row{ "suspicion-ms", &S::suspicionTime, Number, "ms", "3000", 20, 600'000,
--- a/gooseberrypath/settings.h
+++ b/gooseberrypath/settings.h
@@ -49,6 +49,8 @@
   Duration requestReadTimeout{};
   uint64_t maxRequests = 0;
   uint64_t maxConnections = 0;
+  uint64_t memoryMb = 0;       // MiB of the host; 0: unknown
+  uint64_t maxDescriptors = 0; // 0: the process's limit
   Duration gossipInterval{};
   Duration suspicionTime{};
   Duration logDownAfter{};
--- a/entry/shared_bytes.h
+++ b/gooseberrypath/shared_bytes.h
@@ -4,16 +4,16 @@
 //   SharedBytes body(std::move(text), charge.Split(capacity));
 //   socket.Write(body);   // holds the same bytes
 
-#ifndef ENTRY_SHARED_BYTES_H_
-#define ENTRY_SHARED_BYTES_H_
+#ifndef GOOSEBERRYPATH_SHARED_BYTES_H_
+#define GOOSEBERRYPATH_SHARED_BYTES_H_
 
 #include <memory>
 #include <string>
 #include <string_view>
 
-#include "entry/request_memory.h"
+#include "gooseberrypath/request_memory.h"
 
-namespace gooseberrypath::entry {
+namespace gooseberrypath {
 
 class SharedBytes
 {
@@ -34,6 +34,13 @@
     return holder_ == nullptr ? std::string_view() : std::string_view(holder_->bytes);
   }
 
+  /// Returns these other bytes, charged to the same account even beyond its bound. For
+  /// what is made of the bytes and lives beside them.
+  SharedBytes Derive(std::string aBytes) const;
+
+  const char* begin() const { return View().data(); }
+  const char* end() const { return View().data() + size(); }
+
   size_t size() const { return View().size(); }
   bool empty() const { return View().empty(); }
 
@@ -49,6 +56,6 @@
   std::shared_ptr<const Holder> holder_; // null: no bytes
 };
 
-} // namespace gooseberrypath::entry
+} // namespace gooseberrypath
 
-#endif // ENTRY_SHARED_BYTES_H_
+#endif // GOOSEBERRYPATH_SHARED_BYTES_H_
--- a/gooseberrypath/testing/backend_http_test.cc
+++ b/gooseberrypath/testing/backend_http_test.cc
@@ -161,7 +161,7 @@
   BackendHttp backends(OptionsOf(loop));
   auto listener = loop.Listen();
   auto attempt = ServiceAttempt(loop.AddressOf(*listener), "HEAD");
-  attempt.body.clear();
+  attempt.body = {};
   backends.Execute(attempt);
   RawPeer service = loop.Accept(*listener);
   service.ReadUntil("\r\n\r\n");
--- a/gooseberrypath/testing/dispatch_system_test.cc
+++ b/gooseberrypath/testing/dispatch_system_test.cc
@@ -420,11 +420,11 @@
   {
     f.Post(AttemptNotSent{ second.attempt, "refused" });
     const auto third = f.Take<StartModelAttempt>().at(0);
-    CHECK(third.body.find("kv_handle") != std::string::npos);
+    CHECK(third.body.View().find("kv_handle") != std::string::npos);
     f.Post(Token(third.attempt, 2));
     f.Post(AttemptBroken{ third.attempt, "reset" });
     const auto fourth = f.Take<StartModelAttempt>().at(0);
-    CHECK(fourth.body.find("kv_handle") == std::string::npos);
+    CHECK(fourth.body.View().find("kv_handle") == std::string::npos);
     f.Post(AttemptFinished{ fourth.attempt, "stop" });
   }
   CHECK(ReceivedText(f.Take<ReplyStreamEvent>()) == "t0 t1 t2 ");
--- a/gooseberrypath/world.h
+++ b/gooseberrypath/world.h
@@ -24,6 +24,7 @@
 #include "gooseberrypath/job_records.h"
 #include "gooseberrypath/messages.h"
 #include "gooseberrypath/resources.h"
+#include "gooseberrypath/shared_bytes.h"
 #include "gooseberrypath/stream_rows.h"
 #include "gooseberrypath/table.h"
 #include "gooseberrypath/timer_service.h"
@@ -73,7 +74,7 @@
 /// A chat-completions request as far as routing needs it.
 struct ChatRequest
 {
-  std::string json; // the body as sent by the caller
+  SharedBytes json; // the body as sent by the caller
   bool streams = false;
   uint64_t maxTokens = 0; // 0: not given
   std::string model;
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -59,18 +59,21 @@
 
 
 class Process:
-    """A started program with the port that it serves and its output in a file."""
+    """A started program with the port that it serves and its output in a file. The
+    environment holds variables besides those of the test."""
 
-    def __init__(self, name, args, folder, port):
+    def __init__(self, name, args, folder, port, environment=None):
         self.name = name
         self.args = [str(arg) for arg in args]
         self.port = port
+        self.environment = os.environ | (environment or {})
         self.output = folder / f"{name}.log"
         self.start()
 
     def start(self):
         with open(self.output, "ab") as output:
-            self.process = subprocess.Popen(self.args, stdout=output, stderr=output)
+            self.process = subprocess.Popen(self.args, stdout=output, stderr=output,
+                                            env=self.environment)
 
     def signal(self, number):
         self.process.send_signal(number)
@@ -97,9 +100,10 @@
     """A log, a platform, engines, services and daemons."""
 
     def __init__(self, engines=3, services=2, daemons=3, decode_us=2000, flags=(),
-                 log_flags=(), service_flags=()):
+                 log_flags=(), service_flags=(), environment=None):
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="gooseberrypath-"))
         self.flags = list(flags)
+        self.environment = environment
         ports = free_ports(2 + engines + services + 3 * daemons)
         self.log = self._standin("log", "log", ports.pop(), log_flags)
         self.platform = self._standin("platform", "platform", ports.pop())
@@ -142,7 +146,7 @@
             "--log", f"127.0.0.1:{self.log.port}",
             "--platform", f"127.0.0.1:{self.platform.port}",
             "--span-file", self.folder / f"spans{index}.jsonl", *self.flags],
-            self.folder, caller)
+            self.folder, caller, self.environment)
 
     def _wait_until_started(self):
         for process in [*self.engines, *self.services, self.log, self.platform]:
--- a/tests/memory/crowd.py
+++ b/tests/memory/crowd.py
@@ -19,7 +19,7 @@
     """One connection, and the pieces of its request that are not sent yet."""
 
     def __init__(self, port, pieces):
-        self.socket = socket.create_connection(("127.0.0.1", port))
+        self.socket = socket.create_connection(("127.0.0.1", port), timeout=10)
         self.socket.setblocking(False)
         self.pieces = iter(pieces)
         self.rest = memoryview(b"")
@@ -66,6 +66,11 @@
     def send(self, requests):
         """Sends all requests side by side, until each one is sent, its connection was
         closed by the daemon, or nobody can send any more."""
+        for client in self.send_only(requests):
+            client.discard_answer()
+
+    def send_only(self, requests):
+        """Like send(), but nobody reads what the daemon answers. Returns the clients."""
         clients = [Client(self.port, pieces) for pieces in requests]
         self.clients += clients
         with selectors.DefaultSelector() as selector:
@@ -78,8 +83,7 @@
                         last_sent = time.monotonic()
                     if key.data.is_done:
                         selector.unregister(key.fileobj)
-        for client in clients:
-            client.discard_answer()
+        return clients
 
     def close(self):
         for client in self.clients:
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -30,11 +30,16 @@
         self.wfile.write(body)
 
 
+class ThreadingServer(http.server.ThreadingHTTPServer):
+
+    request_queue_size = 256  # many connections may come at the same moment
+
+
 class Server:
     """Runs a handler class on a free port; `state` is at hand as self.server.state."""
 
     def __init__(self, handler, state):
-        self.server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), handler)
+        self.server = ThreadingServer(("127.0.0.1", 0), handler)
         self.server.daemon_threads = True
         # A caller that ends in the middle of a long read is no error of the stand-in.
         self.server.handle_error = lambda *_: None
@@ -177,14 +182,15 @@
 
 
 class Backend:
-    """A backend that answers each call with its method, target and, while it `echoes`, body.
-    While `is_leaving`, it says so in its answers; with `quiet_s` it turns calls away and asks for
-    no more of them for so many seconds."""
+    """A backend that answers each call with its method, target and, while it `echoes`, body, and
+    for a target that ends in "/large" with `large_bytes` more. While `is_leaving`, it says so in its
+    answers; with `quiet_s` it turns calls away and asks for no more of them for so many seconds."""
 
     def __init__(self, name, delay=0):
         self.name = name
         self.delay = delay
         self.echoes = True
+        self.large_bytes = 0
         self.is_leaving = False
         self.quiet_s = 0
         self.refused = []
@@ -227,4 +233,6 @@
         text = f"{self.command} {self.path} ".encode()
         if backend.echoes:
             text += body
+        if self.path.endswith("/large"):
+            text += bytes(backend.large_bytes)
         self.answer(200, text, echo + [("Gooseberrypath-Response-Stamp", "s")])
