--- a/entry/backend_port.cc
+++ b/entry/backend_port.cc
@@ -7,6 +7,7 @@
 #include "entry/http_reader.h"
 #include "entry/socket.h"
 #include "entry/sse_event_splitter.h"
+#include "gooseberrypath/body_buffer.h"
 #include "gooseberrypath/http_io.h"
 #include "platform/call_format.h"
 
@@ -19,6 +20,9 @@
 // A connection on which more calls were refused is closed.
 constexpr size_t kMaxRefusedIds = 32;
 
+// Most responses have less than this.
+constexpr size_t kFirstResponseBytes = 1024;
+
 } // namespace
 
 /// An attempt whose connection to the backend is being established.
@@ -39,6 +43,7 @@
                 .onHead = [this](HttpHead& aHead) { OnHead(aHead); },
                 .onBody = [this](std::string_view aBytes) { OnBody(aBytes); },
                 .onEnd = [this] { isResponseComplete_ = true; } })
+    , charge_(aPort.options_.responseMemory)
     , socket_(kj::mv(aStream),
               { .onBytes = [this](std::span<const char> aBytes) { OnBytes(aBytes); },
                 .onClosed = [this](SocketEnd aEnd) { OnClosed(aEnd); } })
@@ -172,30 +177,36 @@
     if (IsEventStream()) {
       CompleteEvents events = splitter_.Feed(aBytes);
       SetBufferedBytes(splitter_.PartialEvent().size());
+      const bool hasRoom = Charge(splitter_.PartialEvent().capacity());
       if (!events.bytes.empty()) {
         received_.events += events.count;
         port_.options_.sink(
           StreamEvents{ attempt_, std::move(events.bytes), std::move(events.lastId) });
       }
-      CheckBufferLimits(port_.options_.maxEventBytes);
+      CheckBufferLimits(port_.options_.maxEventBytes, hasRoom);
       return;
     }
-    body_.append(aBytes);
-    SetBufferedBytes(body_.size());
-    CheckBufferLimits(port_.options_.maxResponseBytes);
+    const size_t limit = port_.options_.maxResponseBytes;
+    const size_t size = body_.size() + aBytes.size();
+    const size_t capacity = body_.CapacityFor(size, limit);
+    SetBufferedBytes(size);
+    CheckBufferLimits(limit, Charge(capacity));
+    if (IsBusy()) {
+      body_.Append(aBytes, capacity);
+    }
   }
 
   /// Fails the attempt if its response takes up too much memory. aLimit is the limit in
-  /// bytes for this connection.
-  void CheckBufferLimits(size_t aLimit)
+  /// bytes for this connection; aHasRoom tells whether the account has room for it.
+  void CheckBufferLimits(size_t aLimit, bool aHasRoom)
   {
     if (!IsBusy()) {
       return; // an event emitted before led to the cancellation of the attempt
     }
     if (bufferedBytes_ > aLimit) {
       Fail("a part of the answer is too large", BreakCause::Oversized);
-    } else if (port_.bufferedBytes_ > port_.options_.maxBufferedBytes) {
-      Fail("the answers that are being read are too large together",
+    } else if (!aHasRoom || port_.bufferedBytes_ > port_.options_.maxBufferedBytes) {
+      Fail("the answers that are being read or taken are too large together",
            BreakCause::Oversized);
     }
   }
@@ -207,10 +218,20 @@
     bufferedBytes_ = aBytes;
   }
 
+  /// Charges the memory of what is buffered, after making room if need be. Returns false
+  /// if there is none.
+  bool Charge(size_t aBytes)
+  {
+    return charge_.TryResize(aBytes) ||
+           (port_.options_.makeRoom(aBytes - charge_.Bytes()) &&
+            charge_.TryResize(aBytes));
+  }
+
   void ClearBody()
   {
     SetBufferedBytes(0);
-    std::string().swap(body_); // an assignment of an empty string would keep the memory
+    charge_.Resize(0);
+    body_.Release();
     splitter_ = SseEventSplitter{};
   }
 
@@ -231,7 +252,7 @@
                             socket_.QueuedBytes() == 0 && !isClosedByPeer_ &&
                             refusedIds_.size() <= kMaxRefusedIds;
     attempt_ = AttemptId{};
-    std::string body = std::move(body_);
+    SharedBytes body(body_.Take(), charge_.Split(charge_.Bytes()));
     ClearBody();
     if (head_.keepAliveTimeout) {
       keepAlive_ = *head_.keepAliveTimeout;
@@ -322,7 +343,8 @@
   std::vector<std::string> refusedIds_; // of calls that were refused on this connection
   ResponseHead head_;
   ReceivedBody received_; // of the response to the current call
-  std::string body_;
+  BodyBuffer body_{ kFirstResponseBytes };
+  MemoryCharge charge_; // for what is buffered
   SseEventSplitter splitter_;
   Duration keepAlive_{};
   TimePoint idleSince_{};
@@ -333,6 +355,9 @@
   : options_(std::move(aOptions))
   , tasks_(errors_)
 {
+  if (options_.responseMemory != nullptr) {
+    options_.responseMemory->SetLeastBound(options_.maxResponseBytes);
+  }
   tasks_.add(SweepLoop());
 }
 
--- a/entry/backend_port.h
+++ b/entry/backend_port.h
@@ -18,6 +18,7 @@
 #include <kj/timer.h>
 
 #include "entry/messages.h"
+#include "gooseberrypath/memory_account.h"
 #include "gooseberrypath/task_errors.h"
 
 namespace gooseberrypath::entry {
@@ -43,6 +44,11 @@
   // this time, because an idle connection may break when it is used again.
   Duration maxIdleForNonRetryable = std::chrono::milliseconds(1500);
   size_t maxResponseBytes = size_t{ 16 } * 1024 * 1024;
+  // Account of the responses, from their first byte until their callers have taken them.
+  // Null: not counted.
+  MemoryAccountPtr responseMemory = {};
+  // Asked to make room for this many bytes in the account. Returns whether it has room.
+  std::function<bool(size_t)> makeRoom = [](size_t) { return false; };
   // Limit for the incomplete responses buffered on all connections together. A small host
   // has 160 MB of memory, and several backends may send endless responses at once.
   size_t maxBufferedBytes = size_t{ 32 } * 1024 * 1024;
--- a/entry/caller_port.cc
+++ b/entry/caller_port.cc
@@ -25,6 +25,9 @@
 // with unread bytes resets the connection, and the caller could lose the response.
 constexpr Duration kLingerTime = std::chrono::seconds(2);
 
+// Bodies up to this size are copied behind the head, so that both go into one packet.
+constexpr size_t kMaxCopiedBody = size_t{ 16 } * 1024;
+
 // While the port drains, a connection is closed only after it was idle for this time. A
 // request may already be on its way if the connection was just opened or just got its
 // last response.
@@ -70,7 +73,8 @@
     , progressAt_(timeoutStart_)
     , socket_(kj::mv(aStream),
               { .onBytes = [this](std::span<const char> aBytes) { OnBytes(aBytes); },
-                .onClosed = [this](SocketEnd) { OnClosed(); } })
+                .onClosed = [this](SocketEnd) { OnClosed(); },
+                .onDrained = [this] { OnDrained(); } })
   {
   }
 
@@ -83,9 +87,13 @@
                                      { .framing = framing_,
                                        .bodySize = aResponse.body.size(),
                                        .closes = closesAfterResponse_ }));
-    if (hasBody) {
+    if (hasBody && aResponse.body.size() <= kMaxCopiedBody) {
       socket_.Write(aResponse.body);
+    } else if (hasBody) {
+      socket_.WriteShared(aResponse.body);
     }
+    takenAt_ = port_.options_.now();
+    undelivered_ = socket_.QueuedBytes();
     Finish(closesAfterResponse_);
   }
 
@@ -147,6 +155,7 @@
   void CheckTimeouts(TimePoint aNow)
   {
     const CallerLimits& limits = port_.limits_;
+    NoteTakenBytes(aNow);
     if (lingerEnd_) {
       CheckLingering(aNow);
     } else if (exchange_ != ExchangeId{}) {
@@ -189,6 +198,15 @@
     return IsIncomplete() ? progressAt_ : timeoutStart_;
   }
 
+  /// Returns the time since which the caller has taken nothing of a response that waits
+  /// for it. Empty: there is none.
+  std::optional<TimePoint> UntakenSince() const
+  {
+    return exchange_ == ExchangeId{} && socket_.QueuedBytes() >= kMinDroppedBytes
+             ? std::optional(takenAt_)
+             : std::nullopt;
+  }
+
   /// Refuses the incomplete request, which is slow, to make room for others.
   void DropSlowRequest()
   {
@@ -215,6 +233,19 @@
     return static_cast<double>(body_.size()) < kMinBodyRate * late.count();
   }
 
+  /// Notes whether the caller has acknowledged bytes of its response since the last
+  /// check.
+  void NoteTakenBytes(TimePoint aNow)
+  {
+    if (socket_.QueuedBytes() == 0) {
+      return;
+    }
+    const size_t undelivered = socket_.UndeliveredBytes();
+    if (undelivered != std::exchange(undelivered_, undelivered)) {
+      takenAt_ = aNow;
+    }
+  }
+
   void OnBytes(std::span<const char> aBytes)
   {
     if (lingerEnd_) {
@@ -268,20 +299,21 @@
       }
       return;
     }
-    if (exchange_ == ExchangeId{} && !Charge()) {
+    if (exchange_ == ExchangeId{} && !awaitsNextRequest_ && !Charge()) {
       RefuseForMemory();
       return;
     }
     if (std::exchange(isRequestComplete_, false)) {
       Submit();
     }
-    if (exchange_ != ExchangeId{}) {
+    if (exchange_ != ExchangeId{} || awaitsNextRequest_) {
       ChargePipelinedBytes();
     }
   }
 
-  /// Charges the bytes that are buffered behind a running call. They are never dropped,
-  /// so reading pauses when they are many or memory runs short.
+  /// Charges the bytes that are buffered behind a running call or a response that is
+  /// being written. They are never dropped, so reading pauses when they are many or
+  /// memory runs short.
   void ChargePipelinedBytes()
   {
     charge_.Resize(reader_.BufferedBytes());
@@ -340,9 +372,13 @@
     }
   }
 
-  /// Passes a complete request to the core.
+  /// Passes a complete request to the core, unless its response would find no room.
   void Submit()
   {
+    if (!port_.MakeRoomForResponse(1)) {
+      RefuseForMemory();
+      return;
+    }
     exchange_ = ExchangeId{ ++port_.lastExchangeId_ };
     port_.exchanges_.emplace(exchange_, id_);
     const TimePoint requestStart = requestStart_.value_or(port_.options_.now());
@@ -388,8 +424,16 @@
       StartLingering();
       return;
     }
-    // The reader may be running a callback, so it must not be called before a later turn
-    // of the event loop.
+    awaitsNextRequest_ = true;
+    if (socket_.QueuedBytes() == 0) {
+      ReadNextRequestLater();
+    }
+  }
+
+  /// Continues with the next request in a later turn of the event loop, because the
+  /// reader may be running a callback.
+  void ReadNextRequestLater()
+  {
     port_.tasks_.add(kj::evalLater([&port = port_, id = id_] {
       const auto found = port.connections_.find(id);
       if (found != port.connections_.end()) {
@@ -400,9 +444,12 @@
 
   void ReadNextRequest()
   {
-    if (lingerEnd_ || exchange_ != ExchangeId{}) {
+    // A caller that does not take its responses gets no further ones, which would wait in
+    // memory. OnDrained() continues.
+    if (lingerEnd_ || !awaitsNextRequest_ || socket_.QueuedBytes() > 0) {
       return;
     }
+    awaitsNextRequest_ = false;
     reader_.SetMaxHeadBytes(port_.limits_.maxHeadBytes);
     const bool isValid = reader_.Next();
     if (std::exchange(isPaused_, false)) {
@@ -411,6 +458,13 @@
     HandleParsed(isValid);
   }
 
+  void OnDrained()
+  {
+    if (awaitsNextRequest_) {
+      ReadNextRequestLater();
+    }
+  }
+
   /// Detaches the current exchange from this connection.
   void ReleaseExchange()
   {
@@ -493,8 +547,11 @@
   std::optional<TimePoint> requestStart_; // when its head was read
   std::optional<TimePoint> lingerEnd_;
   size_t lingeringBytes_ = 0; // queued at the last check, while lingering
+  TimePoint takenAt_;         // when the caller last took bytes of its response
+  size_t undelivered_ = 0;    // bytes of the response, at the last check
   bool isHeadRead_ = false;
   bool isRequestComplete_ = false;
+  bool awaitsNextRequest_ = false; // until the response is written
   bool isPaused_ = false;
   BodyFraming framing_ = BodyFraming::None; // of the response in progress
   bool closesAfterResponse_ = false;
@@ -572,6 +629,22 @@
   return true;
 }
 
+bool CallerPort::MakeRoomForResponse(size_t aBytes)
+{
+  while (options_.responseMemory->Free() < aBytes) {
+    LongestWaiting<Connection> longest(options_.now(), kMaxUntakenTime);
+    for (auto& [id, connection] : connections_) {
+      longest.Offer(*connection, connection->UntakenSince());
+    }
+    if (longest.Get() == nullptr) {
+      return false;
+    }
+    ++shortages_.droppedResponses;
+    Remove(longest.Get()->Id());
+  }
+  return true;
+}
+
 bool CallerPort::MakeRoomForConnection()
 {
   LongestWaiting<Connection> longest(options_.now());
@@ -588,7 +661,7 @@
 
 void CallerPort::ReportMemory()
 {
-  freedMemory_.Update(options_.memory->InUse());
+  freedMemory_.Update(options_.memory->InUse() + options_.responseMemory->InUse());
   if (shortages_ != reportedShortages_) {
     reportedShortages_ = shortages_;
     if (options_.onShortage) {
@@ -688,7 +761,7 @@
 void CallerPort::Execute(const SetCallerLimits& aAction)
 {
   limits_ = aAction.limits;
-  options_.memory->SetLargestRequest(
+  options_.memory->SetLeastBound(
     limits_.maxBodyBytes + kMaxPipelinedBytes +
     kHeadCopies * HttpReader::MaxHeadMemoryBytes(limits_.maxHeadBytes));
 }
--- a/entry/caller_port.h
+++ b/entry/caller_port.h
@@ -17,7 +17,7 @@
 
 #include "entry/messages.h"
 #include "gooseberrypath/freed_memory.h"
-#include "gooseberrypath/request_memory.h"
+#include "gooseberrypath/memory_account.h"
 #include "gooseberrypath/shortages.h"
 #include "gooseberrypath/task_errors.h"
 
@@ -31,7 +31,9 @@
   std::function<TimePoint()> now;
   std::string address; // "IP:port"
   size_t maxConnections = 3000;
-  RequestMemoryPtr memory = std::make_shared<RequestMemory>();
+  MemoryAccountPtr memory = std::make_shared<MemoryAccount>();
+  // Account of the responses. Requests are refused while it has no room.
+  MemoryAccountPtr responseMemory = std::make_shared<MemoryAccount>();
   // Called at most every 250 ms, after the counts have changed.
   std::function<void(const Shortages&)> onShortage = {};
 };
@@ -67,6 +69,11 @@
   /// Accepts the connections in the listen backlog and then closes the listening socket.
   void Execute(const StopAccepting& aAction);
 
+  /// Drops responses that their callers do not take, beginning with the one that waits
+  /// longest, until the account of responses has room for this many bytes. Returns
+  /// whether it has.
+  bool MakeRoomForResponse(size_t aBytes);
+
   size_t ConnectionCount() const { return connections_.size(); }
 
   const Shortages& GetShortages() const { return shortages_; }
--- a/entry/messages.h
+++ b/entry/messages.h
@@ -160,7 +160,7 @@
 {
   AttemptId attempt;
   ResponseHead head;
-  std::string body;
+  SharedBytes body;
 };
 
 /// The head of a streaming response was received.
@@ -349,7 +349,7 @@
   ExchangeId exchange;
   int status = 0;
   Headers headers;
-  std::string body;
+  SharedBytes body;
   bool closesConnection = false; // after the response
   BodyFraming framing = BodyFraming::Length;
 };
--- a/entry/serve_entry.cc
+++ b/entry/serve_entry.cc
@@ -100,7 +100,8 @@
     , clock_({ .timer = timer_ })
     , wallOffset_(ReadWallClock() -
                   std::chrono::duration_cast<WallTime>(clock_.Now().time_since_epoch()))
-    , requestMemory_(std::make_shared<RequestMemory>(aSettings.maxRequestMemory))
+    , requestMemory_(std::make_shared<MemoryAccount>(aSettings.maxRequestMemory))
+    , responseMemory_(std::make_shared<MemoryAccount>(aSettings.maxRequestMemory))
     , log_({ .host = aSettings.host,
              .wallNow = [this] { return WallNow(); },
              .now = [this] { return clock_.Now(); } })
@@ -112,11 +113,16 @@
           .address = aSettings.callerAddress,
           .maxConnections = ConnectionsWithin(aSettings.maxDescriptors),
           .memory = requestMemory_,
+          .responseMemory = responseMemory_,
           .onShortage = [this](const Shortages& aCounts) { LogShortage(aCounts); } })
-    , backends_({ .network = aIo.provider->getNetwork(),
-                  .timer = timer_,
-                  .sink = EventSink(),
-                  .now = [this] { return clock_.Now(); } })
+    , backends_(
+        { .network = aIo.provider->getNetwork(),
+          .timer = timer_,
+          .sink = EventSink(),
+          .now = [this] { return clock_.Now(); },
+          .responseMemory = responseMemory_,
+          .makeRoom =
+            [this](size_t aBytes) { return callers_.MakeRoomForResponse(aBytes); } })
     , store_({ .network = aIo.provider->getNetwork(),
                .timer = timer_,
                .sink = EventSink(),
@@ -259,7 +265,7 @@
   std::string RenderMetrics() const
   {
     const World& world = daemon_->GetWorld();
-    const std::array<Gauge, 12> gauges{
+    const std::array<Gauge, 15> gauges{
       Gauge{ "entry_requests", "Calls being served",
              static_cast<double>(world.requests.Size()) },
       Gauge{ "entry_backends", "Backends that are known",
@@ -278,6 +284,14 @@
              static_cast<double>(requestMemory_->InUse()) },
       Gauge{ "entry_request_memory_bound_bytes", "Bound of that memory",
              static_cast<double>(requestMemory_->Bound()) },
+      Gauge{ "entry_response_memory_bytes",
+             "Memory of responses that are being read or wait for their callers",
+             static_cast<double>(responseMemory_->InUse()) },
+      Gauge{ "entry_response_memory_bound_bytes", "Bound of that memory",
+             static_cast<double>(responseMemory_->Bound()) },
+      Gauge{ "entry_untaken_responses_dropped",
+             "Responses that their callers did not take, dropped to make room",
+             static_cast<double>(callers_.GetShortages().droppedResponses) },
       Gauge{ "entry_requests_refused_for_memory", "Requests that found no room",
              static_cast<double>(callers_.GetShortages().refusedRequests) },
       Gauge{ "entry_slow_requests_dropped", "Incomplete requests dropped to make room",
@@ -306,8 +320,11 @@
       .fields = { { "refused", std::to_string(aCounts.refusedRequests) },
                   { "dropped_slow", std::to_string(aCounts.droppedRequests) },
                   { "dropped_connections", std::to_string(aCounts.droppedConnections) },
+                  { "dropped_untaken", std::to_string(aCounts.droppedResponses) },
                   { "bytes", std::to_string(requestMemory_->InUse()) },
-                  { "bound", std::to_string(requestMemory_->Bound()) } } });
+                  { "bound", std::to_string(requestMemory_->Bound()) },
+                  { "response_bytes", std::to_string(responseMemory_->InUse()) },
+                  { "response_bound", std::to_string(responseMemory_->Bound()) } } });
   }
 
   void Log(std::string aEvent, std::vector<std::pair<std::string, std::string>> aFields)
@@ -322,7 +339,8 @@
   std::optional<EntryDaemon> daemon_;
   BootClock clock_;
   WallTime wallOffset_;
-  RequestMemoryPtr requestMemory_;
+  MemoryAccountPtr requestMemory_;
+  MemoryAccountPtr responseMemory_;
   EventLog log_;
   CallerPort callers_;
   BackendPort backends_;
--- a/entry/socket.cc
+++ b/entry/socket.cc
@@ -91,6 +91,9 @@
       }
       return kj::READY_NOW;
     }
+    if (options_.onDrained && !areCallbacksDisabled_) {
+      options_.onDrained();
+    }
     auto waiting = kj::newPromiseAndFulfiller<void>();
     writeFulfiller_ = kj::mv(waiting.fulfiller);
     return waiting.promise.then([this] { return WriteLoop(); });
@@ -154,15 +157,12 @@
   Fulfill(writeFulfiller_);
 }
 
-bool Socket::IsDelivered() const
+size_t Socket::UndeliveredBytes() const
 {
-  if (QueuedBytes() > 0) {
-    return false;
-  }
   KJ_IF_MAYBE (descriptor, stream_->getFd()) {
     int unacknowledgedBytes = 0;
     KJ_SYSCALL(ioctl(*descriptor, SIOCOUTQ, &unacknowledgedBytes));
-    return unacknowledgedBytes == 0;
+    return queuedBytes_ + static_cast<size_t>(unacknowledgedBytes);
   }
   KJ_FAIL_REQUIRE("the stream has no descriptor");
 }
--- a/entry/socket.h
+++ b/entry/socket.h
@@ -38,6 +38,8 @@
   std::function<void(std::span<const char>)> onBytes;
   /// Called once, when the peer has closed its side or the connection broke.
   std::function<void(SocketEnd)> onClosed;
+  /// Called whenever all queued bytes were passed to the operating system.
+  std::function<void()> onDrained = {};
   /// Called after CloseAfterWrites(), when all queued bytes were passed to the operating
   /// system.
   std::function<void()> onFlushed = {};
@@ -63,6 +65,10 @@
   /// Returns the number of bytes that were not yet passed to the operating system.
   size_t QueuedBytes() const { return queuedBytes_; }
 
+  /// Returns the number of bytes that the peer has not acknowledged, queued ones
+  /// included. Throws kj::Exception if the operating system cannot tell.
+  size_t UndeliveredBytes() const;
+
   /// Suspends and resumes reading. Bytes of a read in progress are still passed on. The
   /// first call bounds, for the rest of the connection, the bytes that the operating
   /// system receives meanwhile.
@@ -71,7 +77,7 @@
 
   /// Tells whether the peer has acknowledged all written bytes. Throws kj::Exception if
   /// the operating system cannot tell.
-  bool IsDelivered() const;
+  bool IsDelivered() const { return UndeliveredBytes() == 0; }
 
   /// Shuts down the sending side after all queued bytes were written.
   void CloseAfterWrites();
--- a/entry/testing/deadly_request_test.cc
+++ b/entry/testing/deadly_request_test.cc
@@ -191,7 +191,7 @@
       const WriteResponse refusal = daemons.Play(0, request);
       CHECK(refusal.status == 503);
       CHECK(FindHeader(refusal.headers, "Retry-After").empty());
-      CHECK(refusal.body.find("not_run") != std::string::npos);
+      CHECK(refusal.body.View().find("not_run") != std::string::npos);
     }
   }
 }
--- a/entry/testing/part_evidence_test.cc
+++ b/entry/testing/part_evidence_test.cc
@@ -178,8 +178,8 @@
   const auto refused = entry.TakeActions<WriteResponse>();
   REQUIRE(refused.size() == 1);
   CHECK(refused[0].status == 503);
-  CHECK(refused[0].body.find("prompt_blocked") != std::string::npos);
-  CHECK(refused[0].body.find("not_run") != std::string::npos);
+  CHECK(refused[0].body.View().find("prompt_blocked") != std::string::npos);
+  CHECK(refused[0].body.View().find("not_run") != std::string::npos);
   CHECK_FALSE(FindHeader(refused[0].headers, "Retry-After").empty());
   CHECK(RenderStatus(entry.GetWorld()).find("\"part\":\"dead\"") != std::string::npos);
   entry.PostPartCall({ kShared });
--- a/entry/testing/request_memory_test.cc
+++ b/entry/testing/request_memory_test.cc
@@ -1,7 +1,7 @@
 // Tests of the account of request memory and of what the port for callers does when it is
 // exhausted.
 
-#include "gooseberrypath/request_memory.h"
+#include "gooseberrypath/memory_account.h"
 
 #include <numeric>
 #include <random>
@@ -62,7 +62,7 @@
 
   EntryLoop loop;
   TimePoint now{ 1s };
-  RequestMemoryPtr memory = std::make_shared<RequestMemory>(1);
+  MemoryAccountPtr memory = std::make_shared<MemoryAccount>(1);
   uint16_t port;
   CallerPort callers;
 };
@@ -73,7 +73,7 @@
 {
   // Guards against bytes that are counted twice, lost, or not returned, which would
   // refuse requests for ever or admit them without a bound. Compared with plain sums.
-  auto memory = std::make_shared<RequestMemory>(10000);
+  auto memory = std::make_shared<MemoryAccount>(10000);
   std::vector<MemoryCharge> charges;
   std::vector<size_t> model;
   std::mt19937 random(7);
@@ -121,7 +121,7 @@
           "[entry][memory]")
 {
   // Guards against a body that is still queued to a backend and no longer counted.
-  auto memory = std::make_shared<RequestMemory>(1000);
+  auto memory = std::make_shared<MemoryAccount>(1000);
   MemoryCharge charge(memory);
   charge.Resize(100);
   SharedBytes first(std::string(60, 'x'), charge.Split(100));
--- a/gooseberrypath/actions.h
+++ b/gooseberrypath/actions.h
@@ -23,7 +23,7 @@
   RequestId request;
   int status = 200;
   Headers headers;
-  std::string body;
+  SharedBytes body;
 };
 
 /// Sends the head of an event stream.
--- a/gooseberrypath/backend_http.cc
+++ b/gooseberrypath/backend_http.cc
@@ -11,6 +11,9 @@
 
 namespace {
 
+// Most answers have less than this.
+constexpr size_t kFirstAnswerBytes = 1024;
+
 constexpr size_t kMaxLoadBytes = size_t{ 64 } * 1024;
 constexpr size_t kMaxExportBytes = size_t{ 64 } * 1024;
 
@@ -78,6 +81,7 @@
     , request_(std::move(aRequest))
     , isStream_(aIsStream)
     , parser_(aPort.options_.stream)
+    , charge_(aPort.options_.answerMemory)
   {
   }
 
@@ -126,22 +130,51 @@
       if (isStream_ && call_->reply.status == 200) {
         return ReadTokens();
       }
-      return call_->ReadWhole(port_.options_.maxAnswerBytes).then([this] {
-        HttpReply& reply = call_->reply;
+      return ReadAnswer().then([this] {
+        const HttpReply& reply = call_->reply;
         Headers headers = EndToEndHeaders(reply.headers);
         // The length of an answer to HEAD tells about a body that is not sent.
-        if (reply.body.empty() && isHead_) {
+        if (body_.size() == 0 && isHead_) {
           if (const auto length = FindHeader(reply.headers, "Content-Length");
               !length.empty()) {
             headers.push_back(Header{ "Content-Length", std::string(length) });
           }
         }
         End(AttemptAnswered{ id_, reply.status, std::move(headers),
-                             std::move(reply.body) });
+                             SharedBytes(body_.Take(), charge_.Split(charge_.Bytes())) });
       });
     });
   }
 
+  /// Reads a whole answer. Rejects if it is cut or too large, or finds no room.
+  kj::Promise<void> ReadAnswer()
+  {
+    return call_->Body()
+      .tryRead(buffer_.data(), 1, buffer_.size())
+      .then([this](size_t aRead) -> kj::Promise<void> {
+        if (aRead == 0) {
+          return kj::READY_NOW;
+        }
+        Append({ buffer_.data(), aRead });
+        return ReadAnswer();
+      });
+  }
+
+  /// Charges and keeps bytes of the answer. Throws kj::Exception if they are too many.
+  void Append(std::string_view aBytes)
+  {
+    const size_t limit = port_.options_.maxAnswerBytes;
+    const size_t size = body_.size() + aBytes.size();
+    KJ_REQUIRE(size <= limit, "the answer is over the size limit");
+    const size_t capacity = body_.CapacityFor(size, limit);
+    const bool hasRoom = charge_.TryResize(capacity) ||
+                         (port_.options_.makeRoom(capacity - charge_.Bytes()) &&
+                          charge_.TryResize(capacity));
+    KJ_REQUIRE(hasRoom,
+               "the answers that are being read or taken are too large together");
+    body_.Append(aBytes, capacity);
+  }
+
   kj::Promise<void> ReadTokens()
   {
     return call_->Body()
@@ -207,6 +240,8 @@
   bool isEnded_ = false;
   SseParser parser_;
   std::string finishReason_;
+  BodyBuffer body_{ kFirstAnswerBytes };
+  MemoryCharge charge_; // for body_
   std::array<char, 8192> buffer_{};
   kj::Own<kj::AsyncIoStream> stream_;
   kj::Own<kj::HttpClient> client_;
@@ -228,6 +263,7 @@
   : options_(std::move(aOptions))
   , tasks_(errors_)
 {
+  options_.answerMemory->SetLeastBound(options_.maxAnswerBytes);
 }
 
 BackendHttp::~BackendHttp() = default;
--- a/gooseberrypath/backend_http.h
+++ b/gooseberrypath/backend_http.h
@@ -8,13 +8,16 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <unordered_map>
 
 #include <kj/async-io.h>
 #include <kj/timer.h>
 
+#include "gooseberrypath/body_buffer.h"
 #include "gooseberrypath/http_io.h"
+#include "gooseberrypath/memory_account.h"
 #include "gooseberrypath/ports.h"
 #include "gooseberrypath/sse_parser.h"
 #include "gooseberrypath/task_errors.h"
@@ -28,6 +31,11 @@
   EventSink sink;
   Duration connectTimeout = std::chrono::milliseconds(500);
   size_t maxAnswerBytes = size_t{ 4 } * 1024 * 1024;
+  // Account of the answers, from their first byte until their callers have taken them.
+  // Its bound is raised to what one needs.
+  MemoryAccountPtr answerMemory = std::make_shared<MemoryAccount>();
+  // Asked to make room for this many bytes in the account. Returns whether it has room.
+  std::function<bool(size_t)> makeRoom = [](size_t) { return false; };
   SseParserOptions stream{};
   Duration loadInterval = std::chrono::milliseconds(500); // jittered by half
   Duration loadTimeout = std::chrono::seconds(1);
--- a/gooseberrypath/body_buffer.cc
+++ b/gooseberrypath/body_buffer.cc
@@ -6,10 +6,6 @@
 
 namespace {
 
-// A body begins with this much memory if its length is unknown or larger. It has its own
-// pages then, so that growing bodies leave no holes in the heap.
-constexpr size_t kFirstBytes = size_t{ 16 } * 1024;
-
 // Bodies grow by this factor. Doubling would leave up to half of the memory unused.
 constexpr size_t kGrowthNumerator = 3;
 constexpr size_t kGrowthDenominator = 2;
@@ -23,7 +19,7 @@
     return current;
   }
   const size_t grown =
-    std::max(kFirstBytes, current * kGrowthNumerator / kGrowthDenominator);
+    std::max(firstBytes_, current * kGrowthNumerator / kGrowthDenominator);
   return std::min(std::max(aSize, aLimit), std::max(aSize, grown));
 }
 
--- a/gooseberrypath/body_buffer.h
+++ b/gooseberrypath/body_buffer.h
@@ -14,9 +14,18 @@
 
 namespace gooseberrypath {
 
+/// The memory that a body begins with if its length is unknown or larger. It has its own
+/// pages then.
+inline constexpr size_t kFirstBodyBytes = size_t{ 16 } * 1024;
+
 class BodyBuffer
 {
 public:
+  explicit BodyBuffer(size_t aFirstBytes = kFirstBodyBytes)
+    : firstBytes_(aFirstBytes)
+  {
+  }
+
   size_t size() const { return bytes_.size(); }
 
   /// Returns the memory that the buffer takes up, in bytes.
@@ -40,6 +49,7 @@
   }
 
 private:
+  size_t firstBytes_;
   std::string bytes_;
 };
 
--- a/gooseberrypath/caller_exchange.cc
+++ b/gooseberrypath/caller_exchange.cc
@@ -54,6 +54,7 @@
   , port_(aPort)
   , stream_(aStream)
   , response_(aResponse)
+  , queueCharge_(aPort.options_.answerMemory)
 {
   port_.exchanges_.emplace(id, this);
   stream_.ExpectHead(false);
@@ -91,7 +92,7 @@
                                                 std::to_string(options.maxHeaderBytes) +
                                                 " bytes");
   }
-  if (!TakeHead(aMethod, aUrl, aHeaders)) {
+  if (!port_.MakeRoomForAnswer(1) || !TakeHead(aMethod, aUrl, aHeaders)) {
     return RefuseForMemory();
   }
   if (bodyLimit_ == 0) {
@@ -195,7 +196,8 @@
     return;
   }
   AppendEvent(queue_, aEvent);
-  if (queue_.size() + writing_.size() > port_.options_.maxQueuedBytes) {
+  const size_t queued = queue_.size() + writing_.size();
+  if (queued > port_.options_.maxQueuedBytes || !ChargeQueue(queued)) {
     isOverflowing_ = true;
     queue_.clear();
     stream_.connection->CloseLater();
@@ -204,6 +206,13 @@
   Wake();
 }
 
+bool CallerHttp::Exchange::ChargeQueue(size_t aBytes)
+{
+  return queueCharge_.TryResize(aBytes) ||
+         (port_.MakeRoomForAnswer(aBytes - queueCharge_.Bytes()) &&
+          queueCharge_.TryResize(aBytes));
+}
+
 void CallerHttp::Exchange::SetEnd()
 {
   if (head_ && !isOverflowing_) {
@@ -255,6 +264,7 @@
     writing_ = std::exchange(queue_, {}); // all queued events in one write
     return out_->write(writing_.data(), writing_.size()).then([this] {
       writing_.clear();
+      queueCharge_.Resize(queue_.size());
       return Pump();
     });
   }
@@ -283,7 +293,7 @@
   const int status = isValid ? reply.status : 502;
   const bool hasBody = !isHead_ && status != 204 && status != 205 && status != 304;
   if (!hasBody) {
-    reply.body.clear();
+    reply.body = {};
   }
   out_ = response_.send(static_cast<kj::uint>(status), ReasonPhrase(status), headers,
                         reply.body.size());
@@ -292,7 +302,7 @@
     out_ = nullptr;
     return kj::READY_NOW;
   }
-  return out_->write(reply.body.data(), reply.body.size()).then([this] {
+  return out_->write(reply.body.begin(), reply.body.size()).then([this] {
     out_ = nullptr;
   });
 }
--- a/gooseberrypath/caller_exchange.h
+++ b/gooseberrypath/caller_exchange.h
@@ -52,6 +52,9 @@
   /// Charges and keeps bytes of the body. Returns false if there is no room.
   bool AppendBody(std::string_view aBytes);
 
+  /// Charges the events that wait for the caller. Returns false if there is no room.
+  bool ChargeQueue(size_t aBytes);
+
   kj::Promise<void> HandleRead(ReadEnd aEnd);
   kj::Promise<void> Handle();
 
@@ -84,8 +87,9 @@
   bool hasEnd_ = false;
   std::optional<ReplyWhole> whole_;
   std::optional<Headers> head_;
-  std::string queue_;   // events to be written next
-  std::string writing_; // events being written
+  std::string queue_;        // events to be written next
+  std::string writing_;      // events being written
+  MemoryCharge queueCharge_; // for both
   kj::Own<kj::AsyncOutputStream> out_;
   kj::Own<kj::PromiseFulfiller<void>> wake_;
 };
--- a/gooseberrypath/caller_head.cc
+++ b/gooseberrypath/caller_head.cc
@@ -15,6 +15,9 @@
 // kj keeps a list with two pointers and two lengths for each field. Its capacity doubles.
 constexpr size_t kParserFieldBytes = kParserGrowth * 4 * sizeof(size_t);
 
+// Fewer fields are not counted.
+constexpr size_t kFirstParserFields = 32;
+
 // The head of a request is held by the core and by the attempt that is being sent.
 constexpr size_t kCopies = 2;
 
@@ -39,7 +42,7 @@
 size_t ParserMemory(size_t aBytes, size_t aFields)
 {
   const size_t buffer = aBytes > kFirstParserBytes ? kParserGrowth * aBytes : 0;
-  return buffer + kParserFieldBytes * aFields;
+  return buffer + (aFields > kFirstParserFields ? kParserFieldBytes * aFields : 0);
 }
 
 size_t HeadMemory(const HeadSize& aSize)
--- a/gooseberrypath/caller_http.cc
+++ b/gooseberrypath/caller_http.cc
@@ -15,9 +15,6 @@
 
 constexpr size_t kMaxRefusals = 256;
 
-// Interval between reports of shortages.
-constexpr Duration kReportInterval = std::chrono::milliseconds(250);
-
 /// Returns a whole answer for a connection that kj does not serve.
 std::string RawAnswer(const Error& aError, const std::string& aId)
 {
@@ -81,7 +78,7 @@
     KJ_FAIL_REQUIRE("the caller address is not IP:port", options_.address.c_str());
   }
   port_ = static_cast<uint16_t>(listener_->getPort());
-  options_.memory->SetLargestRequest(
+  options_.memory->SetLeastBound(
     Connection::LargestRequest(options_.maxBodyBytes, options_.maxHeaderBytes));
   kj::HttpServerSettings settings;
   settings.headerTimeout = ToKj(options_.headTimeout);
@@ -184,6 +181,22 @@
   return true;
 }
 
+bool CallerHttp::MakeRoomForAnswer(size_t aBytes)
+{
+  while (options_.answerMemory->Free() < aBytes) {
+    LongestWaiting<Connection> longest(TimeOf(options_.timer), kMaxUntakenTime);
+    for (Connection* connection : connections_) {
+      longest.Offer(*connection, connection->UntakenSince());
+    }
+    if (longest.Get() == nullptr) {
+      return false;
+    }
+    ++shortages_.droppedResponses;
+    longest.Get()->Drop();
+  }
+  return true;
+}
+
 bool CallerHttp::MakeRoomForConnection()
 {
   LongestWaiting<Connection> longest(TimeOf(options_.timer));
@@ -200,8 +213,8 @@
 
 kj::Promise<void> CallerHttp::ReportLoop()
 {
-  return options_.timer.afterDelay(ToKj(kReportInterval)).then([this] {
-    freedMemory_.Update(options_.memory->InUse());
+  return options_.timer.afterDelay(ToKj(kShortageReportInterval)).then([this] {
+    freedMemory_.Update(options_.memory->InUse() + options_.answerMemory->InUse());
     if (shortages_ != reportedShortages_) {
       reportedShortages_ = shortages_;
       if (options_.onShortage) {
--- a/gooseberrypath/caller_http.h
+++ b/gooseberrypath/caller_http.h
@@ -19,8 +19,8 @@
 
 #include "gooseberrypath/freed_memory.h"
 #include "gooseberrypath/http_io.h"
+#include "gooseberrypath/memory_account.h"
 #include "gooseberrypath/ports.h"
-#include "gooseberrypath/request_memory.h"
 #include "gooseberrypath/shortages.h"
 #include "gooseberrypath/task_errors.h"
 
@@ -53,7 +53,9 @@
   // caller gets its answer, and a closed one is noticed on writing.
   bool isHalfCloseGone = true;
   // Its bound is raised to what one request within the limits needs.
-  RequestMemoryPtr memory = std::make_shared<RequestMemory>();
+  MemoryAccountPtr memory = std::make_shared<MemoryAccount>();
+  // Account of the answers. Requests are refused while it has no room.
+  MemoryAccountPtr answerMemory = std::make_shared<MemoryAccount>();
   // Called at most every 250 ms, after the counts have changed.
   std::function<void(const Shortages&)> onShortage = {};
 };
@@ -76,6 +78,11 @@
   void Execute(const ReplyStreamEvent& aAction);
   void Execute(const ReplyStreamEnd& aAction);
 
+  /// Drops answers that their callers do not take, beginning with the one that waits
+  /// longest, until the account of answers has room for this many bytes. Returns whether
+  /// it has.
+  bool MakeRoomForAnswer(size_t aBytes);
+
   /// Stops accepting connections and closes idle ones. Running requests are answered,
   /// with "Connection: close".
   void Stop();
--- a/gooseberrypath/caller_stream.cc
+++ b/gooseberrypath/caller_stream.cc
@@ -17,6 +17,9 @@
 // for bytes of the previous request that were read together with the head.
 constexpr size_t kMinTooLargeHead = 60'000;
 
+// Parts in which answers are written.
+constexpr size_t kWriteBytes = size_t{ 64 } * 1024;
+
 } // namespace
 
 CallerHttp::Connection::Connection(CallerHttp& aPort)
@@ -84,6 +87,11 @@
   return held >= kMinDroppedBytes ? WaitsSince() : std::nullopt;
 }
 
+void CallerHttp::Connection::WaitForTaking(bool aIsWriting)
+{
+  untakenSince_ = aIsWriting ? std::optional(TimeOf(port_.options_.timer)) : std::nullopt;
+}
+
 bool CallerHttp::Connection::Charge(MemoryCharge& aCharge, size_t aBytes)
 {
   return aCharge.TryResize(aBytes) ||
@@ -234,14 +242,31 @@
 kj::Promise<void> CallerHttp::Stream::write(const void* aBuffer, size_t aSize)
 {
   headBytes_ = 0;
-  return inner_->write(aBuffer, aSize);
+  return WriteParts(static_cast<const kj::byte*>(aBuffer), aSize);
+}
+
+kj::Promise<void> CallerHttp::Stream::WriteParts(const kj::byte* aBuffer, size_t aSize)
+{
+  connection->WaitForTaking(true);
+  const size_t part = std::min(aSize, kWriteBytes);
+  return inner_->write(aBuffer, part)
+    .then([this, aBuffer, aSize, part]() -> kj::Promise<void> {
+      if (part == aSize) {
+        connection->WaitForTaking(false);
+        return kj::READY_NOW;
+      }
+      return kj::evalLater([this, rest = aBuffer + part, size = aSize - part] {
+        return WriteParts(rest, size);
+      });
+    });
 }
 
 kj::Promise<void> CallerHttp::Stream::write(
   kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> aPieces)
 {
   headBytes_ = 0;
-  return inner_->write(aPieces);
+  connection->WaitForTaking(true);
+  return inner_->write(aPieces).then([this] { connection->WaitForTaking(false); });
 }
 
 kj::Promise<void> CallerHttp::Stream::whenWriteDisconnected()
--- a/gooseberrypath/caller_stream.h
+++ b/gooseberrypath/caller_stream.h
@@ -60,6 +60,14 @@
   /// The same, if the connection holds enough memory to be worth dropping.
   std::optional<TimePoint> StalledSince() const;
 
+  /// Tells that bytes of an answer are being written, that the caller has taken some of
+  /// them (again with true), or that it has taken all.
+  void WaitForTaking(bool aIsWriting);
+
+  /// Returns the time since which the caller has taken nothing of an answer. Empty: none
+  /// is being written.
+  std::optional<TimePoint> UntakenSince() const { return untakenSince_; }
+
   /// Charges kj's memory for a head of this size. kj keeps it for the connection's next
   /// heads. Returns false if there is no room.
   bool ChargeHead(size_t aBytes, size_t aFields);
@@ -92,6 +100,7 @@
   std::optional<Error> refusal_; // to be written when the connection closes
   CallerWait wait_ = CallerWait::Request;
   TimePoint waitsSince_;
+  std::optional<TimePoint> untakenSince_;
   MemoryCharge headCharge_;
   MemoryCharge requestCharge_;
 };
@@ -124,6 +133,10 @@
   void shutdownWrite() override { inner_->shutdownWrite(); }
 
 private:
+  /// Writes in parts, so that a caller that takes its answer slowly can be told from one
+  /// that does not, and other connections have their turns.
+  kj::Promise<void> WriteParts(const kj::byte* aBuffer, size_t aSize);
+
   /// Charges bytes of a head. Throws kj::Exception of type OVERLOADED if there is no
   /// room.
   void NoteRead(size_t aBytes);
--- a/gooseberrypath/claim_appends.cc
+++ b/gooseberrypath/claim_appends.cc
@@ -37,7 +37,7 @@
                                      .isKnown = aEnd.how == ClaimEnd::How::Done,
                                      .status = aEnd.answer.status,
                                      .headers = aEnd.answer.headers,
-                                     .body = aEnd.answer.body });
+                                     .body = std::string(aEnd.answer.body.View()) });
 }
 
 } // namespace
--- a/gooseberrypath/claim_table.cc
+++ b/gooseberrypath/claim_table.cc
@@ -274,7 +274,7 @@
                       .isKnown = aRow.state == ActionRow::State::Done,
                       .status = aRow.answer.status,
                       .headers = aRow.answer.headers,
-                      .body = aRow.answer.body };
+                      .body = std::string(aRow.answer.body.View()) };
   }
   return carry;
 }
--- a/gooseberrypath/events.h
+++ b/gooseberrypath/events.h
@@ -66,7 +66,7 @@
   AttemptId attempt;
   int status = 0;
   Headers headers;
-  std::string body;
+  SharedBytes body;
 };
 
 /// The connection failed after a byte may have been sent: the action may have run.
--- a/gooseberrypath/longest_waiting.h
+++ b/gooseberrypath/longest_waiting.h
@@ -22,6 +22,10 @@
 /// packet usually delays a request.
 inline constexpr Duration kMinWait = std::chrono::milliseconds(500);
 
+/// While memory runs short, a response is dropped if its caller has taken nothing for this
+/// time. A slow mobile connection takes something more often.
+inline constexpr Duration kMaxUntakenTime = std::chrono::seconds(10);
+
 /// A request makes progress when this much of its body has arrived, so that single bytes
 /// do not count.
 inline constexpr size_t kProgressBytes = size_t{ 16 } * 1024;
@@ -33,8 +37,8 @@
 class LongestWaiting
 {
 public:
-  explicit LongestWaiting(TimePoint aNow)
-    : since_(aNow - kMinWait)
+  explicit LongestWaiting(TimePoint aNow, Duration aMinWait = kMinWait)
+    : since_(aNow - aMinWait)
   {
   }
 
--- a/gooseberrypath/request_memory.cc
+++ b/gooseberrypath/memory_account.cc
@@ -1,10 +1,10 @@
-#include "gooseberrypath/request_memory.h"
+#include "gooseberrypath/memory_account.h"
 
 #include <utility>
 
 namespace gooseberrypath {
 
-MemoryCharge::MemoryCharge(RequestMemoryPtr aMemory)
+MemoryCharge::MemoryCharge(MemoryAccountPtr aMemory)
   : memory_(std::move(aMemory))
 {
 }
--- a/gooseberrypath/request_memory.h
+++ b/gooseberrypath/memory_account.h
@@ -1,13 +1,14 @@
-// Account of the memory that callers' requests take up: while they are read, wait or run
-// in the core, and are queued to backends. It counts bytes and holds none.
+// Account of the memory that one kind of data takes up in the whole process, for example
+// callers' requests while they are read, run and are queued to backends. It counts bytes
+// and holds none.
 //
-//   auto memory = std::make_shared<RequestMemory>(bound);
+//   auto memory = std::make_shared<MemoryAccount>(bound);
 //   MemoryCharge charge(memory);
 //   if (!charge.TryResize(bytes)) { ... }   // there is no room
 //   MemoryCharge bodyCharge = charge.Split(body.capacity());
 
-#ifndef GOOSEBERRYPATH_REQUEST_MEMORY_H_
-#define GOOSEBERRYPATH_REQUEST_MEMORY_H_
+#ifndef GOOSEBERRYPATH_MEMORY_ACCOUNT_H_
+#define GOOSEBERRYPATH_MEMORY_ACCOUNT_H_
 
 #include <algorithm>
 #include <cstddef>
@@ -16,31 +17,32 @@
 namespace gooseberrypath {
 
 /// The bound for a host whose memory is unknown.
-inline constexpr size_t kDefaultRequestMemoryBytes = size_t{ 32 } * 1024 * 1024;
+inline constexpr size_t kDefaultAccountBound = size_t{ 32 } * 1024 * 1024;
 
-/// Returns the bound for a host with this much memory in MiB: a quarter of it. The rest
-/// is for responses, connections, the program and the operating system. 0: unknown.
-constexpr size_t RequestMemoryOfHost(double aHostMb)
+/// Returns the bound of an account on a host with this much memory in MiB: a quarter of
+/// it. The rest is for the other accounts, connections, the program and the operating
+/// system. 0: unknown.
+constexpr size_t AccountBoundOfHost(double aHostMb)
 {
   constexpr double kShare = 0.25;
   constexpr double kBytesInMiB = 1024.0 * 1024.0;
   return aHostMb > 0 ? static_cast<size_t>(aHostMb * kBytesInMiB * kShare)
-                     : kDefaultRequestMemoryBytes;
+                     : kDefaultAccountBound;
 }
 
-class RequestMemory
+class MemoryAccount
 {
 public:
-  explicit RequestMemory(size_t aBound = kDefaultRequestMemoryBytes)
+  explicit MemoryAccount(size_t aBound = kDefaultAccountBound)
     : bound_(aBound)
   {
   }
 
-  /// Sets the bytes that one legal request may need. The bound is never lower.
-  void SetLargestRequest(size_t aBytes) { largestRequest_ = aBytes; }
+  /// Sets the bytes that a single legal message may need. The bound is never lower.
+  void SetLeastBound(size_t aBytes) { leastBound_ = aBytes; }
 
-  /// Returns the bytes that all requests together may take up.
-  size_t Bound() const { return std::max(bound_, largestRequest_); }
+  /// Returns the bytes that may be charged together.
+  size_t Bound() const { return std::max(bound_, leastBound_); }
 
   /// Returns the bytes that are charged now. They may exceed the bound after
   /// MemoryCharge::Resize() or a lower limit.
@@ -53,20 +55,20 @@
   friend class MemoryCharge;
 
   size_t bound_;
-  size_t largestRequest_ = 0;
+  size_t leastBound_ = 0;
   size_t inUse_ = 0;
 };
 
-using RequestMemoryPtr = std::shared_ptr<RequestMemory>;
+using MemoryAccountPtr = std::shared_ptr<MemoryAccount>;
 
-/// The bytes that one request or a part of it takes up. They are returned to the account
+/// The bytes that one message or a part of it takes up. They are returned to the account
 /// when the charge is destroyed.
 class MemoryCharge
 {
 public:
   /// A charge without an account counts nothing.
   MemoryCharge() = default;
-  explicit MemoryCharge(RequestMemoryPtr aMemory);
+  explicit MemoryCharge(MemoryAccountPtr aMemory);
   ~MemoryCharge();
 
   MemoryCharge(MemoryCharge&& aOther) noexcept;
@@ -88,10 +90,10 @@
   MemoryCharge Split(size_t aBytes);
 
 private:
-  RequestMemoryPtr memory_;
+  MemoryAccountPtr memory_;
   size_t bytes_ = 0;
 };
 
 } // namespace gooseberrypath
 
-#endif // GOOSEBERRYPATH_REQUEST_MEMORY_H_
+#endif // GOOSEBERRYPATH_MEMORY_ACCOUNT_H_
--- a/gooseberrypath/reply_writer.cc
+++ b/gooseberrypath/reply_writer.cc
@@ -139,7 +139,7 @@
         .finishReason = {},
         .error = Error{ ErrorKind::BadRequest, "the engine answered " +
                                                  std::to_string(aAnswer.status) + ": " +
-                                                 aAnswer.body } });
+                                                 std::string(aAnswer.body.View()) } });
     return;
   }
   world_.counters.Add(Counter::RequestsAnswered);
@@ -188,7 +188,7 @@
     body["state"] = NameOf(known->state);
     if (known->state == ActionRow::State::Done) {
       body["status"] = known->answer.status;
-      body["body"] = known->answer.body;
+      body["body"] = known->answer.body.View();
     }
   }
   using Json = nlohmann::json;
--- a/gooseberrypath/serve.cc
+++ b/gooseberrypath/serve.cc
@@ -134,7 +134,9 @@
                      .daemon = aSettings.daemon,
                      .wallOffset = WallNow() - clock_.Now().time_since_epoch() })
     , requestMemory_(
-        std::make_shared<RequestMemory>(RequestMemoryOfHost(aSettings.memoryMb)))
+        std::make_shared<MemoryAccount>(AccountBoundOfHost(aSettings.memoryMb)))
+    , answerMemory_(
+        std::make_shared<MemoryAccount>(AccountBoundOfHost(aSettings.memoryMb)))
     , callers_(
         { .network = network_,
           .timer = timer_,
@@ -149,10 +151,15 @@
           .headTimeout = aSettings.requestReadTimeout,
           .bodyTimeout = aSettings.requestReadTimeout,
           .memory = requestMemory_,
-          .onShortage = [this](const Shortages& aTotals) { LogShortages(aTotals); } })
+          .answerMemory = answerMemory_,
+          .onShortage =
+            [this](const Shortages& aTotals) { LogShortages("callers", aTotals); } })
     , backends_({ .network = network_,
                   .timer = timer_,
                   .sink = Sink(),
+                  .answerMemory = answerMemory_,
+                  .makeRoom =
+                    [this](size_t aBytes) { return callers_.MakeRoomForAnswer(aBytes); },
                   .loadInterval = aSettings.loadInterval })
     , log_({ .network = network_,
              .timer = timer_,
@@ -165,12 +172,9 @@
                .snapshot = [this] { return EncodeSnapshot(daemon_->GetWorld()); },
                // A handed-over request has the caller's body and the tokens.
                .maxMessageBytes = aSettings.maxBodyBytes + kMaxTokenBytes })
-    , operators_(
-        { .address = aSettings.operatorListen, .sink = Sink(), .snapshot = [this] {
-           OperatorSnapshot snapshot = TakeSnapshot(daemon_->GetWorld());
-           snapshot.metrics += RenderCallerMetrics();
-           return snapshot;
-         } })
+    , operators_({ .address = aSettings.operatorListen,
+                   .sink = Sink(),
+                   .snapshot = [this] { return Snapshot(); } })
   {
     daemon_.emplace(ToCoreOptions(aSettings, incarnation_),
                     PortSet{ .caller = callers_,
@@ -220,16 +224,31 @@
     return [this](Event aEvent) { daemon_->Post(std::move(aEvent)); };
   }
 
+  OperatorSnapshot Snapshot() const
+  {
+    OperatorSnapshot snapshot = TakeSnapshot(daemon_->GetWorld());
+    snapshot.metrics += RenderCallerMetrics();
+    return snapshot;
+  }
+
   std::string RenderCallerMetrics() const
   {
     const Shortages& shortages = callers_.GetShortages();
-    const std::array<Gauge, 6> gauges{
+    const std::array<Gauge, 9> gauges{
       Gauge{ "caller_connections", "Open connections of callers.",
              static_cast<double>(callers_.ConnectionCount()) },
       Gauge{ "request_memory_bytes", "Memory that callers' requests take up.",
              static_cast<double>(requestMemory_->InUse()) },
       Gauge{ "request_memory_bound_bytes", "Bound of that memory.",
              static_cast<double>(requestMemory_->Bound()) },
+      Gauge{ "answer_memory_bytes",
+             "Memory of answers that are being read or wait for their callers.",
+             static_cast<double>(answerMemory_->InUse()) },
+      Gauge{ "answer_memory_bound_bytes", "Bound of that memory.",
+             static_cast<double>(answerMemory_->Bound()) },
+      Gauge{ "untaken_answers_dropped",
+             "Answers that their callers did not take, dropped to make room.",
+             static_cast<double>(shortages.droppedResponses) },
       Gauge{ "requests_refused_for_memory", "Requests that found no room.",
              static_cast<double>(shortages.refusedRequests) },
       Gauge{ "slow_requests_dropped", "Incomplete requests dropped to make room.",
@@ -241,18 +260,17 @@
     return RenderGauges(gauges);
   }
 
-  void LogShortages(const Shortages& aTotals)
+  void LogShortages(std::string aPart, const Shortages& aTotals)
   {
     observation_.Execute(WriteLog{
       .level = LogLevel::Warning,
-      .part = "callers",
+      .part = std::move(aPart),
       .text = "memory or connections ran short; since the start " +
               std::to_string(aTotals.refusedRequests) + " requests found no room, " +
-              std::to_string(aTotals.droppedRequests) + " slow requests and " +
-              std::to_string(aTotals.droppedConnections) +
-              " waiting connections were dropped; requests take up " +
-              std::to_string(requestMemory_->InUse()) + " of " +
-              std::to_string(requestMemory_->Bound()) + " bytes" });
+              std::to_string(aTotals.droppedRequests) + " slow requests, " +
+              std::to_string(aTotals.droppedConnections) + " waiting connections and " +
+              std::to_string(aTotals.droppedResponses) +
+              " untaken responses were dropped" });
   }
 
   /// Waits until callers have read their answers, for a limited time.
@@ -277,7 +295,8 @@
   std::optional<Daemon<PortSet>> daemon_;
   KjClock clock_;
   Observation observation_;
-  RequestMemoryPtr requestMemory_;
+  MemoryAccountPtr requestMemory_;
+  MemoryAccountPtr answerMemory_;
   CallerHttp callers_;
   BackendHttp backends_;
   LogHttp log_;
--- a/gooseberrypath/shared_bytes.h
+++ b/gooseberrypath/shared_bytes.h
@@ -11,7 +11,7 @@
 #include <string>
 #include <string_view>
 
-#include "gooseberrypath/request_memory.h"
+#include "gooseberrypath/memory_account.h"
 
 namespace gooseberrypath {
 
--- a/gooseberrypath/testing/claim_fakes.h
+++ b/gooseberrypath/testing/claim_fakes.h
@@ -178,7 +178,7 @@
   void Answer(RequestId aId, const StoredAnswer& aAnswer)
   {
     if (!world_.requests.Find(aId)->headSent) {
-      Reply(aId, aAnswer.status, std::nullopt, aAnswer.body);
+      Reply(aId, aAnswer.status, std::nullopt, std::string(aAnswer.body.View()));
     }
     world_.requests.Erase(aId);
   }
--- a/gooseberrypath/testing/claim_simulation.h
+++ b/gooseberrypath/testing/claim_simulation.h
@@ -312,7 +312,7 @@
       call.reply = Reply{ .status = aAction.status,
                           .kind = std::string(FindHeader(aAction.headers, "X-Kind")),
                           .run = std::string(FindHeader(aAction.headers, "X-Run")),
-                          .body = aAction.body };
+                          .body = std::string(aAction.body.View()) };
     }
   }
 
--- a/gooseberrypath/world.h
+++ b/gooseberrypath/world.h
@@ -66,7 +66,7 @@
 {
   int status = 0;
   Headers headers;
-  std::string body;
+  SharedBytes body;
 
   bool operator==(const StoredAnswer&) const = default;
 };
--- a/tests/memory/serve_memory_test.py
+++ b/tests/memory/serve_memory_test.py
@@ -184,6 +184,14 @@
         self.crowd_at(self.callers).send([iter(()) for _ in range(CLIENTS_OVER_DESCRIPTORS)])
         self.check()
 
+    def test_large_answers_that_nobody_reads(self):
+        """Guards against a total of answers, waiting for their callers, that has no bound."""
+        self.start()
+        request = b"GET /orders/large HTTP/1.1\r\nHost: h\r\n\r\n"
+        crowd = self.crowd_at(self.callers)
+        crowd.send_only([iter([request]) for _ in range(ANSWER_CLIENTS)])
+        self.check()
+
     def test_a_stop_amid_a_crowd(self):
         """Guards against a planned stop that incomplete requests hold up."""
         self.start()
