Entry: poll for what others send while one connection always has bytes

Cause: kj's loop polls only when no work is queued, and a read that finds data completes without a poll. `serve` had set the loop to poll anyway; the entry daemon had not.

A first form of this test, with both callers there before the loop ran, passed without the change and was dropped: kj already lets queued reads take turns.

--- a/entry/serve_entry.cc
+++ b/entry/serve_entry.cc
@@ -26,6 +26,7 @@
 #include "entry/team_quota_report.h"
 #include "gooseberrypath/daemon.h"
 #include "gooseberrypath/descriptors.h"
+#include "gooseberrypath/event_loop.h"
 #include "gooseberrypath/freed_memory.h"
 #include "platform/settings_file.h"
 
@@ -367,7 +368,7 @@
   kj::UnixEventPort::captureSignal(SIGTERM);
   kj::UnixEventPort::captureSignal(SIGHUP);
   LimitDescriptors(settings->maxDescriptors);
-  kj::AsyncIoContext io = kj::setupAsyncIo();
+  kj::AsyncIoContext io = SetUpEventLoop();
   EntryServer server(aSettingsPath, *settings, io);
   server.Run(io);
   return 0;
--- /dev/null
+++ b/entry/testing/turns_test.cc
@@ -0,0 +1,74 @@
+// Tests that a connection which always has bytes leaves turns to the others, and that the
+// work for a message grows with its bytes only. Turns are counted by what was read of the
+// busy connection, so the tests do not depend on time.
+
+#include <optional>
+
+#include <catch2/catch.hpp>
+
+#include "entry/caller_port.h"
+#include "entry/http_reader.h"
+#include "entry/sse_event_splitter.h"
+#include "gooseberrypath/event_loop.h"
+#include "gooseberrypath/testing/loop_fixture.h"
+#include "gooseberrypath/testing/raw_socket.h"
+
+namespace gooseberrypath::entry {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+using EntryLoop = BasicLoopFixture<Event>;
+
+// What may be charged for a busy connection between two polls: 8 KiB are read in a turn,
+// and the buffer of a body has up to half more than its bytes.
+constexpr size_t kMostBetweenPolls = kTurnsPerPoll * size_t{ 8192 } * 3 / 2;
+
+// The busy connection is read up to here before the other one sends.
+constexpr size_t kReadBefore = size_t{ 64 } * 1024;
+
+constexpr size_t kMostBusyBytes = size_t{ 3 } * 1024 * 1024;
+
+} // namespace
+
+TEST_CASE("A caller that always has bytes leaves turns to others", "[entry][turns]")
+{
+  // Guards against a connection that is read until it has no bytes, while the loop does
+  // not see what others send.
+  EntryLoop loop;
+  const auto port = static_cast<uint16_t>(loop.Listen()->getPort());
+  auto memory = std::make_shared<MemoryAccount>();
+  size_t readAtSend = 0;
+  size_t readAtArrival = 0;
+  std::optional<RawSocket> other;
+  // The port asks for the time as it reads, so the other caller sends amid the reads.
+  const auto sendWhenBusy = [&] {
+    if (readAtSend == 0 && memory->InUse() >= kReadBefore) {
+      readAtSend = memory->InUse();
+      other->Send("GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    }
+    return TimePoint{ 1s };
+  };
+  CallerPort callers({ .network = loop.Network(),
+                       .timer = loop.Timer(),
+                       .sink =
+                         [&](Event aEvent) {
+                           readAtArrival = memory->InUse();
+                           loop.Sink()(std::move(aEvent));
+                         },
+                       .now = sendWhenBusy,
+                       .address = "127.0.0.1:" + std::to_string(port),
+                       .memory = memory });
+  other.emplace(RawSocket::Connect(port));
+  loop.RunUntil([&] { return callers.ConnectionCount() == 1; });
+  RawSocket busy = RawSocket::Connect(port);
+  const size_t sent =
+    busy.SendUntilFull("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4000000\r\n\r\n",
+                       std::string(8192, 'x'), kMostBusyBytes);
+  REQUIRE(sent > kReadBefore + kMostBetweenPolls + kReadBefore);
+  CHECK(loop.WaitFor<CallArrived>().call.target == "/b");
+  CHECK(readAtArrival - readAtSend < kMostBetweenPolls);
+}
+
+} // namespace gooseberrypath::entry
--- a/gooseberrypath/caller_stream.cc
+++ b/gooseberrypath/caller_stream.cc
@@ -255,9 +255,7 @@
         connection->WaitForTaking(false);
         return kj::READY_NOW;
       }
-      return kj::evalLater([this, rest = aBuffer + part, size = aSize - part] {
-        return WriteParts(rest, size);
-      });
+      return WriteParts(aBuffer + part, aSize - part);
     });
 }
 
--- a/gooseberrypath/caller_stream.h
+++ b/gooseberrypath/caller_stream.h
@@ -134,7 +134,7 @@
 
 private:
   /// Writes in parts, so that a caller that takes its answer slowly can be told from one
-  /// that does not, and other connections have their turns.
+  /// that does not.
   kj::Promise<void> WriteParts(const kj::byte* aBuffer, size_t aSize);
 
   /// Charges bytes of a head. Throws kj::Exception of type OVERLOADED if there is no
--- a/gooseberrypath/serve.cc
+++ b/gooseberrypath/serve.cc
@@ -17,6 +17,7 @@
 #include "gooseberrypath/counters.h"
 #include "gooseberrypath/daemon.h"
 #include "gooseberrypath/descriptors.h"
+#include "gooseberrypath/event_loop.h"
 #include "gooseberrypath/freed_memory.h"
 #include "gooseberrypath/kj_clock.h"
 #include "gooseberrypath/log_http.h"
@@ -37,11 +38,6 @@
 constexpr Duration kMaxFlushTime = 5s;
 constexpr Duration kFlushStep = 50ms;
 
-/// Turns of the event loop before it polls for I/O although work is queued. Reads that
-/// find data complete without a poll, so by the loop's default a daemon under full load
-/// would not accept connections, call timers or answer health checks.
-constexpr kj::uint kTurnsPerPoll = 200;
-
 /// Room for received tokens in a message between daemons.
 constexpr uint64_t kMaxTokenBytes = uint64_t{ 1024 } * 1024;
 
@@ -133,10 +129,10 @@
                      .spanFile = aSettings.spanFile,
                      .daemon = aSettings.daemon,
                      .wallOffset = WallNow() - clock_.Now().time_since_epoch() })
-    , requestMemory_(
-        std::make_shared<MemoryAccount>(AccountBoundOfHost(aSettings.memoryMb)))
-    , answerMemory_(
-        std::make_shared<MemoryAccount>(AccountBoundOfHost(aSettings.memoryMb)))
+    , requestMemory_(std::make_shared<MemoryAccount>(
+        AccountBoundOfHost(static_cast<double>(aSettings.memoryMb))))
+    , answerMemory_(std::make_shared<MemoryAccount>(
+        AccountBoundOfHost(static_cast<double>(aSettings.memoryMb))))
     , callers_(
         { .network = network_,
           .timer = timer_,
@@ -316,8 +312,7 @@
   std::signal(SIGPIPE, SIG_IGN);
   kj::UnixEventPort::captureSignal(SIGTERM);
   kj::UnixEventPort::captureSignal(SIGINT);
-  kj::AsyncIoContext io = kj::setupAsyncIo();
-  io.waitScope.setBusyPollInterval(kTurnsPerPoll);
+  kj::AsyncIoContext io = SetUpEventLoop();
   Server(aSettings, io).Run(io);
   return 0;
 }
--- a/gooseberrypath/testing/loop_fixture.h
+++ b/gooseberrypath/testing/loop_fixture.h
@@ -12,6 +12,7 @@
 #include <kj/async-io.h>
 #include <kj/debug.h>
 
+#include "gooseberrypath/event_loop.h"
 #include "gooseberrypath/events.h"
 #include "gooseberrypath/ports.h"
 
@@ -154,7 +155,7 @@
     return "127.0.0.1:" + std::to_string(aListener.getPort());
   }
 
-  kj::AsyncIoContext io = kj::setupAsyncIo();
+  kj::AsyncIoContext io = SetUpEventLoop();
   std::deque<EventType> events;
 
 private:
--- a/tests/memory/entry_memory_test.py
+++ b/tests/memory/entry_memory_test.py
@@ -136,6 +136,26 @@
         wait_for(lambda: self.process.poll() is not None, "the daemon to end", timeout_s=60)
         self.assertEqual(self.process.returncode, 0)
 
+    def test_a_request_is_answered_while_a_crowd_sends(self):
+        """Guards against connections that always have bytes and leave no turn to others."""
+        self.start()
+        crowd = self.crowd_at(self.daemon.caller)
+        stop = threading.Event()
+
+        def endless(request):
+            return itertools.takewhile(lambda _: not stop.is_set(), request)
+        requests = [chunked(BUSY_BODY, 1, 4 * KIB, False) for _ in range(BUSY_CLIENTS)]
+        requests += [itertools.repeat(get("/status/1", f"b{i}")) for i in range(BUSY_CLIENTS)]
+        sender = threading.Thread(target=crowd.send,
+                                  args=([endless(request) for request in requests],))
+        sender.start()
+        try:
+            wait_for(self.is_served, "an ordinary request to be answered", timeout_s=60)
+        finally:
+            stop.set()
+            sender.join()
+        self.check()
+
 
 if __name__ == "__main__":
     unittest.main(verbosity=2)
