Entry: search an unfinished event only where bytes were added

Cause: SseEventSplitter searched the whole unfinished event for its end with each chunk, so the work grew with the square of the event.

Change: the search begins two bytes before the new ones, as the longest end has three.

Ends that are split over parts are found.

--- a/entry/sse_event_splitter.cc
+++ b/entry/sse_event_splitter.cc
@@ -6,6 +6,9 @@
 
 namespace {
 
+// The longest end of an event: "\n\r\n".
+constexpr size_t kMaxEndBytes = 3;
+
 /// Returns the position after the empty line that ends the last complete event, or 0.
 size_t EndOfLastEvent(std::string_view aText)
 {
@@ -52,8 +55,16 @@
 
 CompleteEvents SseEventSplitter::Feed(std::string_view aBytes)
 {
+  // Only the new bytes are searched, and so many before them as an end may begin with.
+  // Otherwise the work for a long event in small parts would grow with its square.
+  const size_t searched =
+    partialEvent_.size() - std::min(partialEvent_.size(), kMaxEndBytes - 1);
   partialEvent_.append(aBytes);
-  const size_t end = EndOfLastEvent(partialEvent_);
+  const size_t found = EndOfLastEvent(std::string_view(partialEvent_).substr(searched));
+  if (found == 0) {
+    return {};
+  }
+  const size_t end = searched + found;
   CompleteEvents events{ .bytes = partialEvent_.substr(0, end), .lastId = {} };
   partialEvent_.erase(0, end);
   events.lastId = LastEventId(events.bytes);
--- a/entry/testing/turns_test.cc
+++ b/entry/testing/turns_test.cc
@@ -71,4 +71,29 @@
   CHECK(readAtArrival - readAtSend < kMostBetweenPolls);
 }
 
+TEST_CASE("An event in small parts is split like a whole one", "[entry][turns]")
+{
+  // Guards against ends of events that are missed where a part ends inside them, and
+  // against work that grows with the square of an event: the whole event was searched
+  // again with each part, which takes hours for this one.
+  constexpr size_t kEventBytes = size_t{ 2 } * 1024 * 1024;
+  SseEventSplitter splitter;
+  size_t completed = 0;
+  for (size_t i = 0; i < kEventBytes; ++i) {
+    completed += splitter.Feed("x").count;
+  }
+  CHECK(completed == 0);
+  CHECK(splitter.PartialEvent().size() == kEventBytes);
+  const auto end = GENERATE(as<std::string>{}, "\n\n", "\n\r\n", "\r\n\r\n");
+  CompleteEvents events;
+  for (const char byte : "\nid: 7" + end) {
+    REQUIRE(events.count == 0);
+    events = splitter.Feed({ &byte, 1 });
+  }
+  CHECK(events.count == 1);
+  CHECK(events.lastId == "7");
+  CHECK(events.bytes.size() == kEventBytes + 6 + end.size());
+  CHECK(splitter.PartialEvent().empty());
+}
+
 } // namespace gooseberrypath::entry
