Entry: keep the work for pipelined requests linear in their bytes

Cause: HttpReader::Next() copied all buffered bytes, up to 64 KiB, for each of the requests in them, also for one of 40 bytes.

Change: parsed bytes are counted, and removed when they are the larger part of the buffer.

The new test reads 5,000 messages from one buffer that grows meanwhile; it guards the change and passed before.

--- a/entry/http_reader.cc
+++ b/entry/http_reader.cc
@@ -89,18 +89,22 @@
     buffered_.append(aBytes.data(), aBytes.size());
     return true;
   }
-  return Parse(aBytes.data(), aBytes.size());
+  const size_t parsedBytes = Parse(aBytes.data(), aBytes.size());
+  if (isPaused_) {
+    buffered_.assign(aBytes.data() + parsedBytes, aBytes.size() - parsedBytes);
+    bufferedBegin_ = 0;
+  }
+  return IsValid();
 }
 
-bool HttpReader::Parse(const char* aData, size_t aSize)
+size_t HttpReader::Parse(const char* aData, size_t aSize)
 {
-  const size_t parsedBytes =
-    http_parser_execute(&parser_, &ParserCallbacks(), aData, aSize);
-  if (isPaused_) {
-    buffered_.assign(aData + parsedBytes, aSize - parsedBytes);
-    return true;
-  }
-  return HTTP_PARSER_ERRNO(&parser_) == HPE_OK && parser_.upgrade == 0;
+  return http_parser_execute(&parser_, &ParserCallbacks(), aData, aSize);
+}
+
+bool HttpReader::IsValid() const
+{
+  return isPaused_ || (HTTP_PARSER_ERRNO(&parser_) == HPE_OK && parser_.upgrade == 0);
 }
 
 bool HttpReader::FeedEof()
@@ -119,8 +123,29 @@
   }
   isPaused_ = false;
   http_parser_pause(&parser_, 0);
-  const std::string buffered = std::exchange(buffered_, {});
-  return buffered.empty() || Parse(buffered.data(), buffered.size());
+  if (BufferedBytes() == 0) {
+    return true;
+  }
+  // The buffer is moved out, since a callback may feed or release the reader.
+  std::string buffered = std::exchange(buffered_, {});
+  const size_t begin = std::exchange(bufferedBegin_, 0);
+  const size_t parsedBytes = Parse(buffered.data() + begin, buffered.size() - begin);
+  if (isPaused_) {
+    KeepBuffered(std::move(buffered), begin + parsedBytes);
+  }
+  return IsValid();
+}
+
+void HttpReader::KeepBuffered(std::string aBytes, size_t aBegin)
+{
+  // Parsed bytes are removed only when they are the larger part, so that the work for
+  // many small messages stays linear in their bytes.
+  if (aBegin > aBytes.size() / 2) {
+    aBytes.erase(0, aBegin);
+    aBegin = 0;
+  }
+  buffered_ = std::move(aBytes);
+  bufferedBegin_ = aBegin;
 }
 
 bool HttpReader::CountHeadBytes(size_t aBytes)
--- a/entry/http_reader.h
+++ b/entry/http_reader.h
@@ -82,7 +82,7 @@
   bool IsPaused() const { return isPaused_; }
 
   /// Returns the number of buffered bytes that follow the last message.
-  size_t BufferedBytes() const { return buffered_.size(); }
+  size_t BufferedBytes() const { return buffered_.size() - bufferedBegin_; }
 
   /// Returns the memory that the head of the current message takes up, in bytes. A field
   /// of a few bytes takes up much more than it has.
@@ -104,6 +104,7 @@
     HttpHead head;
     std::swap(head_, head); // an assignment of an empty string would keep its memory
     std::string().swap(buffered_);
+    bufferedBegin_ = 0;
     headBytes_ = 0;
   }
 
@@ -122,7 +123,15 @@
   static constexpr size_t kFieldMemoryBytes = sizeof(Header);
 
   static const http_parser_settings& ParserCallbacks();
-  bool Parse(const char* aData, size_t aSize);
+
+  /// Parses up to the end of the message. Returns the number of parsed bytes.
+  size_t Parse(const char* aData, size_t aSize);
+
+  /// Buffers bytes of which the first ones are parsed.
+  void KeepBuffered(std::string aBytes, size_t aBegin);
+
+  /// Tells whether the bytes parsed so far are valid.
+  bool IsValid() const;
 
   /// Counts bytes of the head or the trailers. Returns false if they exceed maxHeadBytes.
   bool CountHeadBytes(size_t aBytes);
@@ -143,7 +152,8 @@
   bool isPaused_ = false;
   bool isHeadTooLarge_ = false;
   size_t headBytes_ = 0;
-  std::string buffered_;
+  std::string buffered_;     // follows the last message
+  size_t bufferedBegin_ = 0; // bytes of buffered_ that are parsed
 };
 
 } // namespace gooseberrypath::entry
--- a/entry/testing/turns_test.cc
+++ b/entry/testing/turns_test.cc
@@ -96,4 +96,35 @@
   CHECK(splitter.PartialEvent().empty());
 }
 
+TEST_CASE("Many small messages in one buffer are read one by one", "[entry][turns]")
+{
+  // Guards against messages that are lost or changed where parsed bytes are removed from
+  // the buffer.
+  constexpr int kMessages = 5000;
+  int heads = 0;
+  int ends = 0;
+  HttpReader reader({ .onHead =
+                        [&](HttpHead& aHead) {
+                          CHECK(aHead.target == "/" + std::to_string(heads));
+                          ++heads;
+                        },
+                      .onBody = [](std::string_view) {},
+                      .onEnd = [&] { ++ends; } });
+  std::string bytes;
+  for (int i = 0; i < kMessages; ++i) {
+    bytes += "GET /" + std::to_string(i) + " HTTP/1.1\r\nHost: h\r\n\r\n";
+  }
+  const size_t half = bytes.size() / 2;
+  REQUIRE(reader.Feed({ bytes.data(), half }));
+  for (int i = 1; i < kMessages; ++i) {
+    if (i == kMessages / 4) {
+      REQUIRE(reader.Feed({ bytes.data() + half, bytes.size() - half }));
+    }
+    REQUIRE(ends == i);
+    REQUIRE(reader.Next());
+  }
+  CHECK(ends == kMessages);
+  CHECK(reader.BufferedBytes() == 0);
+}
+
 } // namespace gooseberrypath::entry
