Entry: bound the connections to the ports for probes and metrics

What callers saw: idle connections to the port of the balancer's question took all descriptors of the entry daemon, and callers' new connections were not accepted.

Cause: the port gave its listener to kj, which takes any number of connections. When accept() fails for want of a descriptor, kj ends listening, so the port would have stayed dead.

--- a/entry/probe_port.cc
+++ b/entry/probe_port.cc
@@ -5,9 +5,17 @@
 #include <kj/debug.h>
 
 #include "gooseberrypath/http_io.h"
+#include "gooseberrypath/longest_waiting.h"
 
 namespace gooseberrypath::entry {
 
+namespace {
+
+// Time before accepting goes on after a failure: the process may have no free descriptor.
+constexpr Duration kAcceptRetryTime = std::chrono::milliseconds(50);
+
+} // namespace
+
 ProbePort::ProbePort(ProbePortOptions aOptions)
   : options_(std::move(aOptions))
   , server_(options_.timer, HeaderTable(), *this)
@@ -19,7 +27,49 @@
     kj::throwFatalException(
       KJ_EXCEPTION(FAILED, "the listen address for probes is malformed"));
   }
-  tasks_.add(server_.listenHttp(*listener_));
+  tasks_.add(AcceptLoop());
+}
+
+kj::Promise<void> ProbePort::AcceptLoop()
+{
+  return listener_->accept()
+    .then(
+      [this](kj::Own<kj::AsyncIoStream> aStream) -> kj::Promise<void> {
+        Serve(kj::mv(aStream));
+        return kj::READY_NOW;
+      },
+      [this](kj::Exception&&) -> kj::Promise<void> {
+        return options_.timer.afterDelay(ToKj(kAcceptRetryTime));
+      })
+    .then([this] { return AcceptLoop(); });
+}
+
+void ProbePort::Serve(kj::Own<kj::AsyncIoStream> aStream)
+{
+  if (connections_.size() >= options_.maxConnections && !MakeRoomForConnection()) {
+    return; // closes it
+  }
+  const uint64_t id = ++lastConnection_;
+  auto connection = kj::heap<Connection>();
+  connection->openedAt = TimeOf(options_.timer);
+  auto served = connection->canceler.wrap(server_.listenHttp(kj::mv(aStream)));
+  connections_.emplace(id, kj::mv(connection));
+  // Broken connections and bad requests are the other side's failures.
+  tasks_.add(
+    served.catch_([](kj::Exception&&) {}).then([this, id] { connections_.erase(id); }));
+}
+
+bool ProbePort::MakeRoomForConnection()
+{
+  LongestWaiting<const uint64_t> oldest(TimeOf(options_.timer));
+  for (const auto& [id, connection] : connections_) {
+    oldest.Offer(id, connection->openedAt);
+  }
+  if (oldest.Get() == nullptr) {
+    return false;
+  }
+  connections_.erase(*oldest.Get()); // cancels what serves it
+  return true;
 }
 
 ProbePort::Page ProbePort::PageFor(kj::StringPtr aPath) const
--- a/entry/probe_port.h
+++ b/entry/probe_port.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <string>
+#include <unordered_map>
 
 #include <kj/async-io.h>
 #include <kj/compat/http.h>
@@ -27,6 +28,8 @@
   std::string address; // "IP:port"
   std::function<std::string()> renderMetrics;
   std::function<std::string()> renderStatus; // JSON
+  // Of this port; a new one replaces the oldest. Callers need the other descriptors.
+  size_t maxConnections = 64;
 };
 
 class ProbePort final : private kj::HttpService
@@ -45,6 +48,19 @@
                             const kj::HttpHeaders& aHeaders, kj::AsyncInputStream& aBody,
                             Response& aResponse) override;
 
+  /// A connection that is being served.
+  struct Connection
+  {
+    TimePoint openedAt;
+    kj::Canceler canceler;
+  };
+
+  kj::Promise<void> AcceptLoop();
+  void Serve(kj::Own<kj::AsyncIoStream> aStream);
+
+  /// Closes the oldest connection so that a new one fits. Returns whether there was any.
+  bool MakeRoomForConnection();
+
   struct Page
   {
     int status = 200;
@@ -59,6 +75,8 @@
   bool isReady_ = false;
   kj::HttpServer server_;
   kj::Own<kj::ConnectionReceiver> listener_;
+  uint64_t lastConnection_ = 0;
+  std::unordered_map<uint64_t, kj::Own<Connection>> connections_;
   TaskErrors errors_;
   kj::TaskSet tasks_;
 };
--- a/tests/memory/entry_memory_test.py
+++ b/tests/memory/entry_memory_test.py
@@ -127,6 +127,23 @@
              for i in range(PIPELINING_CLIENTS)])
         self.check()
 
+    def test_probe_connections_over_the_descriptors(self):
+        """Guards against idle connections to the port for probes that take the callers'
+        descriptors, and against a port that stops to listen when it has none."""
+        self.start()
+        self.crowd_at(self.daemon.ready).send(
+            [iter(()) for _ in range(CLIENTS_OVER_DESCRIPTORS)])
+        self.check()
+
+    def test_probe_heads_that_never_end(self):
+        """Guards against heads without an end at the port for probes."""
+        self.start()
+        line = b"GET /api/readiness HTTP/1.1\r\nHost: h\r\nX-Endless: "
+        self.crowd_at(self.daemon.ready).send(
+            [itertools.chain([line], [b"x" * KIB] * 60)
+             for _ in range(CLIENTS_OVER_DESCRIPTORS)])
+        self.check()
+
     def test_a_stop_amid_a_crowd(self):
         """Guards against a planned stop that incomplete requests hold up."""
         self.start()
