Serve: bound the memory and the connections of operators' calls

What operators saw: bodies at their port, announced far over the limit of 1 MiB or stopping before their end, made `gooseberrypath serve` grow without a bound, with all its callers.

Cause: cxxtools reads a whole body of any length before its handler runs, where the limit was checked, and takes any number of connections. It has no setting for either.

It runs on a thread and a loop of its own, so that health checks are answered 503 when the daemon's loop does not answer, as before.

--- a/gooseberrypath/operator_http.h
+++ b/gooseberrypath/operator_http.h
@@ -1,12 +1,13 @@
-// The operators' HTTP port of a daemon, on the cxxtools HTTP server.
+// The operators' HTTP port of a daemon.
 //
 //   OperatorHttp operators({ .address = "127.0.0.1:8082",
 //                            .sink = [&](Event aEvent) { daemon.Post(std::move(aEvent));
 //                            }, .snapshot = [&] { return OperatorSnapshot{ ... }; } });
 //
-// The handlers run on threads of cxxtools. They queue work for the thread of the kj event
-// loop and wait for its result for a bounded time. The event loop never waits for them,
-// except in the destructor.
+// The server runs on a thread of its own (operator_loop.h), queues work for the thread of
+// the daemon's event loop and waits for its result for a bounded time, so that a health
+// check is answered also when that loop does not. The event loop never waits for the
+// server, except in the destructor.
 
 #ifndef GOOSEBERRYPATH_OPERATOR_HTTP_H_
 #define GOOSEBERRYPATH_OPERATOR_HTTP_H_
@@ -19,6 +20,7 @@
 #include "gooseberrypath/actions.h"
 #include "gooseberrypath/messages.h"
 #include "gooseberrypath/ports.h"
+#include "gooseberrypath/shortages.h"
 #include "gooseberrypath/types.h"
 
 namespace gooseberrypath {
@@ -33,6 +35,8 @@
 
 struct OperatorHttpOptions
 {
+  static constexpr size_t kMaxConnections = 128;
+
   std::string address;                          // "IP:port"
   EventSink sink{};                             // called on the thread of the event loop
   std::function<OperatorSnapshot()> snapshot{}; // called on the thread of the event loop
@@ -42,6 +46,10 @@
   size_t maxBodyBytes = 1'048'576;             // a larger body is refused
   size_t maxCalls = 48;   // calls on /v1/ that wait at once; more are refused
   size_t maxQueued = 256; // work that the event loop has not taken; more is refused
+  size_t maxConnections =
+    kMaxConnections; // a new one replaces the one that waits longest
+  // Called on the thread of the event loop, at most every 250 ms.
+  std::function<void(const Shortages&)> onShortage = {};
 };
 
 /// Models OperatorPort. Constructed and destroyed on the thread of a kj event loop.
--- a/gooseberrypath/serve.cc
+++ b/gooseberrypath/serve.cc
@@ -38,6 +38,10 @@
 constexpr Duration kMaxFlushTime = 5s;
 constexpr Duration kFlushStep = 50ms;
 
+/// Part of the process's descriptors that operators' connections may take. Callers may have
+/// half of them.
+constexpr size_t kOperatorsPart = 8;
+
 /// Room for received tokens in a message between daemons.
 constexpr uint64_t kMaxTokenBytes = uint64_t{ 1024 } * 1024;
 
@@ -168,9 +172,14 @@
                .snapshot = [this] { return EncodeSnapshot(daemon_->GetWorld()); },
                // A handed-over request has the caller's body and the tokens.
                .maxMessageBytes = aSettings.maxBodyBytes + kMaxTokenBytes })
-    , operators_({ .address = aSettings.operatorListen,
-                   .sink = Sink(),
-                   .snapshot = [this] { return Snapshot(); } })
+    , operators_(
+        { .address = aSettings.operatorListen,
+          .sink = Sink(),
+          .snapshot = [this] { return Snapshot(); },
+          .maxConnections = std::min(OperatorHttpOptions::kMaxConnections,
+                                     DescriptorLimit() / kOperatorsPart),
+          .onShortage =
+            [this](const Shortages& aTotals) { LogShortages("operators", aTotals); } })
   {
     daemon_.emplace(ToCoreOptions(aSettings, incarnation_),
                     PortSet{ .caller = callers_,
--- a/tests/memory/serve_memory_test.py
+++ b/tests/memory/serve_memory_test.py
@@ -210,6 +210,34 @@
 
     # ---- The other ports ----
 
+    def test_operators_bodies_that_stop_before_their_end(self):
+        """Guards against a total of operators' bodies that has no bound."""
+        self.start()
+        head = (f"PUT /v1/resources/team/t HTTP/1.1\r\nHost: h\r\n"
+                f"Content-Length: {OPERATOR_BODY}\r\n\r\n").encode()
+        block = b" " * (OPERATOR_BODY // 16)
+        self.crowd_at(self.operators).send(
+            [itertools.chain([head], [block] * 15, [block[:-1]]) for _ in range(CLIENTS)])
+        self.check()
+
+    def test_operators_bodies_far_over_the_limit(self):
+        """Guards against operators' bodies that are read to their end before their length is
+        checked."""
+        self.start()
+        head = (f"PUT /v1/resources/team/t HTTP/1.1\r\nHost: h\r\n"
+                f"Content-Length: {64 * OPERATOR_BODY}\r\n\r\n").encode()
+        block = b" " * (64 * KIB)
+        self.crowd_at(self.operators).send(
+            [itertools.chain([head], [block] * 128) for _ in range(CLIENTS // 4)])
+        self.check()
+
+    def test_operators_connections_over_the_descriptors(self):
+        """Guards against idle connections of operators that take the callers' descriptors."""
+        self.start()
+        self.crowd_at(self.operators).send(
+            [iter(()) for _ in range(CLIENTS_OVER_DESCRIPTORS)])
+        self.check()
+
 
 if __name__ == "__main__":
     unittest.main(verbosity=2)
