Serve: bound the memory and the connections of peers' messages

What callers saw: clients at the peers' port that announce a message and stop before its end made `gooseberrypath serve` grow without a bound, and idle ones took the callers' descriptors.

Cause: Cap'n Proto takes up the memory of a whole message when its first bytes tell how long it is, up to the body limit and 1 MiB, on each of 1,024 connections.

Change: an accepted connection charges the bytes that a read waits for to an account. Peers get a quarter of the descriptors at most, and a new connection replaces the one that has waited longest.

--- a/gooseberrypath/peer_rpc.cc
+++ b/gooseberrypath/peer_rpc.cc
@@ -9,6 +9,7 @@
 #include <kj/refcount.h>
 
 #include "gooseberrypath/http_io.h"
+#include "gooseberrypath/longest_waiting.h"
 #include "gooseberrypath/peer_wire.h"
 
 namespace gooseberrypath {
@@ -23,6 +24,9 @@
   return options;
 }
 
+// Reads that wait for less than this take up no memory worth counting.
+constexpr size_t kMinChargedBytes = size_t{ 4 } * 1024;
+
 } // namespace
 
 /// Calls of peers that wait for the core. It is counted, because a call of the RPC system
@@ -130,29 +134,91 @@
   PeerRpc* port_;
 };
 
+/// The stream of an accepted connection. It charges the memory that Cap'n Proto takes up
+/// for a message before its bytes have come: the bytes that a read waits for.
+class PeerRpc::IncomingStream final : public kj::AsyncIoStream
+{
+public:
+  IncomingStream(Incoming& aConnection, kj::Own<kj::AsyncIoStream> aInner)
+    : connection_(aConnection)
+    , inner_(kj::mv(aInner))
+  {
+  }
+
+  kj::Promise<size_t> tryRead(void* aBuffer, size_t aMin, size_t aMax) override;
+
+  kj::Promise<void> write(const void* aBuffer, size_t aSize) override
+  {
+    return inner_->write(aBuffer, aSize);
+  }
+  kj::Promise<void> write(
+    kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> aPieces) override
+  {
+    return inner_->write(aPieces);
+  }
+  kj::Promise<void> whenWriteDisconnected() override
+  {
+    return inner_->whenWriteDisconnected();
+  }
+  void shutdownWrite() override { inner_->shutdownWrite(); }
+  void abortRead() override { inner_->abortRead(); }
+
+private:
+  Incoming& connection_;
+  kj::Own<kj::AsyncIoStream> inner_;
+};
+
 /// One accepted connection. Members are destroyed in reverse order.
 struct PeerRpc::Incoming
 {
   Incoming(PeerRpc& aPort, kj::Own<kj::AsyncIoStream> aStream)
     : port(aPort)
-    , stream(kj::mv(aStream))
-    , network(*stream, capnp::rpc::twoparty::Side::SERVER,
+    , charge(aPort.options_.memory)
+    , waitsSince(TimeOf(aPort.options_.timer))
+    , stream(*this, kj::mv(aStream))
+    , network(stream, capnp::rpc::twoparty::Side::SERVER,
               ToReaderOptions(aPort.options_.maxMessageBytes))
     , rpc(capnp::makeRpcServer(network, aPort.server_))
   {
     // Calls without an answer may hold no more than two full messages.
     rpc.setFlowLimit(2 * aPort.options_.maxMessageBytes / sizeof(capnp::word));
-    ++port.incomingCount_;
   }
 
-  ~Incoming() noexcept(false) { --port.incomingCount_; }
+  /// Returns the time since which it waits for the rest of a message that takes up
+  /// memory.
+  std::optional<TimePoint> StalledSince() const
+  {
+    return charge.Bytes() > 0 ? std::optional(waitsSince) : std::nullopt;
+  }
 
   PeerRpc& port;
-  kj::Own<kj::AsyncIoStream> stream;
+  MemoryCharge charge; // for the message that is being received
+  TimePoint waitsSince;
+  IncomingStream stream;
   capnp::TwoPartyVatNetwork network;
   capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpc;
 };
 
+kj::Promise<size_t> PeerRpc::IncomingStream::tryRead(void* aBuffer, size_t aMin,
+                                                     size_t aMax)
+{
+  connection_.waitsSince = TimeOf(connection_.port.options_.timer);
+  if (aMin < kMinChargedBytes) {
+    return inner_->tryRead(aBuffer, aMin, aMax);
+  }
+  const bool hasRoom =
+    connection_.charge.TryResize(aMin) ||
+    (connection_.port.MakeRoom(aMin, connection_) && connection_.charge.TryResize(aMin));
+  if (!hasRoom) {
+    ++connection_.port.shortages_.refusedRequests;
+    return KJ_EXCEPTION(DISCONNECTED, "no memory for the message of a peer");
+  }
+  return inner_->tryRead(aBuffer, aMin, aMax).then([this](size_t aRead) {
+    connection_.charge.Resize(0);
+    return aRead;
+  });
+}
+
 /// The connection to one peer. It is counted, because the promise that connects it may
 /// outlive its place in the table while a call waits.
 struct PeerRpc::Outgoing : public kj::Refcounted
@@ -191,8 +257,10 @@
     KJ_FAIL_REQUIRE("the peer address is not IP:port", options_.address.c_str());
   }
   port_ = static_cast<uint16_t>(listener_->getPort());
+  options_.memory->SetLeastBound(options_.maxMessageBytes);
   accepting_ = AcceptLoop().eagerlyEvaluate(
     [this](kj::Exception&& aError) { errors_.taskFailed(kj::mv(aError)); });
+  tasks_.add(ReportLoop());
 }
 
 PeerRpc::~PeerRpc() noexcept(false)
@@ -222,12 +290,59 @@
 
 void PeerRpc::Serve(kj::Own<kj::AsyncIoStream> aStream)
 {
-  if (incomingCount_ >= options_.maxIncoming) {
+  if (incoming_.size() >= options_.maxIncoming && !MakeRoomForConnection()) {
     return; // closes the connection
   }
+  const uint64_t id = ++lastIncoming_;
   auto incoming = kj::heap<Incoming>(*this, kj::mv(aStream));
-  auto disconnected = incoming->network.onDisconnect();
-  tasks_.add(disconnected.attach(kj::mv(incoming)).catch_([](kj::Exception&&) {}));
+  auto disconnected = incoming->network.onDisconnect().catch_([](kj::Exception&&) {});
+  incoming_.emplace(id, kj::mv(incoming));
+  // Closed in a fresh turn, since this may be a continuation of its RPC system.
+  tasks_.add(disconnected.then(
+    [this, id] { return kj::evalLater([this, id] { incoming_.erase(id); }); }));
+}
+
+bool PeerRpc::MakeRoom(size_t aBytes, const Incoming& aFor)
+{
+  while (options_.memory->Free() < aBytes) {
+    LongestWaiting<const uint64_t> longest(TimeOf(options_.timer));
+    for (const auto& [id, incoming] : incoming_) {
+      if (incoming.get() != &aFor) {
+        longest.Offer(id, incoming->StalledSince());
+      }
+    }
+    if (longest.Get() == nullptr) {
+      return false;
+    }
+    ++shortages_.droppedRequests;
+    incoming_.erase(*longest.Get());
+  }
+  return true;
+}
+
+bool PeerRpc::MakeRoomForConnection()
+{
+  LongestWaiting<const uint64_t> longest(TimeOf(options_.timer));
+  for (const auto& [id, incoming] : incoming_) {
+    longest.Offer(id, incoming->waitsSince);
+  }
+  if (longest.Get() == nullptr) {
+    return false;
+  }
+  ++shortages_.droppedConnections;
+  incoming_.erase(*longest.Get());
+  return true;
+}
+
+kj::Promise<void> PeerRpc::ReportLoop()
+{
+  return options_.timer.afterDelay(ToKj(kShortageReportInterval)).then([this] {
+    if (options_.onShortage && shortages_ != reportedShortages_) {
+      reportedShortages_ = shortages_;
+      options_.onShortage(shortages_);
+    }
+    return ReportLoop();
+  });
 }
 
 template<typename Word, typename MakeEvent>
--- a/gooseberrypath/peer_rpc.h
+++ b/gooseberrypath/peer_rpc.h
@@ -16,14 +16,18 @@
 #include <kj/async-io.h>
 #include <kj/timer.h>
 
+#include "gooseberrypath/memory_account.h"
 #include "gooseberrypath/peer.capnp.h"
 #include "gooseberrypath/ports.h"
+#include "gooseberrypath/shortages.h"
 #include "gooseberrypath/task_errors.h"
 
 namespace gooseberrypath {
 
 struct PeerRpcOptions
 {
+  static constexpr size_t kMaxIncoming = 1024;
+
   kj::Network& network;
   kj::Timer& timer;
   EventSink sink;
@@ -32,9 +36,15 @@
   std::function<std::string()> snapshot;                 // answers the RPC snapshot()
   size_t maxQuestions = 1024; // of each kind that wait for the core
   Duration questionTimeout = std::chrono::seconds(2);
-  size_t maxIncoming = 1024; // accepted connections
-  size_t maxOutgoing = 64;   // cached connections; the least recently used is dropped
+  size_t maxIncoming =
+    kMaxIncoming;          // accepted connections; a new one replaces an idle one
+  size_t maxOutgoing = 64; // cached connections; the least recently used is dropped
   uint64_t maxMessageBytes = uint64_t{ 1024 } * 1024;
+  // Account of the messages that are being received. Its bound is raised to what one
+  // needs.
+  MemoryAccountPtr memory = std::make_shared<MemoryAccount>();
+  // Called at most every 250 ms, after the counts have changed.
+  std::function<void(const Shortages&)> onShortage = {};
 };
 
 /// Models PeerPort. One connection per peer is kept; it is dropped when a call on it
@@ -62,7 +72,7 @@
   void Execute(const AnswerStreamQuestion& aAction);
 
   uint16_t Port() const { return port_; }
-  size_t IncomingCount() const { return incomingCount_; }
+  size_t IncomingCount() const { return incoming_.size(); }
   size_t OutgoingCount() const { return connections_.size(); }
   size_t QuestionCount() const;
 
@@ -70,12 +80,24 @@
 
 private:
   class Server;
+  class IncomingStream;
   struct Incoming;
   struct Outgoing;
   struct Questions;
 
   kj::Promise<void> AcceptLoop();
   void Serve(kj::Own<kj::AsyncIoStream> aStream);
+
+  /// Drops the connections that have waited longest for the rest of a message, until
+  /// there is room for this many bytes of another one. Returns whether there is.
+  bool MakeRoom(size_t aBytes, const Incoming& aFor);
+
+  /// Drops the connection that has waited longest, so that a new one fits. Returns
+  /// whether there was any.
+  bool MakeRoomForConnection();
+
+  /// Reports shortages, now and then.
+  kj::Promise<void> ReportLoop();
   template<typename Word>
   using OpenQuestions =
     std::unordered_map<QuestionId, kj::Own<kj::PromiseFulfiller<Word>>>;
@@ -92,7 +114,10 @@
 
   PeerRpcOptions options_;
   uint16_t port_ = 0;
-  size_t incomingCount_ = 0;
+  uint64_t lastIncoming_ = 0;
+  std::unordered_map<uint64_t, kj::Own<Incoming>> incoming_;
+  Shortages shortages_;
+  Shortages reportedShortages_;
   // The core numbers its own questions from 1, so the port's start far above.
   uint64_t lastQuestion_ = uint64_t{ 1 } << 32;
   uint64_t lastUse_ = 0;
--- a/gooseberrypath/serve.cc
+++ b/gooseberrypath/serve.cc
@@ -38,8 +38,9 @@
 constexpr Duration kMaxFlushTime = 5s;
 constexpr Duration kFlushStep = 50ms;
 
-/// Part of the process's descriptors that operators' connections may take. Callers may have
-/// half of them.
+/// Parts of the process's descriptors that connections of peers and operators may take.
+/// Callers may have half of them.
+constexpr size_t kPeersPart = 4;
 constexpr size_t kOperatorsPart = 8;
 
 /// Room for received tokens in a message between daemons.
@@ -170,8 +171,14 @@
                .sink = Sink(),
                .address = aSettings.peerListen,
                .snapshot = [this] { return EncodeSnapshot(daemon_->GetWorld()); },
+               .maxIncoming =
+                 std::min(PeerRpcOptions::kMaxIncoming, DescriptorLimit() / kPeersPart),
                // A handed-over request has the caller's body and the tokens.
-               .maxMessageBytes = aSettings.maxBodyBytes + kMaxTokenBytes })
+               .maxMessageBytes = aSettings.maxBodyBytes + kMaxTokenBytes,
+               .memory = std::make_shared<MemoryAccount>(
+                 AccountBoundOfHost(static_cast<double>(aSettings.memoryMb))),
+               .onShortage =
+                 [this](const Shortages& aTotals) { LogShortages("peers", aTotals); } })
     , operators_(
         { .address = aSettings.operatorListen,
           .sink = Sink(),
--- a/tests/memory/serve_memory_test.py
+++ b/tests/memory/serve_memory_test.py
@@ -238,6 +238,22 @@
             [iter(()) for _ in range(CLIENTS_OVER_DESCRIPTORS)])
         self.check()
 
+    def test_peers_messages_that_stop_before_their_end(self):
+        """Guards against a total of incomplete messages of peers that has no bound."""
+        self.start()
+        # One segment of the largest size that the port allows, in words of 8 bytes.
+        header = struct.pack("<II", 0, BODY_LIMIT // 8)
+        block = bytes(BODY_LIMIT // 16)
+        self.crowd_at(self.peers).send(
+            [itertools.chain([header], [block] * 15, [block[:-8]]) for _ in range(CLIENTS)])
+        self.check()
+
+    def test_peers_connections_over_the_descriptors(self):
+        """Guards against idle connections of peers that take the callers' descriptors."""
+        self.start()
+        self.crowd_at(self.peers).send([iter(()) for _ in range(CLIENTS_OVER_DESCRIPTORS)])
+        self.check()
+
 
 if __name__ == "__main__":
     unittest.main(verbosity=2)
