Free what is dropped at once, and name the waits of a connection plainly

CallerPort destroyed a connection whose response nobody takes in a later turn, so its memory was not free yet and all others that waited 10 s would have been dropped with it; it is now destroyed at once, as it has no call. CallerHttp returns the charges of a connection that is refused or dropped before anything else, so that looking for the next one to drop always ends.

The kinds of waits that a connection of `serve` told apart had no use: it waits or it does not. Peers get an eighth of the host's memory, so that the accounts of all ports together leave room for the program on a host of 64 MiB.

--- a/entry/caller_port.cc
+++ b/entry/caller_port.cc
@@ -640,7 +640,10 @@
       return false;
     }
     ++shortages_.droppedResponses;
-    Remove(longest.Get()->Id());
+    // Destroyed at once, not in a later turn, so that its memory is free. It has no call,
+    // and nothing that runs now belongs to it.
+    connections_.erase(longest.Get()->Id());
+    ReportIfDrained();
   }
   return true;
 }
@@ -761,9 +764,9 @@
 void CallerPort::Execute(const SetCallerLimits& aAction)
 {
   limits_ = aAction.limits;
-  options_.memory->SetLeastBound(
-    limits_.maxBodyBytes + kMaxPipelinedBytes +
-    kHeadCopies * HttpReader::MaxHeadMemoryBytes(limits_.maxHeadBytes));
+  options_.memory->SetLeastBound(limits_.maxBodyBytes + kMaxPipelinedBytes +
+                                 kHeadCopies *
+                                   HttpReader::MaxHeadMemoryBytes(limits_.maxHeadBytes));
 }
 
 void CallerPort::Execute(const CloseIdleCallerConnections&)
--- a/gooseberrypath/caller_exchange.cc
+++ b/gooseberrypath/caller_exchange.cc
@@ -98,7 +98,7 @@
   if (bodyLimit_ == 0) {
     return Handle();
   }
-  stream_.connection->Wait(CallerWait::Body);
+  stream_.connection->BeginWait();
   readBuffer_ = kj::heapArray<char>(std::min<uint64_t>(kReadBytes, bodyLimit_));
   auto timeout = options.timer.afterDelay(ToKj(options.bodyTimeout)).then([] {
     return ReadEnd::TimedOut;
@@ -151,7 +151,7 @@
   body_.Append(aBytes, capacity);
   if (body_.size() >= progressBytes_ + kProgressBytes) {
     progressBytes_ = body_.size();
-    stream_.connection->Wait(CallerWait::Body);
+    stream_.connection->BeginWait();
   }
   return true;
 }
@@ -228,7 +228,7 @@
   }
   isEmitted_ = true;
   isHead_ = request_.method == "HEAD";
-  stream_.connection->Wait(CallerWait::Nothing);
+  stream_.connection->EndWait();
   readBuffer_ = nullptr;
   request_.body = SharedBytes(body_.Take(), stream_.connection->TakeRequestCharge());
   // Emitted in a fresh turn, so that the answer never comes before Pump() waits.
--- a/gooseberrypath/caller_stream.cc
+++ b/gooseberrypath/caller_stream.cc
@@ -53,6 +53,7 @@
 void CallerHttp::Connection::Refuse(Error aError)
 {
   refusal_ = std::move(aError);
+  Release();
   canceler.cancel("refused by the server");
 }
 
@@ -67,20 +68,15 @@
 void CallerHttp::Connection::Drop()
 {
   isClosing_ = true;
+  Release();
   canceler.cancel("closed by the server");
 }
 
-void CallerHttp::Connection::Wait(CallerWait aFor)
+void CallerHttp::Connection::BeginWait()
 {
-  wait_ = aFor;
   waitsSince_ = TimeOf(port_.options_.timer);
 }
 
-std::optional<TimePoint> CallerHttp::Connection::WaitsSince() const
-{
-  return wait_ == CallerWait::Nothing ? std::nullopt : std::optional(waitsSince_);
-}
-
 std::optional<TimePoint> CallerHttp::Connection::StalledSince() const
 {
   const size_t held = headCharge_.Bytes() + requestCharge_.Bytes();
@@ -113,6 +109,8 @@
 {
   headCharge_.Resize(0);
   requestCharge_.Resize(0);
+  waitsSince_.reset();
+  untakenSince_.reset();
 }
 
 void CallerHttp::Connection::Linger(kj::Own<kj::AsyncIoStream> aStream,
@@ -125,7 +123,7 @@
   if (refusal_) {
     aError = std::move(*refusal_);
   }
-  Wait(CallerWait::Close);
+  BeginWait();
   port_.tasks_.add(kj::evalLater([self = kj::addRef(*this), stream = kj::mv(aStream),
                                   error = kj::mv(aError)]() mutable {
     if (self->isClosing_) {
@@ -164,7 +162,11 @@
 {
   isHeadExpected_ = aIsExpected;
   headBytes_ = 0;
-  connection->Wait(aIsExpected ? CallerWait::Request : CallerWait::Nothing);
+  if (aIsExpected) {
+    connection->BeginWait();
+  } else {
+    connection->EndWait();
+  }
 }
 
 void CallerHttp::Stream::NoteRead(size_t aBytes)
@@ -173,7 +175,7 @@
     return;
   }
   if (headBytes_ == 0) {
-    connection->Wait(CallerWait::Head);
+    connection->BeginWait();
   }
   headBytes_ += aBytes;
   if (!connection->ChargeHead(headBytes_, 0)) {
--- a/gooseberrypath/caller_stream.h
+++ b/gooseberrypath/caller_stream.h
@@ -14,16 +14,6 @@
 
 namespace gooseberrypath {
 
-/// What a connection waits for from its caller.
-enum class CallerWait : uint8_t
-{
-  Nothing, // a request runs or its answer is being sent
-  Request, // idle
-  Head,
-  Body,
-  Close, // it reads and discards what still comes after its last answer
-};
-
 /// One accepted connection, with the charges for what its caller has sent. It outlives
 /// its stream.
 class CallerHttp::Connection : public kj::Refcounted
@@ -50,12 +40,16 @@
   /// this connection.
   void Drop();
 
-  /// Tells what the connection waits for from now on, or that some of it has come.
-  void Wait(CallerWait aFor);
+  /// Tells that the connection waits for its caller from now on, for a request, the rest
+  /// of one or the end, or that some of what it waits for has come.
+  void BeginWait();
+
+  /// Tells that it no longer waits: a request runs or its answer is being sent.
+  void EndWait() { waitsSince_.reset(); }
 
   /// Returns the time since which the connection waits for its caller. Empty: it does
   /// not.
-  std::optional<TimePoint> WaitsSince() const;
+  std::optional<TimePoint> WaitsSince() const { return waitsSince_; }
 
   /// The same, if the connection holds enough memory to be worth dropping.
   std::optional<TimePoint> StalledSince() const;
@@ -79,7 +73,7 @@
   /// Returns the charge for the request, which is complete or given up.
   MemoryCharge TakeRequestCharge();
 
-  /// Returns all charges, when the stream is gone.
+  /// Returns all charges and waits for nothing more, when the stream is gone.
   void Release();
 
   CallerHttp& GetPort() { return port_; }
@@ -98,8 +92,7 @@
   CallerHttp& port_;
   bool isClosing_ = false;
   std::optional<Error> refusal_; // to be written when the connection closes
-  CallerWait wait_ = CallerWait::Request;
-  TimePoint waitsSince_;
+  std::optional<TimePoint> waitsSince_;
   std::optional<TimePoint> untakenSince_;
   MemoryCharge headCharge_;
   MemoryCharge requestCharge_;
--- a/gooseberrypath/serve.cc
+++ b/gooseberrypath/serve.cc
@@ -176,7 +176,7 @@
                // A handed-over request has the caller's body and the tokens.
                .maxMessageBytes = aSettings.maxBodyBytes + kMaxTokenBytes,
                .memory = std::make_shared<MemoryAccount>(
-                 AccountBoundOfHost(static_cast<double>(aSettings.memoryMb))),
+                 AccountBoundOfHost(static_cast<double>(aSettings.memoryMb) / 2)),
                .onShortage =
                  [this](const Shortages& aTotals) { LogShortages("peers", aTotals); } })
     , operators_(
