Metrics and log lines for what the ports for operators, peers and probes turn away

An operator could not see a crowd at these ports: drops at the operators' and the peers' port had a log line and no metric, those at the ports for probes neither. Each has both now, the lines bounded in number.

--- a/entry/probe_port.cc
+++ b/entry/probe_port.cc
@@ -46,8 +46,11 @@
 
 void ProbePort::Serve(kj::Own<kj::AsyncIoStream> aStream)
 {
-  if (connections_.size() >= options_.maxConnections && !MakeRoomForConnection()) {
-    return; // closes it
+  if (connections_.size() >= options_.maxConnections) {
+    ++droppedConnections_;
+    if (!MakeRoomForConnection()) {
+      return; // closes it
+    }
   }
   const uint64_t id = ++lastConnection_;
   auto connection = kj::heap<Connection>();
--- a/entry/probe_port.h
+++ b/entry/probe_port.h
@@ -41,6 +41,10 @@
   ProbePort(const ProbePort&) = delete;
   ProbePort& operator=(const ProbePort&) = delete;
 
+  /// Returns how many connections were closed so that new ones fit, or refused because
+  /// none was old enough.
+  uint64_t DroppedConnections() const { return droppedConnections_; }
+
   void Execute(const SetReady& aAction) { isReady_ = aAction.isReady; }
 
 private:
@@ -76,6 +80,7 @@
   kj::HttpServer server_;
   kj::Own<kj::ConnectionReceiver> listener_;
   uint64_t lastConnection_ = 0;
+  uint64_t droppedConnections_ = 0;
   std::unordered_map<uint64_t, kj::Own<Connection>> connections_;
   TaskErrors errors_;
   kj::TaskSet tasks_;
--- a/entry/serve_entry.cc
+++ b/entry/serve_entry.cc
@@ -6,6 +6,7 @@
 #include <optional>
 #include <random>
 #include <sstream>
+#include <utility>
 
 #include <kj/async-io.h>
 #include <kj/async-unix.h>
@@ -239,6 +240,7 @@
       .ignoreResult()
       .exclusiveJoin(timer_.afterDelay(kSettingsPollInterval.count() * kj::MICROSECONDS))
       .then([this, &aPort] {
+        LogDroppedProbeConnections();
         const auto settings = ReadSettings(path_);
         if (!settings) {
           Log("settings_invalid", { { "reason", settings.error().message } });
@@ -266,7 +268,7 @@
   std::string RenderMetrics() const
   {
     const World& world = daemon_->GetWorld();
-    const std::array<Gauge, 15> gauges{
+    const std::array<Gauge, 16> gauges{
       Gauge{ "entry_requests", "Calls being served",
              static_cast<double>(world.requests.Size()) },
       Gauge{ "entry_backends", "Backends that are known",
@@ -293,6 +295,9 @@
       Gauge{ "entry_untaken_responses_dropped",
              "Responses that their callers did not take, dropped to make room",
              static_cast<double>(callers_.GetShortages().droppedResponses) },
+      Gauge{ "entry_probe_connections_dropped",
+             "Connections for probes and metrics that were closed to bound them",
+             static_cast<double>(DroppedProbeConnections()) },
       Gauge{ "entry_requests_refused_for_memory", "Requests that found no room",
              static_cast<double>(callers_.GetShortages().refusedRequests) },
       Gauge{ "entry_slow_requests_dropped", "Incomplete requests dropped to make room",
@@ -305,6 +310,22 @@
            RenderTeamQuotaMetrics(world) + RenderStoreMetrics(world);
   }
 
+  uint64_t DroppedProbeConnections() const
+  {
+    return probe_.DroppedConnections() + (metrics_ ? metrics_->DroppedConnections() : 0);
+  }
+
+  /// Called with each poll of the settings, so a crowd does not fill the log.
+  void LogDroppedProbeConnections()
+  {
+    const uint64_t dropped = DroppedProbeConnections();
+    if (dropped != std::exchange(loggedProbeConnections_, dropped)) {
+      log_.Execute(WriteEvent{ .level = LogLevel::Warning,
+                               .event = "probe_connections",
+                               .fields = { { "dropped", std::to_string(dropped) } } });
+    }
+  }
+
   void LogEventFailure(std::string_view aReason)
   {
     ++failedEvents_;
@@ -351,6 +372,7 @@
   ProbePort probe_;
   std::optional<ProbePort> metrics_; // no value: its address could not be bound
   uint64_t failedEvents_ = 0;
+  uint64_t loggedProbeConnections_ = 0; // dropped, at the last line about them
 };
 
 } // namespace
--- a/gooseberrypath/caller_stream.h
+++ b/gooseberrypath/caller_stream.h
@@ -51,7 +51,7 @@
   /// not.
   std::optional<TimePoint> WaitsSince() const { return waitsSince_; }
 
-  /// The same, if the connection holds enough memory to be worth dropping.
+  /// The same, if the connection holds so much memory that dropping it makes room.
   std::optional<TimePoint> StalledSince() const;
 
   /// Tells that bytes of an answer are being written, that the caller has taken some of
--- a/gooseberrypath/peer_rpc.cc
+++ b/gooseberrypath/peer_rpc.cc
@@ -24,7 +24,7 @@
   return options;
 }
 
-// Reads that wait for less than this take up no memory worth counting.
+// Reads that wait for less than this are not counted.
 constexpr size_t kMinChargedBytes = size_t{ 4 } * 1024;
 
 } // namespace
@@ -291,6 +291,7 @@
 void PeerRpc::Serve(kj::Own<kj::AsyncIoStream> aStream)
 {
   if (incoming_.size() >= options_.maxIncoming && !MakeRoomForConnection()) {
+    ++shortages_.droppedConnections;
     return; // closes the connection
   }
   const uint64_t id = ++lastIncoming_;
--- a/gooseberrypath/serve.cc
+++ b/gooseberrypath/serve.cc
@@ -178,15 +178,20 @@
                .memory = std::make_shared<MemoryAccount>(
                  AccountBoundOfHost(static_cast<double>(aSettings.memoryMb) / 2)),
                .onShortage =
-                 [this](const Shortages& aTotals) { LogShortages("peers", aTotals); } })
-    , operators_(
-        { .address = aSettings.operatorListen,
-          .sink = Sink(),
-          .snapshot = [this] { return Snapshot(); },
-          .maxConnections = std::min(OperatorHttpOptions::kMaxConnections,
-                                     DescriptorLimit() / kOperatorsPart),
-          .onShortage =
-            [this](const Shortages& aTotals) { LogShortages("operators", aTotals); } })
+                 [this](const Shortages& aTotals) {
+                   peerShortages_ = aTotals;
+                   LogShortages("peers", aTotals);
+                 } })
+    , operators_({ .address = aSettings.operatorListen,
+                   .sink = Sink(),
+                   .snapshot = [this] { return Snapshot(); },
+                   .maxConnections = std::min(OperatorHttpOptions::kMaxConnections,
+                                              DescriptorLimit() / kOperatorsPart),
+                   .onShortage =
+                     [this](const Shortages& aTotals) {
+                       operatorShortages_ = aTotals;
+                       LogShortages("operators", aTotals);
+                     } })
   {
     daemon_.emplace(ToCoreOptions(aSettings, incarnation_),
                     PortSet{ .caller = callers_,
@@ -246,7 +251,7 @@
   std::string RenderCallerMetrics() const
   {
     const Shortages& shortages = callers_.GetShortages();
-    const std::array<Gauge, 9> gauges{
+    const std::array<Gauge, 11> gauges{
       Gauge{ "caller_connections", "Open connections of callers.",
              static_cast<double>(callers_.ConnectionCount()) },
       Gauge{ "request_memory_bytes", "Memory that callers' requests take up.",
@@ -267,7 +272,13 @@
              static_cast<double>(shortages.droppedRequests) },
       Gauge{ "waiting_connections_dropped",
              "Waiting connections closed to accept others.",
-             static_cast<double>(shortages.droppedConnections) }
+             static_cast<double>(shortages.droppedConnections) },
+      Gauge{ "operators_turned_away",
+             "Operators' calls and connections that were refused or dropped.",
+             static_cast<double>(operatorShortages_.Sum()) },
+      Gauge{ "peers_turned_away",
+             "Peers' messages and connections that were refused or dropped.",
+             static_cast<double>(peerShortages_.Sum()) }
     };
     return RenderGauges(gauges);
   }
@@ -309,6 +320,8 @@
   Observation observation_;
   MemoryAccountPtr requestMemory_;
   MemoryAccountPtr answerMemory_;
+  Shortages operatorShortages_;
+  Shortages peerShortages_;
   CallerHttp callers_;
   BackendHttp backends_;
   LogHttp log_;
--- a/gooseberrypath/shortages.h
+++ b/gooseberrypath/shortages.h
@@ -29,6 +29,11 @@
   uint64_t droppedConnections = 0; // slow, idle or lingering, closed for a new connection
   uint64_t droppedResponses = 0;   // not taken by their callers, dropped to make room
 
+  uint64_t Sum() const
+  {
+    return refusedRequests + droppedRequests + droppedConnections + droppedResponses;
+  }
+
   bool operator==(const Shortages&) const = default;
 };
 
