--- a/tests/memory/crowd.py
+++ b/tests/memory/crowd.py
@@ -48,6 +48,14 @@
             self.rest = self.rest[sent:]
         return total
 
+    def end_sending(self):
+        """Closes the sending side, if the daemon has not closed the connection."""
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+        except OSError as error:
+            if error.errno not in (errno.ENOTCONN, errno.EPIPE, errno.ECONNRESET):
+                raise
+
     def discard_answer(self):
         """Reads what has arrived, so that answers stay in no buffer."""
         try:
--- a/tests/memory/serve_memory_test.py
+++ b/tests/memory/serve_memory_test.py
@@ -5,6 +5,7 @@
 import itertools
 import signal
 import struct
+import time
 import unittest
 
 from deployment import Deployment, http_call, wait_for
@@ -29,12 +30,17 @@
 ANSWER_CLIENTS = 60
 ANSWER_BYTES = 4 * MIB  # the largest answer that is passed on
 OPERATOR_BODY = MIB     # the largest body of an operator's call
+PIPELINING_CLIENTS = 20
+PIPELINED_REQUESTS = 20
+SILENCE_S = 300         # longer than a test
 
 
 class PlainBackend:
-    """Answers POST with a few bytes and GET with ANSWER_BYTES for /orders/large."""
+    """Answers POST with a few bytes, or not while `is_silent`, and GET with ANSWER_BYTES for
+    /orders/large."""
 
     def __init__(self):
+        self.is_silent = False
         self.server = Server(PlainHandler, self)
         self.address = self.server.address
 
@@ -46,6 +52,8 @@
 
     def do_POST(self):
         self.read_body()
+        if self.server.state.is_silent:
+            time.sleep(SILENCE_S)
         self.answer(200, b"ok")
 
     def do_GET(self):
@@ -66,7 +74,7 @@
 
     def start(self, memory_mb=MEMORY_MB, body_limit=BODY_LIMIT):
         """Starts a daemon. Bodies have a minute, so that a slow machine takes up as much."""
-        backend = PlainBackend()
+        backend = self.backend = PlainBackend()
         self.addCleanup(backend.close)
         self.deployment = Deployment(
             engines=0, services=0, daemons=1,
@@ -192,6 +200,31 @@
         crowd.send_only([iter([request]) for _ in range(ANSWER_CLIENTS)])
         self.check()
 
+    def test_pipelined_requests_whose_answers_nobody_reads(self):
+        """Guards against a connection whose answers wait in a queue while its next requests are
+        served."""
+        self.start()
+        request = b"GET /orders/large HTTP/1.1\r\nHost: h\r\n\r\n"
+        self.crowd_at(self.callers).send_only(
+            [itertools.repeat(request, PIPELINED_REQUESTS) for _ in range(PIPELINING_CLIENTS)])
+        self.check()
+
+    def test_whole_bodies_while_backends_are_silent(self):
+        """Guards against requests that run and are no longer counted."""
+        self.start()
+        self.backend.is_silent = True
+        self.crowd_at(self.callers).send_only(
+            [sized(BODY_LIMIT, BODY_LIMIT, 64 * KIB) for _ in range(CLIENTS)])
+        self.check()
+
+    def test_callers_that_close_half(self):
+        """Guards against bodies that are kept after their callers have ended sending."""
+        self.start()
+        crowd = self.crowd_at(self.callers)
+        for client in crowd.send_only(self.legal_bodies(64 * KIB)):
+            client.end_sending()
+        self.check()
+
     def test_a_stop_amid_a_crowd(self):
         """Guards against a planned stop that incomplete requests hold up."""
         self.start()
