Entry: charge streams that wait for their callers

What callers saw: callers that ask for long streams and do not read them took up to 2 MiB each in the entry daemon's write queues, with no bound for all of them.

Cause: the account of responses counted whole answers and unfinished events; the bytes of a stream that had been passed on were counted by nobody.

Change: they are charged until they are written. If there is no room, the response that nobody has taken for the longest time, 10 s at least, is dropped; else this caller is disconnected, as at 2 MiB. Callers that read are not concerned, since their queue is empty.

--- a/entry/caller_port.cc
+++ b/entry/caller_port.cc
@@ -69,6 +69,7 @@
                 .onBody = [this](std::string_view aBytes) { OnBody(aBytes); },
                 .onEnd = [this] { isRequestComplete_ = true; } })
     , charge_(aPort.options_.memory)
+    , streamCharge_(aPort.options_.responseMemory)
     , timeoutStart_(aPort.options_.now())
     , progressAt_(timeoutStart_)
     , socket_(kj::mv(aStream),
@@ -134,6 +135,16 @@
     }
   }
 
+  /// Charges the bytes of a stream that wait for the caller. Returns false if there is no
+  /// room for them.
+  bool ChargeStream()
+  {
+    const size_t queued = socket_.QueuedBytes();
+    return streamCharge_.TryResize(queued) ||
+           (port_.MakeRoomForResponse(queued - streamCharge_.Bytes()) &&
+            streamCharge_.TryResize(queued));
+  }
+
   /// Tells whether the caller has acknowledged all that was written to it.
   bool IsDelivered() const { return socket_.IsDelivered(); }
 
@@ -460,6 +471,7 @@
 
   void OnDrained()
   {
+    streamCharge_.Resize(0);
     if (awaitsNextRequest_) {
       ReadNextRequestLater();
     }
@@ -537,13 +549,14 @@
   HttpReader reader_;
   HttpHead head_;
   BodyBuffer body_;
-  MemoryCharge charge_;                   // for what was read and not passed to the core
-  size_t headMemory_ = 0;                 // of head_, in bytes
-  size_t progressBytes_ = 0;              // of the body, at the last progress
-  ExchangeId exchange_;                   // of the submitted request; 0 if there is none
-  TimePoint timeoutStart_;                // of the idle, head or body timeout
-  TimePoint bodyStart_;                   // when its head was read
-  TimePoint progressAt_;                  // when the request last made progress
+  MemoryCharge charge_;       // for what was read and not passed to the core
+  MemoryCharge streamCharge_; // for bytes of a stream that wait for the caller
+  size_t headMemory_ = 0;     // of head_, in bytes
+  size_t progressBytes_ = 0;  // of the body, at the last progress
+  ExchangeId exchange_;       // of the submitted request; 0 if there is none
+  TimePoint timeoutStart_;    // of the idle, head or body timeout
+  TimePoint bodyStart_;       // when its head was read
+  TimePoint progressAt_;      // when the request last made progress
   std::optional<TimePoint> requestStart_; // when its head was read
   std::optional<TimePoint> lingerEnd_;
   size_t lingeringBytes_ = 0; // queued at the last check, while lingering
@@ -741,7 +754,7 @@
     return;
   }
   connection->SendStreamBytes(aAction.bytes);
-  if (connection->IsWriteQueueFull()) {
+  if (connection->IsWriteQueueFull() || !connection->ChargeStream()) {
     connection->Abort();
     options_.sink(CallerDisconnected{ aAction.exchange });
   }
--- a/tests/memory/entry_memory_test.py
+++ b/tests/memory/entry_memory_test.py
@@ -40,11 +40,15 @@
     def start(self):
         store = Store()
         self.addCleanup(store.close)
-        backend = Backend("i-1")
+        backend = self.backend = Backend("i-1")
         backend.echoes = False
         backend.large_bytes = ANSWER_BYTES
         self.addCleanup(backend.close)
-        store.put_config(config() | {"limits": {
+        settings = config()
+        settings["routes"].append({
+            "name": "stream", "host": "h", "path_prefix": "/stream/", "kind": "streaming",
+            "timeout_ms": 60000, "service": "shop", "max_attempts": 1})
+        store.put_config(settings | {"limits": {
             "max_header_bytes": HEADER_LIMIT, "max_body_bytes": BODY_LIMIT,
             "header_timeout_ms": 60000, "idle_timeout_ms": 60000}})
         store.put_backend(backend.name, backend.address)
@@ -118,6 +122,14 @@
             [iter([get("/status/large", f"a{i}")]) for i in range(ANSWER_CLIENTS)])
         self.check()
 
+    def test_large_streams_that_nobody_reads(self):
+        """Guards against a total of streams, waiting for their callers, that has no bound."""
+        self.start()
+        self.backend.large_bytes = 2 * ANSWER_BYTES
+        self.crowd_at(self.daemon.caller).send_only(
+            [iter([get("/stream/stream", f"s{i}")]) for i in range(ANSWER_CLIENTS)])
+        self.check()
+
     def test_pipelined_calls_whose_answers_nobody_reads(self):
         """Guards against a connection whose answers wait in a queue while its next calls are
         served."""
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -10,6 +10,9 @@
 import urllib.parse
 
 
+EVENT_BYTES = 32 * 1024  # of a stream
+
+
 class Quiet(http.server.BaseHTTPRequestHandler):
     """Answers on kept connections and logs nothing."""
 
@@ -183,7 +186,8 @@
 
 class Backend:
     """A backend that answers each call with its method, target and, while it `echoes`, body, and
-    for a target that ends in "/large" with `large_bytes` more. While `is_leaving`, it says so in its
+    for a target that ends in "/large" with `large_bytes` more; a target that ends in "/stream" gets
+    as much in events. While `is_leaving`, it says so in its
     answers; with `quiet_s` it turns calls away and asks for no more of them for so many seconds."""
 
     def __init__(self, name, delay=0):
@@ -205,6 +209,19 @@
 
 class BackendHandler(Quiet):
 
+    def stream(self, backend, headers):
+        """Sends `large_bytes` of server-sent events in chunks."""
+        self.send_response(200)
+        for name, value in [*headers, ("Gooseberrypath-Response-Stamp", "s"),
+                            ("Content-Type", "text/event-stream"),
+                            ("Transfer-Encoding", "chunked")]:
+            self.send_header(name, value)
+        self.end_headers()
+        event = b"data: " + b"x" * (EVENT_BYTES - 8) + b"\n\n"
+        for _ in range(backend.large_bytes // EVENT_BYTES):
+            self.wfile.write(f"{EVENT_BYTES:x}\r\n".encode() + event + b"\r\n")
+        self.wfile.write(b"0\r\n\r\n")
+
     def do_GET(self):
         self.run_call()
 
@@ -230,6 +247,9 @@
         backend.runs.append(request)
         backend.headers.append(dict(self.headers))
         time.sleep(backend.delay)
+        if self.path.endswith("/stream"):
+            self.stream(backend, echo)
+            return
         text = f"{self.command} {self.path} ".encode()
         if backend.echoes:
             text += body
