--- a/entry/testing/part_simulation.cc
+++ b/entry/testing/part_simulation.cc
@@ -466,7 +466,8 @@
     }
     const PartCall call = found->second;
     calls_.erase(found);
-    const bool isForPart = aAction.body.View().find("prompt_blocked") != std::string::npos;
+    const bool isForPart =
+      aAction.body.View().find("prompt_blocked") != std::string::npos;
     if (isForPart && call.crashing.empty()) {
       outcome_.healthyRefusedForPart += 1;
     }
--- a/gooseberrypath/longest_waiting.h
+++ b/gooseberrypath/longest_waiting.h
@@ -22,8 +22,8 @@
 /// packet usually delays a request.
 inline constexpr Duration kMinWait = std::chrono::milliseconds(500);
 
-/// While memory runs short, a response is dropped if its caller has taken nothing for this
-/// time. A slow mobile connection takes something more often.
+/// While memory runs short, a response is dropped if its caller has taken nothing for
+/// this time. A slow mobile connection takes something more often.
 inline constexpr Duration kMaxUntakenTime = std::chrono::seconds(10);
 
 /// A request makes progress when this much of its body has arrived, so that single bytes
