Compare stored answers field by field

clang finds the generated comparison of SharedBytes ambiguous, since a body is comparable with text and converts to text; the linter of the check stopped at it.

--- a/gooseberrypath/world.h
+++ b/gooseberrypath/world.h
@@ -68,7 +68,11 @@
   Headers headers;
   SharedBytes body;
 
-  bool operator==(const StoredAnswer&) const = default;
+  bool operator==(const StoredAnswer& aOther) const
+  {
+    return status == aOther.status && headers == aOther.headers &&
+           body == aOther.body.View();
+  }
 };
 
 /// A chat-completions request as far as routing needs it.
