Entry: pass on the events of one read together

Cause: each HTTP chunk with a whole event became a StreamEvents message of its own, with a pass through the core and a write. A read of 8 KiB in chunks of 8 bytes was 1,024 of them, and an ordinary call waits for a turn of each busy stream at each of its steps.

Change: BackendPort collects the bytes of a stream that one read brings and passes on the events that they complete in one message, before whatever ends or breaks the stream in the same read. Limits are checked after each read, as they were after each chunk: an event may pass the limit by one read, as it could by one chunk. Ids and counts stay exact.

Evidence: "Events that come in many small chunks are passed on together" failed before (one of 400 events in the first message, 399 more behind the end), passes now. "Events come before what ends their stream in the same turn" and "Events behind the response to another call are passed on" guard the order; the first one failed before in its count of messages only.

--- a/entry/backend_port.cc
+++ b/entry/backend_port.cc
@@ -128,6 +128,7 @@
   /// valid part of an HTTP response.
   void HandleParsed(bool aIsValid)
   {
+    PassOnEvents();
     while (aIsValid && isResponseComplete_ && IsBusy()) {
       isResponseComplete_ = false;
       if (!head_.matchesRequestId) {
@@ -135,6 +136,7 @@
         hasSeenOtherResponse_ = true;
         head_ = ResponseHead{};
         aIsValid = reader_.Next();
+        PassOnEvents();
         continue;
       }
       Complete();
@@ -175,15 +177,7 @@
     }
     received_.bytes += aBytes.size();
     if (IsEventStream()) {
-      CompleteEvents events = splitter_.Feed(aBytes);
-      SetBufferedBytes(splitter_.PartialEvent().size());
-      const bool hasRoom = Charge(splitter_.PartialEvent().capacity());
-      if (!events.bytes.empty()) {
-        received_.events += events.count;
-        port_.options_.sink(
-          StreamEvents{ attempt_, std::move(events.bytes), std::move(events.lastId) });
-      }
-      CheckBufferLimits(port_.options_.maxEventBytes, hasRoom);
+      streamBytes_ += aBytes;
       return;
     }
     const size_t limit = port_.options_.maxResponseBytes;
@@ -196,6 +190,25 @@
     }
   }
 
+  /// Passes on the events that the bytes of this turn complete, all in one message. A
+  /// message costs far more than the bytes of a small chunk, and a backend may send each
+  /// event in several of them. Called before the response completes or fails.
+  void PassOnEvents()
+  {
+    if (streamBytes_.empty()) {
+      return;
+    }
+    CompleteEvents events = splitter_.Feed(std::exchange(streamBytes_, {}));
+    SetBufferedBytes(splitter_.PartialEvent().size());
+    const bool hasRoom = Charge(splitter_.PartialEvent().capacity());
+    if (!events.bytes.empty()) {
+      received_.events += events.count;
+      port_.options_.sink(
+        StreamEvents{ attempt_, std::move(events.bytes), std::move(events.lastId) });
+    }
+    CheckBufferLimits(port_.options_.maxEventBytes, hasRoom);
+  }
+
   /// Fails the attempt if its response takes up too much memory. aLimit is the limit in
   /// bytes for this connection; aHasRoom tells whether the account has room for it.
   void CheckBufferLimits(size_t aLimit, bool aHasRoom)
@@ -232,6 +245,7 @@
     SetBufferedBytes(0);
     charge_.Resize(0);
     body_.Release();
+    streamBytes_.clear();
     splitter_ = SseEventSplitter{};
   }
 
@@ -344,7 +358,8 @@
   ResponseHead head_;
   ReceivedBody received_; // of the response to the current call
   BodyBuffer body_{ kFirstResponseBytes };
-  MemoryCharge charge_; // for what is buffered
+  MemoryCharge charge_;     // for what is buffered
+  std::string streamBytes_; // of a stream, received in this turn
   SseEventSplitter splitter_;
   Duration keepAlive_{};
   TimePoint idleSince_{};
--- a/entry/testing/turns_test.cc
+++ b/entry/testing/turns_test.cc
@@ -6,6 +6,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "entry/backend_port.h"
 #include "entry/caller_port.h"
 #include "entry/http_reader.h"
 #include "entry/sse_event_splitter.h"
@@ -30,6 +31,56 @@
 
 constexpr size_t kMostBusyBytes = size_t{ 3 } * 1024 * 1024;
 
+// What is read in one turn.
+constexpr size_t kTurnBytes = 8192;
+
+const std::string kStreamHead =
+  "HTTP/1.1 200 OK\r\nGooseberrypath-Request-Id: r1\r\n"
+  "Gooseberrypath-Response-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// A stream of one backend, which has read the call.
+struct StreamFixture
+{
+  StreamFixture()
+  {
+    backends.Execute(StartAttempt{ .attempt = { 1 },
+                                   .backend = "i-1",
+                                   .address = EntryLoop::AddressOf(*listener),
+                                   .method = "POST",
+                                   .target = "/",
+                                   .headers = { { "Host", "h" } },
+                                   .body = "call-body",
+                                   .requestId = "r1",
+                                   .timeLeft = 10s,
+                                   .isStream = true,
+                                   .mayRetry = true });
+    peer.emplace(loop.Accept(*listener));
+    peer->ReadUntil("call-body");
+  }
+
+  /// Sends bytes that fit one read, so that they arrive in one turn.
+  void SendInOneTurn(const std::string& aBytes)
+  {
+    REQUIRE(aBytes.size() <= kTurnBytes);
+    peer->Write(aBytes);
+  }
+
+  EntryLoop loop;
+  kj::Own<kj::ConnectionReceiver> listener = loop.Listen();
+  BackendPort backends{ { .network = loop.Network(),
+                          .timer = loop.Timer(),
+                          .sink = loop.Sink(),
+                          .now = [] { return TimePoint{ 1s }; } } };
+  std::optional<RawPeer> peer;
+};
+
+/// Returns a chunk of less than 16 bytes.
+std::string SmallChunk(std::string_view aText)
+{
+  return std::string(1, "0123456789abcdef"[aText.size()]) + "\r\n" + std::string(aText) +
+         "\r\n";
+}
+
 } // namespace
 
 TEST_CASE("A caller that always has bytes leaves turns to others", "[entry][turns]")
@@ -71,6 +122,71 @@
   CHECK(readAtArrival - readAtSend < kMostBetweenPolls);
 }
 
+TEST_CASE("Events that come in many small chunks are passed on together",
+          "[entry][turns]")
+{
+  // Guards against a turn of thousands of messages: each chunk of one read had its own,
+  // and calls at sound backends waited for the turns of thirty such streams.
+  constexpr int kEvents = 400;
+  StreamFixture fixture;
+  std::string bytes = kStreamHead;
+  std::string expected;
+  for (int i = 1; i <= kEvents; ++i) {
+    const std::string event = "id:" + std::to_string(i) + "\n\n";
+    bytes += SmallChunk(event);
+    expected += event;
+  }
+  fixture.SendInOneTurn(bytes);
+  const auto events = fixture.loop.WaitFor<StreamEvents>();
+  CHECK(events.bytes == expected);
+  CHECK(events.lastId == std::to_string(kEvents));
+  fixture.peer->Write("0\r\n\r\n");
+  CHECK(fixture.loop.WaitFor<StreamEnded>().received.events == kEvents);
+  CHECK(fixture.loop.Count<StreamEvents>() == 0);
+}
+
+TEST_CASE("Events come before what ends their stream in the same turn", "[entry][turns]")
+{
+  // Guards against events that are lost, come late or come twice when the bytes behind
+  // them end or break the stream.
+  StreamFixture fixture;
+  const std::string start =
+    kStreamHead + SmallChunk("id: 1\n\n") + SmallChunk("id: 2\n\n") + SmallChunk("id: ");
+  BreakCause cause = BreakCause::Malformed;
+  SECTION("malformed bytes")
+  {
+    fixture.SendInOneTurn(start + "no chunk\r\n");
+  }
+  SECTION("an end inside an event")
+  {
+    fixture.SendInOneTurn(start + "0\r\n\r\n");
+  }
+  SECTION("the end of the connection")
+  {
+    fixture.SendInOneTurn(start);
+    fixture.peer->Close();
+    cause = BreakCause::Closed;
+  }
+  const auto broken = fixture.loop.WaitFor<AttemptBroken>();
+  CHECK(broken.cause == cause);
+  CHECK(broken.received.events == 2);
+  CHECK(broken.received.bytes == 18);
+  REQUIRE(fixture.loop.Count<StreamEvents>() == 1);
+  const auto events = fixture.loop.WaitFor<StreamEvents>();
+  CHECK(events.bytes == "id: 1\n\nid: 2\n\n");
+  CHECK(events.lastId == "2");
+}
+
+TEST_CASE("Events behind the response to another call are passed on", "[entry][turns]")
+{
+  // Guards against events that wait for the next read when another response comes first.
+  StreamFixture fixture;
+  fixture.SendInOneTurn(
+    "HTTP/1.1 200 OK\r\nGooseberrypath-Request-Id: r9\r\nContent-Length: 3\r\n\r\none" +
+    kStreamHead + SmallChunk("id: 1\n\n"));
+  CHECK(fixture.loop.WaitFor<StreamEvents>().bytes == "id: 1\n\n");
+}
+
 TEST_CASE("An event in small parts is split like a whole one", "[entry][turns]")
 {
   // Guards against ends of events that are missed where a part ends inside them, and
