Entry: bound the turns of connections that always have bytes

Cause: a poll finds all busy connections again, and each read of theirs is a turn before the next poll. An ordinary call has some eight steps (accept, request, connection, response, ...), each of which waits for a poll and so for a turn of every busy connection. Polling more often does not help, as the reads themselves are the work.

Change: a connection whose read filled its buffer asks BulkTurns before it reads on. Four such turns are given after each poll, in the order in which they were asked for, behind all that the poll has found. So a step of an ordinary call, or a timer, waits for four of them however many connections want them. Callers' and backends' connections share one BulkTurns; a connection whose read did not fill its buffer never waits. Nobody starves: each poll gives four turns, and the loop polls at least every 100 turns.

Evidence: "Many connections that always have bytes leave turns to others" (32 callers with full buffers, work counted between another caller's bytes and its request) failed with the mend taken out, 130 of at most 16, and passes with it. "A connection that is gone leaves its turn to the next" guards the queue.

--- a/entry/backend_port.cc
+++ b/entry/backend_port.cc
@@ -46,7 +46,8 @@
     , charge_(aPort.options_.responseMemory)
     , socket_(kj::mv(aStream),
               { .onBytes = [this](std::span<const char> aBytes) { OnBytes(aBytes); },
-                .onClosed = [this](SocketEnd aEnd) { OnClosed(aEnd); } })
+                .onClosed = [this](SocketEnd aEnd) { OnClosed(aEnd); },
+                .bulkTurns = aPort.options_.bulkTurns })
   {
     socket_.SetPeerTimeout(port_.options_.peerTimeout);
     keepAlive_ = port_.options_.defaultKeepAlive;
--- a/entry/backend_port.h
+++ b/entry/backend_port.h
@@ -17,6 +17,7 @@
 #include <kj/async-io.h>
 #include <kj/timer.h>
 
+#include "entry/bulk_turns.h"
 #include "entry/messages.h"
 #include "gooseberrypath/memory_account.h"
 #include "gooseberrypath/task_errors.h"
@@ -57,6 +58,8 @@
   // Limit for bytes that are read and discarded while a call waits for its response:
   // interim (1xx) responses and responses to other calls.
   size_t maxDiscardedBytes = size_t{ 1024 } * 1024;
+  // Turns of connections that always have bytes. Null: they read on at once.
+  BulkTurns* bulkTurns = nullptr;
 };
 
 class BackendPort
--- a/entry/caller_port.cc
+++ b/entry/caller_port.cc
@@ -75,7 +75,8 @@
     , socket_(kj::mv(aStream),
               { .onBytes = [this](std::span<const char> aBytes) { OnBytes(aBytes); },
                 .onClosed = [this](SocketEnd) { OnClosed(); },
-                .onDrained = [this] { OnDrained(); } })
+                .onDrained = [this] { OnDrained(); },
+                .bulkTurns = aPort.options_.bulkTurns })
   {
   }
 
--- a/entry/caller_port.h
+++ b/entry/caller_port.h
@@ -15,6 +15,7 @@
 #include <kj/async-io.h>
 #include <kj/timer.h>
 
+#include "entry/bulk_turns.h"
 #include "entry/messages.h"
 #include "gooseberrypath/freed_memory.h"
 #include "gooseberrypath/memory_account.h"
@@ -36,6 +37,8 @@
   MemoryAccountPtr responseMemory = std::make_shared<MemoryAccount>();
   // Called at most every 250 ms, after the counts have changed.
   std::function<void(const Shortages&)> onShortage = {};
+  // Turns of connections that always have bytes. Null: they read on at once.
+  BulkTurns* bulkTurns = nullptr;
 };
 
 class CallerPort
--- a/entry/serve_entry.cc
+++ b/entry/serve_entry.cc
@@ -13,6 +13,7 @@
 
 #include "entry/backend_port.h"
 #include "entry/boot_clock.h"
+#include "entry/bulk_turns.h"
 #include "entry/caller_port.h"
 #include "entry/cloud_port.h"
 #include "entry/digest_port.h"
@@ -99,6 +100,7 @@
     : path_(aPath)
     , settings_(aSettings)
     , timer_(aIo.provider->getTimer())
+    , bulkTurns_(timer_)
     , clock_({ .timer = timer_ })
     , wallOffset_(ReadWallClock() -
                   std::chrono::duration_cast<WallTime>(clock_.Now().time_since_epoch()))
@@ -107,16 +109,16 @@
     , log_({ .host = aSettings.host,
              .wallNow = [this] { return WallNow(); },
              .now = [this] { return clock_.Now(); } })
-    , callers_(
-        { .network = aIo.provider->getNetwork(),
-          .timer = timer_,
-          .sink = EventSink(),
-          .now = [this] { return clock_.Now(); },
-          .address = aSettings.callerAddress,
-          .maxConnections = ConnectionsWithin(aSettings.maxDescriptors),
-          .memory = requestMemory_,
-          .responseMemory = responseMemory_,
-          .onShortage = [this](const Shortages& aCounts) { LogShortage(aCounts); } })
+    , callers_({ .network = aIo.provider->getNetwork(),
+                 .timer = timer_,
+                 .sink = EventSink(),
+                 .now = [this] { return clock_.Now(); },
+                 .address = aSettings.callerAddress,
+                 .maxConnections = ConnectionsWithin(aSettings.maxDescriptors),
+                 .memory = requestMemory_,
+                 .responseMemory = responseMemory_,
+                 .onShortage = [this](const Shortages& aCounts) { LogShortage(aCounts); },
+                 .bulkTurns = &bulkTurns_ })
     , backends_(
         { .network = aIo.provider->getNetwork(),
           .timer = timer_,
@@ -124,7 +126,8 @@
           .now = [this] { return clock_.Now(); },
           .responseMemory = responseMemory_,
           .makeRoom =
-            [this](size_t aBytes) { return callers_.MakeRoomForResponse(aBytes); } })
+            [this](size_t aBytes) { return callers_.MakeRoomForResponse(aBytes); },
+          .bulkTurns = &bulkTurns_ })
     , store_({ .network = aIo.provider->getNetwork(),
                .timer = timer_,
                .sink = EventSink(),
@@ -357,6 +360,7 @@
   const std::string path_;
   EntrySettings settings_;
   kj::Timer& timer_;
+  BulkTurns bulkTurns_;
   kj::PromiseFulfillerPair<void> exit_ = kj::newPromiseAndFulfiller<void>();
   std::optional<EntryDaemon> daemon_;
   BootClock clock_;
--- a/entry/socket.cc
+++ b/entry/socket.cc
@@ -73,6 +73,9 @@
       if (!areCallbacksDisabled_) {
         options_.onBytes({ readBuffer_.data(), aRead });
       }
+      if (aRead == readBuffer_.size() && options_.bulkTurns != nullptr) {
+        return options_.bulkTurns->Next().then([this] { return ReadLoop(); });
+      }
       return ReadLoop();
     });
 }
--- a/entry/socket.h
+++ b/entry/socket.h
@@ -21,6 +21,7 @@
 
 #include <kj/async-io.h>
 
+#include "entry/bulk_turns.h"
 #include "gooseberrypath/shared_bytes.h"
 
 namespace gooseberrypath::entry {
@@ -43,6 +44,9 @@
   /// Called after CloseAfterWrites(), when all queued bytes were passed to the operating
   /// system.
   std::function<void()> onFlushed = {};
+  /// Where the connection waits before it reads on, if a read filled its buffer and may
+  /// have left bytes behind. Null: it reads on at once.
+  BulkTurns* bulkTurns = nullptr;
 };
 
 class Socket
--- a/entry/testing/turns_test.cc
+++ b/entry/testing/turns_test.cc
@@ -3,10 +3,12 @@
 // busy connection, so the tests do not depend on time.
 
 #include <optional>
+#include <vector>
 
 #include <catch2/catch.hpp>
 
 #include "entry/backend_port.h"
+#include "entry/bulk_turns.h"
 #include "entry/caller_port.h"
 #include "entry/http_reader.h"
 #include "entry/sse_event_splitter.h"
@@ -187,6 +189,77 @@
   CHECK(fixture.loop.WaitFor<StreamEvents>().bytes == "id: 1\n\n");
 }
 
+TEST_CASE("Many connections that always have bytes leave turns to others",
+          "[entry][turns]")
+{
+  // Guards against a call that waits for a turn of every busy connection at each of its
+  // steps: what is read before it grew with the number of busy connections.
+  constexpr size_t kBusy = 32;
+  constexpr size_t kBytesOfEach = size_t{ 256 } * 1024;
+  // The port asks for the time once or twice in each read. The other caller's bytes are
+  // seen at the next poll, and read before the turns that are given after it.
+  constexpr size_t kMostAsked = 2 * kBulkTurnsPerPoll * 2;
+  EntryLoop loop;
+  BulkTurns turns(loop.Timer());
+  const auto port = static_cast<uint16_t>(loop.Listen()->getPort());
+  auto memory = std::make_shared<MemoryAccount>(2 * kBusy * kBytesOfEach);
+  size_t asked = 0;
+  size_t askedAtArrival = 0;
+  std::optional<RawSocket> other;
+  const auto sendWhenBusy = [&] {
+    if (++asked == 4 * kBusy) {
+      other->Send("GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    }
+    return TimePoint{ 1s };
+  };
+  CallerPort callers({ .network = loop.Network(),
+                       .timer = loop.Timer(),
+                       .sink =
+                         [&](Event aEvent) {
+                           askedAtArrival = asked;
+                           loop.Sink()(std::move(aEvent));
+                         },
+                       .now = sendWhenBusy,
+                       .address = "127.0.0.1:" + std::to_string(port),
+                       .memory = memory,
+                       .bulkTurns = &turns });
+  other.emplace(RawSocket::Connect(port));
+  loop.RunUntil([&] { return callers.ConnectionCount() == 1; });
+  std::vector<RawSocket> busy;
+  size_t sent = 0;
+  for (size_t i = 0; i < kBusy; ++i) {
+    busy.push_back(RawSocket::Connect(port));
+    sent += busy.back().SendUntilFull(
+      "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4000000\r\n\r\n",
+      std::string(kTurnBytes, 'x'), kBytesOfEach);
+  }
+  REQUIRE(sent >= kBusy * kBytesOfEach);
+  CHECK(loop.WaitFor<CallArrived>().call.target == "/b");
+  CHECK(askedAtArrival - 4 * kBusy <= kMostAsked);
+  // The busy connections go on.
+  loop.RunUntil([&] { return memory->InUse() >= sent; });
+}
+
+TEST_CASE("A connection that is gone leaves its turn to the next", "[entry][turns]")
+{
+  // Guards against turns that nobody takes, and against connections that wait for ever
+  // when one before them closes.
+  EntryLoop loop;
+  BulkTurns turns(loop.Timer());
+  std::vector<size_t> order;
+  std::vector<kj::Promise<void>> waiting;
+  for (size_t i = 0; i < 3 * kBulkTurnsPerPoll; ++i) {
+    waiting.push_back(
+      turns.Next().then([&order, i] { order.push_back(i); }).eagerlyEvaluate(nullptr));
+  }
+  waiting.erase(waiting.begin(), waiting.begin() + 2 * kBulkTurnsPerPoll);
+  loop.RunUntil([&] { return order.size() == kBulkTurnsPerPoll; });
+  CHECK(order.front() == 2 * kBulkTurnsPerPoll);
+  bool hasTurn = false;
+  auto later = turns.Next().then([&] { hasTurn = true; }).eagerlyEvaluate(nullptr);
+  loop.RunUntil([&] { return hasTurn; });
+}
+
 TEST_CASE("An event in small parts is split like a whole one", "[entry][turns]")
 {
   // Guards against ends of events that are missed where a part ends inside them, and
