Entry: break a stream whose bytes bring no event

Cause: limits existed for an unfinished event, for a whole response and for the bytes before the response. Comments are whole events to the splitter, so none of them applied.

Change: the limit for bytes that bring a call no nearer to its response (1 MiB) now also holds between two events of a stream with a "data" field; comments and events without data are no events to a caller (server-sent events, "dispatch the event"). The attempt is broken as oversized, so it is retried where its route allows that, counted and logged with its reason. Comments are still passed on, and a comment every second would need years to reach the limit.

Evidence: two sections of "An endless response breaks the attempt" (comments, blank lines) failed with the mend taken out (8 MiB were read, no end within 20 s), and pass with it. "A valid stream of many small events or chunks is not cut" now has more comments than the limit, less between two events, and passes before and after.

--- a/entry/backend_port.cc
+++ b/entry/backend_port.cc
@@ -204,10 +204,14 @@
     const bool hasRoom = Charge(splitter_.PartialEvent().capacity());
     if (!events.bytes.empty()) {
       received_.events += events.count;
+      discardedBytes_ = events.hasData ? 0 : discardedBytes_ + events.bytes.size();
       port_.options_.sink(
         StreamEvents{ attempt_, std::move(events.bytes), std::move(events.lastId) });
     }
     CheckBufferLimits(port_.options_.maxEventBytes, hasRoom);
+    if (IsBusy() && discardedBytes_ > port_.options_.maxDiscardedBytes) {
+      Fail("too many bytes of the stream brought no event", BreakCause::Oversized);
+    }
   }
 
   /// Fails the attempt if its response takes up too much memory. aLimit is the limit in
@@ -349,12 +353,12 @@
   std::string requestId_;
   bool isStream_ = false;
   bool isResponseComplete_ = false;
-  bool hasSentCall_ = false;            // on this connection
-  bool hasSentEarlierCall_ = false;     // before the current call
-  bool hasSeenOtherResponse_ = false;   // a response to another call was read
-  size_t discardedBytes_ = 0;           // received before the response to this call
-  size_t bufferedBytes_ = 0;            // of the response, not yet passed on
-  bool isClosedByPeer_ = false;         // or the connection was reset
+  bool hasSentCall_ = false;          // on this connection
+  bool hasSentEarlierCall_ = false;   // before the current call
+  bool hasSeenOtherResponse_ = false; // a response to another call was read
+  size_t discardedBytes_ = 0;   // before the response, or since an event of the stream
+  size_t bufferedBytes_ = 0;    // of the response, not yet passed on
+  bool isClosedByPeer_ = false; // or the connection was reset
   std::vector<std::string> refusedIds_; // of calls that were refused on this connection
   ResponseHead head_;
   ReceivedBody received_; // of the response to the current call
--- a/entry/backend_port.h
+++ b/entry/backend_port.h
@@ -55,8 +55,9 @@
   size_t maxBufferedBytes = size_t{ 32 } * 1024 * 1024;
   // Limit for one event of a stream, which is buffered until it is complete.
   size_t maxEventBytes = size_t{ 256 } * 1024;
-  // Limit for bytes that are read and discarded while a call waits for its response:
-  // interim (1xx) responses and responses to other calls.
+  // Limit for bytes that are read while a call waits for its response or for the next
+  // event of its stream, and belong to neither: interim (1xx) responses, responses to
+  // other calls, comments and blank lines between events.
   size_t maxDiscardedBytes = size_t{ 1024 } * 1024;
   // Turns of connections that always have bytes. Null: they read on at once.
   BulkTurns* bulkTurns = nullptr;
--- a/entry/sse_event_splitter.cc
+++ b/entry/sse_event_splitter.cc
@@ -51,6 +51,12 @@
   return std::string(value);
 }
 
+/// Tells whether any event has a "data" field. Others are not shown to the caller's code.
+bool HasData(std::string_view aEvents)
+{
+  return aEvents.starts_with("data") || aEvents.find("\ndata") != std::string_view::npos;
+}
+
 } // namespace
 
 CompleteEvents SseEventSplitter::Feed(std::string_view aBytes)
@@ -69,6 +75,7 @@
   partialEvent_.erase(0, end);
   events.lastId = LastEventId(events.bytes);
   events.count = CountEvents(events.bytes);
+  events.hasData = HasData(events.bytes);
   return events;
 }
 
--- a/entry/sse_event_splitter.h
+++ b/entry/sse_event_splitter.h
@@ -18,6 +18,7 @@
   std::string bytes;
   std::string lastId; // value of the last "id" field; empty if there is none
   size_t count = 0;
+  bool hasData = false; // at least one is more than comments and blank lines
 };
 
 class SseEventSplitter
--- a/entry/testing/endless_bytes_test.cc
+++ b/entry/testing/endless_bytes_test.cc
@@ -139,6 +139,18 @@
     prefix = kChunkedHead + "6\r\ndata: \r\n";
     repeated = "3e8\r\n" + piece + "\r\n";
   }
+  SECTION("comments of a stream")
+  {
+    isStream = true;
+    prefix = kChunkedHead + "9\r\ndata: a\n\n\r\n";
+    repeated = "3\r\n:\n\n\r\n3e8\r\n:" + piece.substr(0, 997) + "\n\n\r\n";
+  }
+  SECTION("blank lines of a stream")
+  {
+    isStream = true;
+    prefix = kChunkedHead;
+    repeated = "3e8\r\n" + std::string(piece.size(), '\n') + "\r\n";
+  }
   SECTION("the body of a response to another call")
   {
     prefix = "HTTP/1.1 200 OK\r\nGooseberrypath-Request-Id: r9\r\n\r\n";
@@ -191,8 +203,8 @@
 
 TEST_CASE("A valid stream of many small events or chunks is not cut", "[entry][endless]")
 {
-  // Guards against limits that break a valid stream because it has many events or sends
-  // each byte in a chunk of its own.
+  // Guards against limits that break a valid stream because it has many events, sends
+  // each byte in a chunk of its own, or has comments between its events.
   EndlessBackendFixture fixture(true);
   fixture.peer->Write(kChunkedHead);
   std::string expected;
@@ -212,6 +224,12 @@
     fixture.peer->Write("3f0\r\n" + event + "\r\n");
     expected += event;
   }
+  const std::string comment = ":" + std::string(1005, 'z') + "\n\n";
+  for (int i = 0; i < 200; ++i) { // between events less than the limit
+    const bool isEvent = i % 50 == 0;
+    fixture.peer->Write("3f0\r\n" + (isEvent ? event : comment) + "\r\n");
+    expected += isEvent ? event : comment;
+  }
   fixture.peer->Write("0\r\n\r\n");
   fixture.loop.WaitFor<StreamEnded>();
   while (fixture.loop.Count<StreamEvents>() > 0) {
