Serve: break a stream whose bytes bring no chunk

Cause: SseParser limited lines and the data of one event, but not what brings neither.

Change: 1 MiB between two chunks is the limit; then the parser fails as for a malformed chunk, so the attempt breaks and the stream goes on at another engine.

Evidence: "SseParser refuses bytes without end that bring no chunk" failed for all three kinds of input with the mend taken out, and passes with it. It also feeds ten chunks with such bytes just below the limit between them, which must not fail.

--- a/gooseberrypath/sse_parser.cc
+++ b/gooseberrypath/sse_parser.cc
@@ -101,6 +101,11 @@
     }
     const size_t end = aBytes.find_first_of("\r\n");
     const std::string_view part = aBytes.substr(0, end);
+    bytesWithoutChunk_ += part.size() + (end == std::string_view::npos ? 0 : 1);
+    if (bytesWithoutChunk_ > options_.maxBytesWithoutChunk) {
+      failure_ = Error{ ErrorKind::BackendFailed, "too many bytes bring no chunk" };
+      break;
+    }
     if (line_.size() + part.size() > options_.maxEventBytes) {
       failure_ = Error{ ErrorKind::BackendFailed, "a line of the stream is too long" };
       break;
@@ -171,6 +176,7 @@
     return tl::unexpected<Error>(std::move(chunk.error()));
   }
   aChunks.push_back(std::move(*chunk));
+  bytesWithoutChunk_ = 0;
   return {};
 }
 
--- a/gooseberrypath/sse_parser.h
+++ b/gooseberrypath/sse_parser.h
@@ -35,6 +35,8 @@
 {
   size_t maxEventBytes =
     size_t{ 256 } * 1024; // limit on a line and on the data of one event
+  // Limit on the bytes between two chunks: comments, blank lines, other fields.
+  size_t maxBytesWithoutChunk = size_t{ 1024 } * 1024;
 };
 
 class SseParser
@@ -43,8 +45,8 @@
   explicit SseParser(SseParserOptions aOptions = {});
 
   /// Returns the chunks completed by these bytes, in order. Fails with BackendFailed if a
-  /// line or event is over the limit, if data is no chunk, or if the engine sent an error
-  /// object. After a failure all calls fail.
+  /// line or event is over the limit, if too many bytes bring no chunk, if data is no
+  /// chunk, or if the engine sent an error object. After a failure all calls fail.
   Result<std::vector<ModelChunk>> Feed(std::string_view aBytes);
 
 private:
@@ -55,6 +57,7 @@
   std::string line_;
   std::string data_;
   std::string event_;
+  size_t bytesWithoutChunk_ = 0; // since the last chunk
   bool hasData_ = false;
   bool wasCarriageReturn_ = false; // a following line feed belongs to the same line end
   std::optional<Error> failure_;
--- a/gooseberrypath/testing/sse_parser_test.cc
+++ b/gooseberrypath/testing/sse_parser_test.cc
@@ -93,6 +93,28 @@
   }
 }
 
+TEST_CASE("SseParser refuses bytes without end that bring no chunk", "[sse]")
+{
+  // Guards against an engine that keeps its stream open and the daemon busy with bytes
+  // which are no token, and against a limit that adds up over a sound stream.
+  constexpr size_t kLimit = 1000;
+  SseParser parser({ .maxBytesWithoutChunk = kLimit });
+  const auto input = GENERATE(as<std::string>{}, ":\n\n", "\n", "id: 1\n\n");
+  for (int i = 0; i < 10; ++i) {
+    for (size_t sent = 0; sent + 100 + input.size() <= kLimit; sent += input.size()) {
+      REQUIRE(parser.Feed(input));
+    }
+    const auto chunks = parser.Feed("data: {\"choices\":[]}\n\n");
+    REQUIRE(chunks);
+    REQUIRE(chunks->size() == 1);
+  }
+  size_t sent = 0;
+  while (sent <= 2 * kLimit && parser.Feed(input)) {
+    sent += input.size();
+  }
+  CHECK(sent <= kLimit);
+}
+
 TEST_CASE("SseParser refuses long lines, errors and malformed chunks", "[sse]")
 {
   // Guards against unbounded memory and against treating an engine's error as a token.
