Tests: one fixture for calls to backends, one for busy callers

endless_bytes_test, backend_port_test and turns_test had the same call, response head, chunks and backend each; turns_test had a port for callers twice. They stand once now, in entry/testing/backend_calls.h and CallersFixture.

--- a/entry/testing/backend_port_test.cc
+++ b/entry/testing/backend_port_test.cc
@@ -4,7 +4,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "gooseberrypath/testing/loop_fixture.h"
+#include "entry/testing/backend_calls.h"
 
 namespace gooseberrypath::entry {
 
@@ -12,8 +12,6 @@
 
 namespace {
 
-using EntryLoop = BasicLoopFixture<Event>;
-
 BackendPortOptions OptionsOf(EntryLoop& aLoop)
 {
   return { .network = aLoop.Network(),
@@ -22,21 +20,6 @@
            .now = [] { return TimePoint{ 1s }; } };
 }
 
-StartAttempt MakeAttempt(uint64_t aId, std::string aAddress, bool aIsStream = false)
-{
-  return { .attempt = { aId },
-           .backend = "i-1",
-           .address = std::move(aAddress),
-           .method = "POST",
-           .target = "/pickups/7?a=1",
-           .headers = { { "Host", "shop.example" } },
-           .body = "call-body",
-           .requestId = "r" + std::to_string(aId),
-           .timeLeft = 10s,
-           .isStream = aIsStream,
-           .mayRetry = true };
-}
-
 std::string MakeResponse(int aId, const std::string& aBody,
                          const std::string& aExtraFields = "")
 {
@@ -53,17 +36,6 @@
   aPeer.Close();
 }
 
-const std::string kStreamHead =
-  "HTTP/1.1 200 OK\r\nGooseberrypath-Request-Id: r1\r\nGooseberrypath-Response-Stamp: "
-  "s\r\nTransfer-Encoding: chunked\r\n\r\n";
-
-std::string ChunkOf(const std::string& aText)
-{
-  char size[16];
-  std::snprintf(size, sizeof(size), "%zx\r\n", aText.size());
-  return size + aText + "\r\n";
-}
-
 } // namespace
 
 TEST_CASE("An idle connection carries the next call", "[entry][backend]")
@@ -187,7 +159,7 @@
   backends.Execute(MakeAttempt(1, loop.AddressOf(*listener), true));
   RawPeer backend = loop.Accept(*listener);
   backend.ReadUntil("call-body");
-  backend.Write(kStreamHead + ChunkOf("id: 1\ndata: a\n\nid: 2\nda"));
+  backend.Write(kChunkedHead + ChunkOf("id: 1\ndata: a\n\nid: 2\nda"));
   loop.WaitFor<StreamStarted>();
   const auto first = loop.WaitFor<StreamEvents>();
   CHECK(first.bytes == "id: 1\ndata: a\n\n");
--- a/entry/testing/endless_bytes_test.cc
+++ b/entry/testing/endless_bytes_test.cc
@@ -7,7 +7,7 @@
 
 #include "entry/backend_port.h"
 #include "entry/peer_digest.h"
-#include "gooseberrypath/testing/loop_fixture.h"
+#include "entry/testing/backend_calls.h"
 
 namespace gooseberrypath::entry {
 
@@ -15,39 +15,16 @@
 
 namespace {
 
-using EntryLoop = BasicLoopFixture<Event>;
-
 constexpr size_t kLimitBytes = size_t{ 64 } * 1024; // of the BackendPort under test
 // A test that has sent this much assumes that the daemon has no limit.
 constexpr size_t kMaxSentBytes = size_t{ 8 } * 1024 * 1024;
 
-const std::string kResponseHead = "HTTP/1.1 200 OK\r\nGooseberrypath-Request-Id: r1\r\n"
-                                  "Gooseberrypath-Response-Stamp: s\r\n";
-const std::string kChunkedHead = kResponseHead + "Transfer-Encoding: chunked\r\n\r\n";
-
-StartAttempt MakeAttempt(uint64_t aId, std::string aAddress, bool aIsStream)
-{
-  return { .attempt = { aId },
-           .backend = "i-1",
-           .address = std::move(aAddress),
-           .method = "POST",
-           .target = "/",
-           .headers = { { "Host", "h" } },
-           .body = "call-body",
-           .requestId = "r" + std::to_string(aId),
-           .timeLeft = 10s,
-           .isStream = aIsStream,
-           .mayRetry = true };
-}
-
-/// A BackendPort with small limits and one backend that has read a call.
-struct EndlessBackendFixture
+/// A BackendPort with small limits and a backend that sends without end.
+struct EndlessBackendFixture : BackendFixture
 {
   explicit EndlessBackendFixture(bool aIsStream)
+    : BackendFixture({ .isStream = aIsStream, .limitBytes = kLimitBytes })
   {
-    backends.Execute(MakeAttempt(1, EntryLoop::AddressOf(*listener), aIsStream));
-    peer.emplace(loop.Accept(*listener));
-    peer->ReadUntil("call-body");
   }
 
   /// Sends aPrefix once and then aRepeated until the daemon closes the connection or
@@ -69,18 +46,6 @@
     }
     return sent;
   }
-
-  EntryLoop loop;
-  kj::Own<kj::ConnectionReceiver> listener = loop.Listen();
-  BackendPort backends{ { .network = loop.Network(),
-                          .timer = loop.Timer(),
-                          .sink = loop.Sink(),
-                          .now = [] { return TimePoint{ 1s }; },
-                          .maxResponseBytes = 4 * kLimitBytes,
-                          .maxBufferedBytes = 8 * kLimitBytes,
-                          .maxEventBytes = kLimitBytes,
-                          .maxDiscardedBytes = kLimitBytes } };
-  std::optional<RawPeer> peer;
 };
 
 } // namespace
--- a/entry/testing/turns_test.cc
+++ b/entry/testing/turns_test.cc
@@ -2,7 +2,8 @@
 // work for a message grows with its bytes only. Turns are counted by what was read of the
 // busy connection, so the tests do not depend on time.
 
-#include <optional>
+#include <functional>
+#include <memory>
 #include <vector>
 
 #include <catch2/catch.hpp>
@@ -12,8 +13,8 @@
 #include "entry/caller_port.h"
 #include "entry/http_reader.h"
 #include "entry/sse_event_splitter.h"
+#include "entry/testing/backend_calls.h"
 #include "gooseberrypath/event_loop.h"
-#include "gooseberrypath/testing/loop_fixture.h"
 #include "gooseberrypath/testing/raw_socket.h"
 
 namespace gooseberrypath::entry {
@@ -22,8 +23,6 @@
 
 namespace {
 
-using EntryLoop = BasicLoopFixture<Event>;
-
 // What may be charged for a busy connection between two polls: 8 KiB are read in a turn,
 // and the buffer of a body has up to half more than its bytes.
 constexpr size_t kMostBetweenPolls = kTurnsPerPoll * size_t{ 8192 } * 3 / 2;
@@ -36,52 +35,68 @@
 // What is read in one turn.
 constexpr size_t kTurnBytes = 8192;
 
-const std::string kStreamHead =
-  "HTTP/1.1 200 OK\r\nGooseberrypath-Request-Id: r1\r\n"
-  "Gooseberrypath-Response-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n";
-
-/// A stream of one backend, which has read the call.
-struct StreamFixture
+/// A stream whose backend sends what fits one read, so that it arrives in one turn.
+struct StreamFixture : BackendFixture
 {
   StreamFixture()
+    : BackendFixture({ .isStream = true })
   {
-    backends.Execute(StartAttempt{ .attempt = { 1 },
-                                   .backend = "i-1",
-                                   .address = EntryLoop::AddressOf(*listener),
-                                   .method = "POST",
-                                   .target = "/",
-                                   .headers = { { "Host", "h" } },
-                                   .body = "call-body",
-                                   .requestId = "r1",
-                                   .timeLeft = 10s,
-                                   .isStream = true,
-                                   .mayRetry = true });
-    peer.emplace(loop.Accept(*listener));
-    peer->ReadUntil("call-body");
   }
 
-  /// Sends bytes that fit one read, so that they arrive in one turn.
   void SendInOneTurn(const std::string& aBytes)
   {
     REQUIRE(aBytes.size() <= kTurnBytes);
     peer->Write(aBytes);
   }
-
-  EntryLoop loop;
-  kj::Own<kj::ConnectionReceiver> listener = loop.Listen();
-  BackendPort backends{ { .network = loop.Network(),
-                          .timer = loop.Timer(),
-                          .sink = loop.Sink(),
-                          .now = [] { return TimePoint{ 1s }; } } };
-  std::optional<RawPeer> peer;
 };
 
-/// Returns a chunk of less than 16 bytes.
-std::string SmallChunk(std::string_view aText)
+/// A port for callers, and one caller that sends a request while others keep the port
+/// busy.
+struct CallersFixture
 {
-  return std::string(1, "0123456789abcdef"[aText.size()]) + "\r\n" + std::string(aText) +
-         "\r\n";
-}
+  /// aOnRead is called once or twice in each read, aOnArrival for each request.
+  CallersFixture(std::function<void()> aOnRead, std::function<void()> aOnArrival,
+                 bool aBoundsTurns)
+    : callers({ .network = loop.Network(),
+                .timer = loop.Timer(),
+                .sink =
+                  [this, onArrival = std::move(aOnArrival)](Event aEvent) {
+                    onArrival();
+                    loop.Sink()(std::move(aEvent));
+                  },
+                .now =
+                  [onRead = std::move(aOnRead)] {
+                    onRead();
+                    return TimePoint{ 1s };
+                  },
+                .address = "127.0.0.1:" + std::to_string(port),
+                .memory = memory,
+                .bulkTurns = aBoundsTurns ? &turns : nullptr })
+    , other(RawSocket::Connect(port))
+  {
+    loop.RunUntil([&] { return callers.ConnectionCount() == 1; });
+  }
+
+  void SendRequest() { other.Send("GET /b HTTP/1.1\r\nHost: h\r\n\r\n"); }
+
+  /// Connects another caller and sends a part of its request, which must fit the buffers
+  /// of the operating system. Returns the number of bytes.
+  size_t SendBusyBody(size_t aMost)
+  {
+    busy.push_back(RawSocket::Connect(port));
+    return busy.back().SendUntilFull(
+      "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4000000\r\n\r\n",
+      std::string(kTurnBytes, 'x'), aMost);
+  }
+
+  EntryLoop loop;
+  BulkTurns turns{ loop.Timer() };
+  const uint16_t port = static_cast<uint16_t>(loop.Listen()->getPort());
+  MemoryAccountPtr memory = std::make_shared<MemoryAccount>();
+  CallerPort callers;
+  RawSocket other;
+  std::vector<RawSocket> busy;
+};
 
 } // namespace
 
@@ -89,38 +104,23 @@
 {
   // Guards against a connection that is read until it has no bytes, while the loop does
   // not see what others send.
-  EntryLoop loop;
-  const auto port = static_cast<uint16_t>(loop.Listen()->getPort());
-  auto memory = std::make_shared<MemoryAccount>();
+  CallersFixture* started = nullptr;
   size_t readAtSend = 0;
   size_t readAtArrival = 0;
-  std::optional<RawSocket> other;
   // The port asks for the time as it reads, so the other caller sends amid the reads.
   const auto sendWhenBusy = [&] {
-    if (readAtSend == 0 && memory->InUse() >= kReadBefore) {
-      readAtSend = memory->InUse();
-      other->Send("GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    if (started != nullptr && readAtSend == 0 &&
+        started->memory->InUse() >= kReadBefore) {
+      readAtSend = started->memory->InUse();
+      started->SendRequest();
     }
-    return TimePoint{ 1s };
   };
-  CallerPort callers({ .network = loop.Network(),
-                       .timer = loop.Timer(),
-                       .sink =
-                         [&](Event aEvent) {
-                           readAtArrival = memory->InUse();
-                           loop.Sink()(std::move(aEvent));
-                         },
-                       .now = sendWhenBusy,
-                       .address = "127.0.0.1:" + std::to_string(port),
-                       .memory = memory });
-  other.emplace(RawSocket::Connect(port));
-  loop.RunUntil([&] { return callers.ConnectionCount() == 1; });
-  RawSocket busy = RawSocket::Connect(port);
-  const size_t sent =
-    busy.SendUntilFull("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4000000\r\n\r\n",
-                       std::string(8192, 'x'), kMostBusyBytes);
+  CallersFixture fixture(
+    sendWhenBusy, [&] { readAtArrival = started->memory->InUse(); }, false);
+  started = &fixture;
+  const size_t sent = fixture.SendBusyBody(kMostBusyBytes);
   REQUIRE(sent > kReadBefore + kMostBetweenPolls + kReadBefore);
-  CHECK(loop.WaitFor<CallArrived>().call.target == "/b");
+  CHECK(fixture.loop.WaitFor<CallArrived>().call.target == "/b");
   CHECK(readAtArrival - readAtSend < kMostBetweenPolls);
 }
 
@@ -131,11 +131,11 @@
   // and calls at sound backends waited for the turns of thirty such streams.
   constexpr int kEvents = 400;
   StreamFixture fixture;
-  std::string bytes = kStreamHead;
+  std::string bytes = kChunkedHead;
   std::string expected;
   for (int i = 1; i <= kEvents; ++i) {
     const std::string event = "id:" + std::to_string(i) + "\n\n";
-    bytes += SmallChunk(event);
+    bytes += ChunkOf(event);
     expected += event;
   }
   fixture.SendInOneTurn(bytes);
@@ -153,7 +153,7 @@
   // them end or break the stream.
   StreamFixture fixture;
   const std::string start =
-    kStreamHead + SmallChunk("id: 1\n\n") + SmallChunk("id: 2\n\n") + SmallChunk("id: ");
+    kChunkedHead + ChunkOf("id: 1\n\n") + ChunkOf("id: 2\n\n") + ChunkOf("id: ");
   BreakCause cause = BreakCause::Malformed;
   SECTION("malformed bytes")
   {
@@ -185,7 +185,7 @@
   StreamFixture fixture;
   fixture.SendInOneTurn(
     "HTTP/1.1 200 OK\r\nGooseberrypath-Request-Id: r9\r\nContent-Length: 3\r\n\r\none" +
-    kStreamHead + SmallChunk("id: 1\n\n"));
+    kChunkedHead + ChunkOf("id: 1\n\n"));
   CHECK(fixture.loop.WaitFor<StreamEvents>().bytes == "id: 1\n\n");
 }
 
@@ -199,45 +199,26 @@
   // The port asks for the time once or twice in each read. The other caller's bytes are
   // seen at the next poll, and read before the turns that are given after it.
   constexpr size_t kMostAsked = 2 * kBulkTurnsPerPoll * 2;
-  EntryLoop loop;
-  BulkTurns turns(loop.Timer());
-  const auto port = static_cast<uint16_t>(loop.Listen()->getPort());
-  auto memory = std::make_shared<MemoryAccount>(2 * kBusy * kBytesOfEach);
+  CallersFixture* started = nullptr;
   size_t asked = 0;
   size_t askedAtArrival = 0;
-  std::optional<RawSocket> other;
   const auto sendWhenBusy = [&] {
-    if (++asked == 4 * kBusy) {
-      other->Send("GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    if (started != nullptr && ++asked == 4 * kBusy) {
+      started->SendRequest();
     }
-    return TimePoint{ 1s };
   };
-  CallerPort callers({ .network = loop.Network(),
-                       .timer = loop.Timer(),
-                       .sink =
-                         [&](Event aEvent) {
-                           askedAtArrival = asked;
-                           loop.Sink()(std::move(aEvent));
-                         },
-                       .now = sendWhenBusy,
-                       .address = "127.0.0.1:" + std::to_string(port),
-                       .memory = memory,
-                       .bulkTurns = &turns });
-  other.emplace(RawSocket::Connect(port));
-  loop.RunUntil([&] { return callers.ConnectionCount() == 1; });
-  std::vector<RawSocket> busy;
+  CallersFixture fixture(
+    sendWhenBusy, [&] { askedAtArrival = asked; }, true);
+  started = &fixture;
   size_t sent = 0;
   for (size_t i = 0; i < kBusy; ++i) {
-    busy.push_back(RawSocket::Connect(port));
-    sent += busy.back().SendUntilFull(
-      "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4000000\r\n\r\n",
-      std::string(kTurnBytes, 'x'), kBytesOfEach);
+    sent += fixture.SendBusyBody(kBytesOfEach);
   }
   REQUIRE(sent >= kBusy * kBytesOfEach);
-  CHECK(loop.WaitFor<CallArrived>().call.target == "/b");
+  CHECK(fixture.loop.WaitFor<CallArrived>().call.target == "/b");
   CHECK(askedAtArrival - 4 * kBusy <= kMostAsked);
   // The busy connections go on.
-  loop.RunUntil([&] { return memory->InUse() >= sent; });
+  fixture.loop.RunUntil([&] { return fixture.memory->InUse() >= sent; });
 }
 
 TEST_CASE("A connection that is gone leaves its turn to the next", "[entry][turns]")
