--- a/entry/bulk_turns.cc
+++ b/entry/bulk_turns.cc
@@ -25,6 +25,7 @@
       given += next->isWaiting() ? 1 : 0;
       next->fulfill();
     }
+    givenCount_ += given;
     if (waiting_.empty()) {
       isGiving_ = false;
       return kj::READY_NOW;
--- a/entry/bulk_turns.h
+++ b/entry/bulk_turns.h
@@ -8,6 +8,7 @@
 #define ENTRY_BULK_TURNS_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 
 #include <kj/async.h>
@@ -35,12 +36,16 @@
   /// have had their turns. Dropping it gives the turn to the next one.
   kj::Promise<void> Next();
 
+  /// Returns the number of turns that were given.
+  uint64_t GivenCount() const { return givenCount_; }
+
 private:
   /// Gives turns after each poll until nobody waits.
   kj::Promise<void> GiveTurns();
 
   kj::Timer& timer_;
   std::deque<kj::Own<kj::PromiseFulfiller<void>>> waiting_;
+  uint64_t givenCount_ = 0;
   bool isGiving_ = false;
   kj::Promise<void> task_ = nullptr;
 };
--- a/entry/serve_entry.cc
+++ b/entry/serve_entry.cc
@@ -271,7 +271,7 @@
   std::string RenderMetrics() const
   {
     const World& world = daemon_->GetWorld();
-    const std::array<Gauge, 16> gauges{
+    const std::array<Gauge, 17> gauges{
       Gauge{ "entry_requests", "Calls being served",
              static_cast<double>(world.requests.Size()) },
       Gauge{ "entry_backends", "Backends that are known",
@@ -286,6 +286,8 @@
              static_cast<double>(world.dutyToken) },
       Gauge{ "entry_events_failed", "Unexpected errors in the handling of an event",
              static_cast<double>(failedEvents_) },
+      Gauge{ "entry_bulk_turns", "Reads that waited for the turn of a busy connection",
+             static_cast<double>(bulkTurns_.GivenCount()) },
       Gauge{ "entry_request_memory_bytes", "Memory that callers' requests take up",
              static_cast<double>(requestMemory_->InUse()) },
       Gauge{ "entry_request_memory_bound_bytes", "Bound of that memory",
--- a/entry/testing/turns_test.cc
+++ b/entry/testing/turns_test.cc
@@ -236,6 +236,7 @@
   waiting.erase(waiting.begin(), waiting.begin() + 2 * kBulkTurnsPerPoll);
   loop.RunUntil([&] { return order.size() == kBulkTurnsPerPoll; });
   CHECK(order.front() == 2 * kBulkTurnsPerPoll);
+  CHECK(turns.GivenCount() == kBulkTurnsPerPoll);
   bool hasTurn = false;
   auto later = turns.Next().then([&] { hasTurn = true; }).eagerlyEvaluate(nullptr);
   loop.RunUntil([&] { return hasTurn; });
