--- a/entry/sse_event_splitter.cc
+++ b/entry/sse_event_splitter.cc
@@ -51,7 +51,7 @@
   return std::string(value);
 }
 
-/// Tells whether any event has a "data" field. Others are not shown to the caller's code.
+/// Tells whether any event has a "data" field. Clients dispatch no others.
 bool HasData(std::string_view aEvents)
 {
   return aEvents.starts_with("data") || aEvents.find("\ndata") != std::string_view::npos;
--- a/entry/sse_event_splitter.h
+++ b/entry/sse_event_splitter.h
@@ -18,7 +18,7 @@
   std::string bytes;
   std::string lastId; // value of the last "id" field; empty if there is none
   size_t count = 0;
-  bool hasData = false; // at least one is more than comments and blank lines
+  bool hasData = false; // an event has a "data" field
 };
 
 class SseEventSplitter
