Soak: judge by the times at which faults were there, not by the schedule

Cause, from the logs of that play: the soak's own process stood still from 10.3 s to 23.6 s (no caller sent anything, and no fault began or ended), while daemons went on. So the outage of the store that the schedule ends at 10.38 s lasted until 27.8 s: the daemon that sent the call had read 503 from the store 10 ms before and after it, for 22.7 s, was told by a peer 66 ms later that the backend leaves, and read the store again 131 ms later. A daemon that cannot read the store may not know of the leaving backend, and the check excuses just that, but by the schedule's times. Why the process stood still is not known.

Change: each fault notes when it really began and ended. On time the checks are as strict as before; the times differ by milliseconds then.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -235,11 +235,19 @@
 
     async def _play(self, fault):
         await asyncio.sleep(max(0, self.start + fault.at - time.monotonic()))
+        # On a busy machine faults begin and end later than in the schedule. The checks
+        # need the times at which they were there.
+        fault.at = time.monotonic() - self.start
         if fault.kind.startswith("link_"):
             await self._play_link(fault)
         else:
             await getattr(self, "_" + fault.kind)(fault)
 
+    async def _hold(self, fault):
+        """Waits for the length of the fault, and notes how long it really was there."""
+        await asyncio.sleep(fault.length)
+        fault.length = time.monotonic() - self.start - fault.at
+
     def _daemon(self, fault):
         return self.daemons[fault.target % len(self.daemons)]
 
@@ -256,7 +264,7 @@
             return
         link.mode = LINK_MODES[fault.kind]
         self.link_ends[link] += 1
-        await asyncio.sleep(fault.length)
+        await self._hold(fault)
         self.link_ends[link] -= 1
         if self.link_ends[link] == 0:
             link.mode = Mode.PASS
@@ -269,7 +277,7 @@
         began = time.monotonic()
         process.send_signal(signal.SIGSTOP)
         daemon.is_paused = True
-        await asyncio.sleep(fault.length)
+        await self._hold(fault)
         if process.poll() is None:
             process.send_signal(signal.SIGCONT)
         daemon.is_paused = False
@@ -282,7 +290,7 @@
         daemon.is_up = False
         daemon.process.kill()
         daemon.process.wait()
-        await asyncio.sleep(fault.length)
+        await self._hold(fault)
         daemon.start()
 
     async def _daemon_stop(self, fault):
@@ -314,7 +322,7 @@
     async def _backend_pause(self, fault):
         process = self._backend(fault).process
         process.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(fault.length)
+        await self._hold(fault)
         if process.poll() is None:
             process.send_signal(signal.SIGCONT)
 
@@ -323,7 +331,7 @@
         backend.is_leaving = True
         backend.process.kill()
         backend.proxy.close()
-        await asyncio.sleep(fault.length)
+        await self._hold(fault)
         self.store.put("keyed.servers", backend.name, None)
         await self._add_backend()
 
@@ -333,13 +341,13 @@
         await self._add_backend()
         self._announce(backend, "draining")
         self.leavings[backend.name] = time.monotonic()
-        await asyncio.sleep(fault.length)
+        await self._hold(fault)
         self.store.put("keyed.servers", backend.name, None)
         backend.process.kill()
 
     async def _store_down(self, fault):
         self.store.is_down = True
-        await asyncio.sleep(fault.length)
+        await self._hold(fault)
         self.store.is_down = False
 
     async def _store_lapse(self, fault):
@@ -354,12 +362,12 @@
 
     async def _store_slow(self, fault):
         self.store.delay = STORE_SLOWNESS_S
-        await asyncio.sleep(fault.length)
+        await self._hold(fault)
         self.store.delay = 0
 
     async def _store_loses_answers(self, fault):
         self.store.loses_answers = True
-        await asyncio.sleep(fault.length)
+        await self._hold(fault)
         self.store.loses_answers = False
 
     async def _store_forgets(self, _):
